Start the workspace: time, flow, wire, SQL classification, sessions, topology and peer links

Cause: nothing stood yet. Change: npm workspace with project references, formatter and linter; the libraries below the routing. Conclusion: base for the thin whole path.

--- /dev/null
+++ b/packages/logging/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Structured logs.
+ *
+ * @packageDocumentation
+ */
+export {Logger, type LogFields, type LogFormat} from './logger.js';
--- /dev/null
+++ b/packages/logging/src/logger.ts
@@ -0,0 +1,80 @@
+import {createConsola, type ConsolaInstance, type LogObject} from 'consola';
+
+/** Named values that belong to a log line. */
+export type LogFields = Readonly<
+  Record<string, string | number | boolean | undefined>
+>;
+
+/** How lines are written: for people, or one JSON object a line. */
+export type LogFormat = 'text' | 'json';
+
+/** Writes structured lines to standard error. */
+export class Logger {
+  private constructor(
+    private readonly sink: ConsolaInstance,
+    private readonly fields: LogFields,
+  ) {}
+
+  /** A logger for a process; `level` is consola's (3 is information). */
+  static create(format: LogFormat, level: number): Logger {
+    const sink = createConsola({level, reporters: [reporterFor(format)]});
+    return new Logger(sink, {});
+  }
+
+  /** A logger that writes nothing. */
+  static silent(): Logger {
+    return new Logger(createConsola({level: -999, reporters: []}), {});
+  }
+
+  /** A logger whose every line also has `fields`. */
+  with(fields: LogFields): Logger {
+    return new Logger(this.sink, {...this.fields, ...fields});
+  }
+
+  /** Something that a person who looks into a fault wants to see. */
+  debug(message: string, fields: LogFields = {}): void {
+    this.sink.debug(message, {...this.fields, ...fields});
+  }
+
+  /** Something that happens as it should. */
+  info(message: string, fields: LogFields = {}): void {
+    this.sink.info(message, {...this.fields, ...fields});
+  }
+
+  /** Something that the process gets over by itself. */
+  warn(message: string, fields: LogFields = {}): void {
+    this.sink.warn(message, {...this.fields, ...fields});
+  }
+
+  /** Something that a person has to look at. */
+  error(message: string, fields: LogFields = {}): void {
+    this.sink.error(message, {...this.fields, ...fields});
+  }
+}
+
+interface Reporter {
+  log(line: LogObject): void;
+}
+
+function reporterFor(format: LogFormat): Reporter {
+  const render = format === 'json' ? renderJson : renderText;
+  return {log: line => process.stderr.write(`${render(line)}\n`)};
+}
+
+function renderJson(line: LogObject): string {
+  const [message, fields] = line.args as [string, LogFields];
+  return JSON.stringify({
+    time: line.date.toISOString(),
+    level: line.type,
+    message,
+    ...fields,
+  });
+}
+
+function renderText(line: LogObject): string {
+  const [message, fields] = line.args as [string, LogFields];
+  const pairs = Object.entries(fields)
+    .filter(([, value]) => value !== undefined)
+    .map(([name, value]) => `${name}=${String(value)}`);
+  return [line.date.toISOString(), line.type, message, ...pairs].join(' ');
+}
--- /dev/null
+++ b/packages/session/src/index.ts
@@ -0,0 +1,15 @@
+/**
+ * Log positions, and the tokens by which a session carries what it has seen
+ * from one proxy to another.
+ *
+ * @packageDocumentation
+ */
+export {
+  formatPosition,
+  laterPosition,
+  parsePosition,
+  POSITION_ZERO,
+  type Position,
+  type PositionError,
+} from './position.js';
+export {SessionToken, type SessionTokenError} from './session_token.js';
--- /dev/null
+++ b/packages/sql/src/statement_classifier.ts
@@ -0,0 +1,182 @@
+import {loadModule, parseSync} from 'libpg-query';
+import {LRUCache} from 'lru-cache';
+import {Statement} from './statement.js';
+import {
+  fieldOf,
+  isNode,
+  someNode,
+  stringOf,
+  SyntaxNode,
+} from './syntax_tree.js';
+import {READ_ONLY_FUNCTIONS} from './read_only_functions.js';
+
+const MAXIMUM_CACHED_TEXTS = 5_000;
+const MAXIMUM_CACHED_CHARACTERS = 4_000_000;
+const PROXY_SETTING_PREFIX = 'apricotlock.';
+
+/** The statements of one query text, in order. */
+export type ClassifiedQuery =
+  | {readonly kind: 'parsed'; readonly statements: readonly Statement[]}
+  /** Not SQL that the parser knows: only the database can say what it is. */
+  | {readonly kind: 'unparsed'};
+
+/** Tells what query texts mean, with PostgreSQL's own parser. */
+export class StatementClassifier {
+  private readonly cache = new LRUCache<string, ClassifiedQuery>({
+    max: MAXIMUM_CACHED_TEXTS,
+    maxSize: MAXIMUM_CACHED_CHARACTERS,
+    sizeCalculation: (_query, text) => text.length + 1,
+  });
+
+  private constructor() {}
+
+  /** Loads the parser. */
+  static async create(): Promise<StatementClassifier> {
+    await loadModule();
+    return new StatementClassifier();
+  }
+
+  /** What the statements of `text` are. */
+  classify(text: string): ClassifiedQuery {
+    const known = this.cache.get(text);
+    if (known !== undefined) return known;
+    const classified = classifyText(text);
+    this.cache.set(text, classified);
+    return classified;
+  }
+}
+
+function classifyText(text: string): ClassifiedQuery {
+  try {
+    const tree = parseSync(text) as unknown as SyntaxNode;
+    const statements = (tree['stmts'] as SyntaxNode[] | undefined) ?? [];
+    return {
+      kind: 'parsed',
+      statements: statements.map(raw =>
+        classifyStatement(raw['stmt'] as SyntaxNode),
+      ),
+    };
+  } catch {
+    return {kind: 'unparsed'};
+  }
+}
+
+function classifyStatement(statement: SyntaxNode): Statement {
+  const [type] = Object.keys(statement);
+  const body = fieldOf(statement, type ?? '');
+  switch (type) {
+    case 'SelectStmt':
+      return {kind: isReadOnlyTree(statement) ? 'read' : 'write'};
+    case 'TransactionStmt':
+      return classifyTransactionCommand(body);
+    case 'VariableSetStmt':
+      return classifySet(body);
+    case 'VariableShowStmt':
+      return classifyShow(body);
+    case 'InsertStmt':
+    case 'UpdateStmt':
+    case 'DeleteStmt':
+    case 'MergeStmt':
+      return {kind: 'write'};
+    case 'CopyStmt':
+      return unsupported('COPY');
+    case 'ListenStmt':
+    case 'UnlistenStmt':
+      return unsupported('LISTEN');
+    case 'PrepareStmt':
+    case 'ExecuteStmt':
+    case 'DeallocateStmt':
+      return unsupported('PREPARE as a statement');
+    case 'DeclareCursorStmt':
+      return unsupported('DECLARE CURSOR');
+    case 'DiscardStmt':
+      return unsupported('DISCARD');
+    default:
+      return {kind: 'write'};
+  }
+}
+
+function unsupported(what: string): Statement {
+  return {kind: 'unsupported', what};
+}
+
+/** A tree that locks nothing, stores nothing, and calls only known functions. */
+function isReadOnlyTree(tree: SyntaxNode): boolean {
+  return !someNode(tree, node => {
+    if (isNode(node, 'LockingClause')) return true;
+    if (isNode(node, 'IntoClause') || 'intoClause' in node) return true;
+    if ('lockingClause' in node) return true;
+    if (isNode(node, 'InsertStmt') || isNode(node, 'UpdateStmt')) return true;
+    if (isNode(node, 'DeleteStmt') || isNode(node, 'MergeStmt')) return true;
+    return isNode(node, 'FuncCall') && !isReadOnlyCall(node);
+  });
+}
+
+function isReadOnlyCall(node: SyntaxNode): boolean {
+  const parts = fieldOf(node, 'FuncCall')['funcname'] as SyntaxNode[];
+  const names = parts.map(stringOf);
+  const schema = names.length > 1 ? names[0] : 'pg_catalog';
+  const name = names[names.length - 1] ?? '';
+  return schema === 'pg_catalog' && READ_ONLY_FUNCTIONS.has(name);
+}
+
+function classifyTransactionCommand(body: SyntaxNode): Statement {
+  switch (body['kind']) {
+    case 'TRANS_STMT_BEGIN':
+    case 'TRANS_STMT_START':
+      return {kind: 'begin', options: {readOnly: asksReadOnly(body)}};
+    case 'TRANS_STMT_COMMIT':
+      return body['chain'] === true ? unsupported('AND CHAIN') : {kind: 'commit'};
+    case 'TRANS_STMT_ROLLBACK':
+      return body['chain'] === true
+        ? unsupported('AND CHAIN')
+        : {kind: 'rollback'};
+    case 'TRANS_STMT_PREPARE':
+    case 'TRANS_STMT_COMMIT_PREPARED':
+    case 'TRANS_STMT_ROLLBACK_PREPARED':
+      return unsupported('two-phase commit');
+    default:
+      return {kind: 'insideTransaction'};
+  }
+}
+
+function asksReadOnly(body: SyntaxNode): boolean {
+  const options = (body['options'] as SyntaxNode[] | undefined) ?? [];
+  return options.some(option => {
+    const definition = fieldOf(option, 'DefElem');
+    if (definition['defname'] !== 'transaction_read_only') return false;
+    const constant = fieldOf(definition['arg'] as SyntaxNode, 'A_Const');
+    return fieldOf(constant, 'ival')['ival'] === 1;
+  });
+}
+
+function classifySet(body: SyntaxNode): Statement {
+  const name = String(body['name'] ?? '');
+  if (body['is_local'] === true) return {kind: 'insideTransaction'};
+  if (name.startsWith(PROXY_SETTING_PREFIX)) {
+    return {kind: 'setProxySetting', name, value: settingValue(body)};
+  }
+  if (body['kind'] === 'VAR_SET_MULTI' && name === 'TRANSACTION') {
+    return {kind: 'insideTransaction'};
+  }
+  return unsupported(`SET ${name} for a whole session`);
+}
+
+function settingValue(body: SyntaxNode): string | undefined {
+  const values = (body['args'] as SyntaxNode[] | undefined) ?? [];
+  const first = values[0];
+  if (first === undefined) return undefined;
+  const constant = fieldOf(first, 'A_Const');
+  if ('sval' in constant) return String(fieldOf(constant, 'sval')['sval'] ?? '');
+  if ('ival' in constant) return String(fieldOf(constant, 'ival')['ival'] ?? 0);
+  if ('fval' in constant) return String(fieldOf(constant, 'fval')['fval']);
+  return undefined;
+}
+
+function classifyShow(body: SyntaxNode): Statement {
+  const name = String(body['name'] ?? '');
+  if (name.startsWith(PROXY_SETTING_PREFIX)) {
+    return {kind: 'showProxySetting', name};
+  }
+  return {kind: 'read'};
+}
--- /dev/null
+++ b/packages/sql/test/statement_classifier_test.ts
@@ -0,0 +1,84 @@
+import {expect} from 'chai';
+import {StatementClassifier} from '../src/index.js';
+
+describe('StatementClassifier', () => {
+  let classifier: StatementClassifier;
+
+  before(async () => {
+    classifier = await StatementClassifier.create();
+  });
+
+  function kindsOf(text: string): readonly string[] {
+    const query = classifier.classify(text);
+    if (query.kind === 'unparsed') return ['unparsed'];
+    return query.statements.map(statement => statement.kind);
+  }
+
+  describe('reads', () => {
+    for (const text of [
+      'SELECT 1',
+      'SELECT a, count(*) FROM holds WHERE b = $1 GROUP BY a',
+      'WITH x AS (SELECT 1) SELECT * FROM x',
+      'SELECT pg_catalog.lower(a) FROM holds',
+    ]) {
+      it(text, () => expect(kindsOf(text)).to.deep.equal(['read']));
+    }
+  });
+
+  describe('writes', () => {
+    for (const text of [
+      'SELECT * FROM holds FOR UPDATE',
+      'SELECT * FROM (SELECT * FROM holds FOR SHARE) AS locked',
+      'WITH x AS (DELETE FROM holds RETURNING *) SELECT * FROM x',
+      "SELECT nextval('s')",
+      'SELECT public.count(1)',
+      'SELECT * INTO other FROM holds',
+      'INSERT INTO holds VALUES (1)',
+      'CREATE TABLE holds (id text)',
+    ]) {
+      it(text, () => expect(kindsOf(text)).to.deep.equal(['write']));
+    }
+  });
+
+  describe('transactions', () => {
+    it('knows whether a transaction is read only', () => {
+      expect(classifier.classify('BEGIN READ ONLY')).to.deep.equal({
+        kind: 'parsed',
+        statements: [{kind: 'begin', options: {readOnly: true}}],
+      });
+      expect(classifier.classify('BEGIN READ WRITE')).to.deep.equal({
+        kind: 'parsed',
+        statements: [{kind: 'begin', options: {readOnly: false}}],
+      });
+    });
+
+    it('knows the statements of one text', () => {
+      expect(kindsOf('BEGIN; INSERT INTO a VALUES (1); COMMIT')).to.deep.equal(
+        ['begin', 'write', 'commit'],
+      );
+    });
+  });
+
+  describe('settings', () => {
+    it('reads a setting of the proxy', () => {
+      expect(
+        classifier.classify("SET apricotlock.session = 'x'"),
+      ).to.deep.equal({
+        kind: 'parsed',
+        statements: [
+          {kind: 'setProxySetting', name: 'apricotlock.session', value: 'x'},
+        ],
+      });
+    });
+
+    it('refuses what needs a database session of its own', () => {
+      for (const text of ['SET search_path = a', 'COPY a FROM STDIN']) {
+        expect(kindsOf(text)).to.deep.equal(['unsupported']);
+      }
+    });
+  });
+
+  it('leaves to the database what it cannot read', () => {
+    expect(kindsOf('SELEC 1')).to.deep.equal(['unparsed']);
+  });
+});
--- /dev/null
+++ b/packages/topology/src/index.ts
@@ -0,0 +1,37 @@
+/**
+ * The immutable view that every process has of the system: the catalogue, the
+ * database groups and the entry VMs.
+ *
+ * @packageDocumentation
+ */
+export {
+  formatAddress,
+  parseAddress,
+  type Address,
+  type AddressError,
+} from './address.js';
+export {
+  checkEntries,
+  EMPTY_CATALOGUE,
+  findEntry,
+  type Catalogue,
+  type CatalogueEntry,
+  type CatalogueFault,
+  type EntryLimits,
+  type EntryVerifier,
+  type ServiceClass,
+} from './catalogue.js';
+export {EMPTY_VIEW, findGroup, type ClusterView} from './cluster_view.js';
+export {
+  findMember,
+  majorityOf,
+  votingMembers,
+  type DatabaseGroup,
+  type Member,
+  type MemberState,
+} from './database_group.js';
+export {ownerOf} from './rendezvous.js';
+export {
+  type VirtualMachine,
+  type VirtualMachineState,
+} from './virtual_machine.js';
--- /dev/null
+++ b/packages/topology/test/rendezvous_test.ts
@@ -0,0 +1,44 @@
+import {expect} from 'chai';
+import {ownerOf, VirtualMachine} from '../src/index.js';
+
+function machine(name: string, dataCentre: string): VirtualMachine {
+  const address = {host: '127.0.0.1', port: 1};
+  return {
+    name,
+    incarnation: 1,
+    dataCentre,
+    peerAddress: address,
+    operatorAddress: address,
+    controlVoter: false,
+    state: 'serving',
+  };
+}
+
+describe('ownerOf', () => {
+  const machines = [
+    machine('vm-1', 'catania'),
+    machine('vm-2', 'catania'),
+    machine('vm-3', 'palermo'),
+  ];
+
+  it('prefers the data centre of the member', () => {
+    for (const member of ['a', 'b', 'c', 'd']) {
+      const owner = ownerOf(member, 'palermo', machines);
+      expect(owner?.name).to.equal('vm-3');
+    }
+  });
+
+  it('falls back to another data centre when that has no VM', () => {
+    expect(ownerOf('a', 'messina', machines)).to.not.equal(undefined);
+  });
+
+  it('moves only what a lost VM owned', () => {
+    const names = Array.from({length: 200}, (_, index) => `member-${index}`);
+    const rest = machines.filter(other => other.name !== 'vm-1');
+    for (const name of names) {
+      const before = ownerOf(name, 'catania', machines);
+      if (before?.name === 'vm-1') continue;
+      expect(ownerOf(name, 'catania', rest)).to.deep.equal(before);
+    }
+  });
+});
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,72 @@
+/**
+ * The PostgreSQL protocol, version 3, as far as the proxy reads and writes it.
+ * Messages that need not be read are relayed as bytes.
+ *
+ * Source: PostgreSQL documentation, chapter "Frontend/Backend Protocol".
+ *
+ * @packageDocumentation
+ */
+export {
+  backendKeyData,
+  bareMessage,
+  commandComplete,
+  dataRow,
+  errorResponse,
+  parameterDescription,
+  parameterStatus,
+  readCommandTag,
+  readErrorResponse,
+  readFirstValue,
+  readReadyForQuery,
+  readyForQuery,
+  rowDescription,
+  type ColumnDescription,
+  type DatabaseErrorFields,
+} from './backend_message.js';
+export {ByteStream} from './byte_stream.js';
+export {
+  FRAME_HEADER_BYTES,
+  FrameSplitter,
+  type Frame,
+  type FrameError,
+  type FrameForm,
+} from './frame.js';
+export {
+  closeStatementMessage,
+  parseMessage,
+  queryMessage,
+  readBind,
+  readParse,
+  readQuery,
+  readTarget,
+  syncMessage,
+  type BindMessage,
+  type MessageError,
+  type ParseMessage,
+  type TargetMessage,
+} from './frontend_message.js';
+export {
+  BackendType,
+  FrontendType,
+  type TransactionStatus,
+} from './message_type.js';
+export {
+  scramVerifier,
+  type ScramVerifier,
+} from './scram_verifier.js';
+export {
+  acceptCaller,
+  type AcceptedCaller,
+  type AcceptError,
+  type AcceptOptions,
+  type CallerAuthentication,
+  type CancelRequest,
+  type StartUpParameters,
+} from './start_up.js';
+export {SqlState, type SqlStateCode} from './sql_state.js';
+export {
+  openBackendConnection,
+  type BackendConnectionError,
+  type BackendStartUp,
+  type OpenedBackend,
+} from './backend_start_up.js';
