--- a/eslint.config.js
+++ b/eslint.config.js
@@ -10,10 +10,10 @@
   ...tseslint.configs.stylistic,
   {
     rules: {
-      'eqeqeq': ['error', 'always', {null: 'ignore'}],
+      eqeqeq: ['error', 'always', {null: 'ignore'}],
       'no-var': 'error',
       'prefer-const': 'error',
-      'curly': ['error', 'multi-line'],
+      curly: ['error', 'multi-line'],
       'no-restricted-exports': [
         'error',
         {restrictDefaultExports: {direct: true}},
@@ -23,10 +23,20 @@
         'error',
         {max: 60, skipBlankLines: true, skipComments: true},
       ],
-      'max-lines': ['error', {max: 400}],
+      'max-lines': [
+        'error',
+        {max: 400, skipBlankLines: true, skipComments: true},
+      ],
+      '@typescript-eslint/no-empty-function': [
+        'error',
+        {allow: ['private-constructors']},
+      ],
       '@typescript-eslint/no-explicit-any': 'error',
       '@typescript-eslint/array-type': ['error', {default: 'array-simple'}],
-      '@typescript-eslint/no-unused-vars': ['error', {argsIgnorePattern: '^_'}],
+      '@typescript-eslint/no-unused-vars': [
+        'error',
+        {argsIgnorePattern: '^_', varsIgnorePattern: '^_'},
+      ],
       '@typescript-eslint/naming-convention': [
         'error',
         {selector: 'typeLike', format: ['PascalCase']},
--- /dev/null
+++ b/packages/apricotlock/src/entry_operator_backend.ts
@@ -0,0 +1,228 @@
+import {Either} from 'purify-ts';
+import {
+  AuditRecord,
+  CommandAnswer,
+  ControlClient,
+  ControlCommand,
+  ControlError,
+  ControlLog,
+} from '@apricotlock/control';
+import {Announcement} from '@apricotlock/member';
+import {Membership} from '@apricotlock/membership';
+import {
+  OperatorBackend,
+  ServerReport,
+  StatusReport,
+} from '@apricotlock/operator';
+import {PeerCall, PeerNetwork} from '@apricotlock/peer';
+import {TimerService} from '@apricotlock/timer';
+import {
+  Catalogue,
+  DatabaseGroup,
+  findGroup,
+  findMember,
+  formatAddress,
+  Member,
+  ownerOf,
+} from '@apricotlock/topology';
+import {Metrics} from './metrics.js';
+import {Settings} from './settings.js';
+
+const IN_FORCE_DEADLINE_MILLISECONDS = 3_000;
+const IN_FORCE_POLL_MILLISECONDS = 10;
+const CALL_TIMEOUT_MILLISECONDS = 500;
+
+const VIEW_INDEX = PeerCall.define<
+  {readonly wanted: number},
+  {readonly index: number}
+>(
+  'entry.viewIndex',
+  candidate => candidate as {wanted: number} | undefined,
+  candidate => candidate as {index: number} | undefined,
+);
+
+const DRAIN = PeerCall.define<
+  {readonly name: string},
+  {readonly draining: boolean}
+>(
+  'entry.drain',
+  candidate => candidate as {name: string} | undefined,
+  candidate => candidate as {draining: boolean} | undefined,
+);
+
+/** What the operators' API needs of the process. */
+export interface EntryOperatorBackendOptions {
+  readonly settings: Settings;
+  readonly control: ControlClient;
+  readonly log: ControlLog | undefined;
+  readonly membership: Membership;
+  readonly network: PeerNetwork;
+  readonly metrics: Metrics;
+  readonly timer: TimerService;
+  readonly requestShutdown: () => void;
+}
+
+/** The process as the operators' API sees it. */
+export class EntryOperatorBackend extends OperatorBackend {
+  private draining = false;
+
+  private constructor(private readonly options: EntryOperatorBackendOptions) {
+    super();
+  }
+
+  /** Also answers what other processes' APIs ask of this one. */
+  static create(options: EntryOperatorBackendOptions): EntryOperatorBackend {
+    const backend = new EntryOperatorBackend(options);
+    const {network, control} = options;
+    network.handle(VIEW_INDEX, async () =>
+      Either.of({index: control.view.current.index}),
+    );
+    network.handle(DRAIN, async () => {
+      backend.drainSelf();
+      return Either.of({draining: true});
+    });
+    return backend;
+  }
+
+  override status(): StatusReport {
+    const {settings, control, membership, log} = this.options;
+    const view = control.view.current;
+    return {
+      machine: settings.name,
+      dataCentre: settings.dataCentre,
+      leader: log?.leader.current ?? null,
+      viewIndex: view.index,
+      catalogueVersion: view.catalogue.version,
+      machines: membership.machines.current.map(machine => ({
+        name: machine.name,
+        dataCentre: machine.dataCentre,
+        peerAddress: formatAddress(machine.peerAddress),
+        controlVoter: machine.controlVoter,
+        state: machine.state,
+      })),
+      databases: view.groups.map(group => ({
+        database: group.database,
+        term: group.term,
+        primary: group.primary ?? null,
+        members: group.members.filter(({state}) => state !== 'removed').length,
+        size: group.size,
+      })),
+    };
+  }
+
+  override servers(): readonly ServerReport[] {
+    const {groups} = this.options.control.view.current;
+    return groups.flatMap(group =>
+      group.members.map(member => this.serverReport(group, member)),
+    );
+  }
+
+  override catalogue(): Catalogue {
+    return this.options.control.view.current.catalogue;
+  }
+
+  override ready(): boolean {
+    return !this.draining && this.options.control.view.current.index > 0;
+  }
+
+  override async metrics(): Promise<string> {
+    return this.options.metrics.render();
+  }
+
+  override audit(
+    since: number,
+  ): Promise<Either<ControlError, readonly AuditRecord[]>> {
+    return this.options.control.audit(since);
+  }
+
+  override propose(
+    command: ControlCommand,
+  ): Promise<Either<ControlError, CommandAnswer>> {
+    return this.options.control.propose(command);
+  }
+
+  override async announced(announcement: Announcement): Promise<void> {
+    const view = this.options.control.view.current;
+    const group = findGroup(view, announcement.database);
+    const known = group && findMember(group, announcement.name);
+    // Repetitions are the rule: only what is new goes to the log.
+    if (group === undefined) return;
+    if (known !== undefined && known.incarnation >= announcement.incarnation) {
+      return;
+    }
+    const at = this.wallClock();
+    await this.propose({kind: 'registerMember', announcement, at});
+  }
+
+  override async drainMachine(name: string): Promise<boolean> {
+    const {settings, membership, network} = this.options;
+    if (name === settings.name) {
+      this.drainSelf();
+      return true;
+    }
+    const machine = membership.machines.current.find(
+      other => other.name === name,
+    );
+    if (machine === undefined) return false;
+    const answer = await network.call(
+      machine.peerAddress,
+      DRAIN,
+      {name},
+      CALL_TIMEOUT_MILLISECONDS,
+    );
+    return answer.isRight();
+  }
+
+  override async missing(index: number): Promise<readonly string[]> {
+    const {timer, membership} = this.options;
+    const deadline = timer.now() + IN_FORCE_DEADLINE_MILLISECONDS;
+    let open = membership.machines.current;
+    for (;;) {
+      const reached = await Promise.all(
+        open.map(machine => this.hasReached(machine.name, index)),
+      );
+      open = open.filter((_machine, position) => !reached[position]);
+      if (open.length === 0 || timer.now() >= deadline) break;
+      await timer.sleep(IN_FORCE_POLL_MILLISECONDS);
+    }
+    return open.map(machine => machine.name);
+  }
+
+  override wallClock(): number {
+    return this.options.timer.wallClock();
+  }
+
+  private async hasReached(name: string, index: number): Promise<boolean> {
+    const {settings, membership, network, control} = this.options;
+    if (name === settings.name) return control.view.current.index >= index;
+    const machine = membership.machines.current.find(
+      other => other.name === name,
+    );
+    if (machine === undefined) return true;
+    const answer = await network.call(
+      machine.peerAddress,
+      VIEW_INDEX,
+      {wanted: index},
+      CALL_TIMEOUT_MILLISECONDS,
+    );
+    return answer.map(heard => heard.index >= index).orDefault(false);
+  }
+
+  private drainSelf(): void {
+    this.draining = true;
+    this.options.requestShutdown();
+  }
+
+  private serverReport(group: DatabaseGroup, member: Member): ServerReport {
+    const machines = this.options.membership.machines.current;
+    return {
+      name: member.name,
+      database: member.database,
+      dataCentre: member.dataCentre,
+      address: formatAddress(member.address),
+      state: member.state,
+      role: member.name === group.primary ? 'primary' : 'replica',
+      owner: ownerOf(member.name, member.dataCentre, machines)?.name ?? '',
+    };
+  }
+}
--- /dev/null
+++ b/packages/apricotlock/src/main.ts
@@ -0,0 +1,89 @@
+#!/usr/bin/env node
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {Logger} from '@apricotlock/logging';
+import {EntryProcess} from './entry_process.js';
+import {
+  checkSettings,
+  gatherSettings,
+  RawSettings,
+  Settings,
+  SETTING_DESCRIPTIONS,
+  SettingFault,
+  variableOf,
+} from './settings.js';
+
+const EXIT_FAILURE = 1;
+const EXIT_BAD_SETTINGS = 2;
+const EXIT_CUT_REQUESTS = 3;
+const VERSION = '0.1.0';
+
+await yargs(hideBin(process.argv))
+  .scriptName('apricotlock')
+  .version(VERSION)
+  .command(
+    'run',
+    'serve callers',
+    builder => builder.options(flagOptions()),
+    flags => run(settingsOrExit(flags as RawSettings)),
+  )
+  .command(
+    'config check',
+    'check the settings and exit',
+    builder => builder.options(flagOptions()),
+    flags => {
+      settingsOrExit(flags as RawSettings);
+      process.stdout.write('the settings are good\n');
+    },
+  )
+  .demandCommand(1)
+  .strict()
+  .help()
+  .parse();
+
+function flagOptions() {
+  const options = SETTING_DESCRIPTIONS.map(setting => [
+    setting.flag,
+    {
+      type: 'string',
+      describe: `${setting.describe} [${variableOf(setting.flag)}]`,
+    },
+  ]);
+  return Object.fromEntries(options) as Record<
+    string,
+    {readonly type: 'string'; readonly describe: string}
+  >;
+}
+
+function settingsOrExit(flags: RawSettings): Settings {
+  const checked = checkSettings(gatherSettings(flags, process.env));
+  if (checked.isRight()) return checked.unsafeCoerce();
+  for (const fault of checked.extract() as readonly SettingFault[]) {
+    process.stderr.write(`${fault.flag}: ${fault.message}\n`);
+  }
+  return process.exit(EXIT_BAD_SETTINGS);
+}
+
+async function run(settings: Settings): Promise<void> {
+  const logger = Logger.create(settings.logFormat, settings.logLevel).with({
+    vm: settings.name,
+  });
+  let shuttingDown = false;
+  let entry: EntryProcess | undefined;
+  const shutDown = async () => {
+    if (shuttingDown) process.exit(EXIT_FAILURE);
+    shuttingDown = true;
+    logger.info('draining');
+    const cut = (await entry?.drain()) ?? 0;
+    logger.info('stopped', {cut});
+    process.exit(cut === 0 ? 0 : EXIT_CUT_REQUESTS);
+  };
+  process.on('SIGTERM', () => void shutDown());
+  process.on('SIGINT', () => void shutDown());
+  try {
+    entry = await EntryProcess.start(settings, logger, () => void shutDown());
+  } catch (failure) {
+    logger.error('could not start', {failure: String(failure)});
+    process.exit(EXIT_FAILURE);
+  }
+}
--- /dev/null
+++ b/packages/backend/src/backend_connection.ts
@@ -0,0 +1,172 @@
+import {Either, Left, Right} from 'purify-ts';
+import {parsePosition, Position} from '@apricotlock/session';
+import {
+  BackendType,
+  Frame,
+  OpenedBackend,
+  queryMessage,
+  readFirstValue,
+  readReadyForQuery,
+  TransactionStatus,
+} from '@apricotlock/wire';
+
+const RESET_QUERY = queryMessage('DISCARD ALL');
+const ROLLBACK_QUERY = queryMessage('ROLLBACK');
+
+/** The connection ended, or broke the protocol, in the middle of an answer. */
+export interface ExchangeError {
+  readonly kind: 'connectionLost';
+}
+
+/** How a member ended its answer. */
+export interface ExchangeEnd {
+  readonly status: TransactionStatus;
+  readonly position: Position | undefined;
+}
+
+/** What is sent, and what is expected of the answer. */
+export interface Exchange {
+  readonly bytes: Buffer;
+  /** How many times the member will say that it is ready. */
+  readonly answers: number;
+  /** Asks the member for its position once it has answered the rest. */
+  readonly positionQuery: Buffer;
+  /** Takes the answer's messages as they come. */
+  readonly relay: (bytes: Buffer) => void;
+}
+
+/** One connection to a member. At most one exchange is under way on it. */
+export class BackendConnection {
+  private inTransaction = false;
+  private needsReset = false;
+  private broken = false;
+
+  private constructor(private readonly opened: OpenedBackend) {}
+
+  /** A connection that has just been opened. */
+  static of(opened: OpenedBackend): BackendConnection {
+    return new BackendConnection(opened);
+  }
+
+  /** Whether it can be used for another exchange. */
+  get usable(): boolean {
+    return !this.broken && !this.opened.stream.socket.destroyed;
+  }
+
+  /** Sends statements and relays the answer. */
+  async exchange(
+    exchange: Exchange,
+  ): Promise<Either<ExchangeError, ExchangeEnd>> {
+    const {stream} = this.opened;
+    // Until the whole answer has come, an answer is owed on this connection.
+    this.broken = true;
+    stream.write(Buffer.concat([exchange.bytes, exchange.positionQuery]));
+    const status = await this.relayAnswers(exchange);
+    if (status === undefined) return Left({kind: 'connectionLost'});
+    const position = await this.readPosition();
+    if (position.isLeft()) return position as Either<ExchangeError, never>;
+    this.broken = false;
+    this.inTransaction = status !== 'idle';
+    return Right({
+      status,
+      position: position.extract() as Position | undefined,
+    });
+  }
+
+  /** Remembers that the next holder must not find what this one left. */
+  markForReset(): void {
+    this.needsReset = true;
+  }
+
+  /** Makes the connection as new; `false` if it has to be closed. */
+  async clean(): Promise<boolean> {
+    if (!this.usable) return false;
+    if (this.inTransaction && !(await this.command(ROLLBACK_QUERY))) {
+      return false;
+    }
+    if (this.needsReset && !(await this.command(RESET_QUERY))) return false;
+    this.inTransaction = false;
+    this.needsReset = false;
+    return true;
+  }
+
+  /** Ends the connection at once. */
+  close(): void {
+    this.broken = true;
+    this.opened.stream.socket.destroy();
+  }
+
+  private async relayAnswers(
+    exchange: Exchange,
+  ): Promise<TransactionStatus | undefined> {
+    let owed = exchange.answers;
+    for (;;) {
+      const relayed: Buffer[] = [];
+      while (owed > 0) {
+        const frame = this.nextBuffered();
+        if (frame === undefined) break;
+        relayed.push(frame.bytes);
+        if (frame.type !== BackendType.READY_FOR_QUERY) continue;
+        owed -= 1;
+        if (owed > 0) continue;
+        exchange.relay(Buffer.concat(relayed));
+        return readReadyForQuery(frame);
+      }
+      if (relayed.length > 0) exchange.relay(Buffer.concat(relayed));
+      if (!(await this.readMore())) return undefined;
+    }
+  }
+
+  private async readPosition(): Promise<
+    Either<ExchangeError, Position | undefined>
+  > {
+    let position: Position | undefined;
+    for (;;) {
+      const frame = await this.nextFrame();
+      if (frame === undefined) return Left({kind: 'connectionLost'});
+      if (frame.type === BackendType.READY_FOR_QUERY) return Right(position);
+      if (frame.type !== BackendType.DATA_ROW) continue;
+      const text = readFirstValue(frame) ?? '';
+      position = parsePosition(text).toMaybe().extract();
+    }
+  }
+
+  private async command(query: Buffer): Promise<boolean> {
+    this.broken = true;
+    this.opened.stream.write(query);
+    let failed = false;
+    for (;;) {
+      const frame = await this.nextFrame();
+      if (frame === undefined) return false;
+      if (frame.type === BackendType.ERROR_RESPONSE) failed = true;
+      if (frame.type !== BackendType.READY_FOR_QUERY) continue;
+      this.broken = failed;
+      return !failed;
+    }
+  }
+
+  private async nextFrame(): Promise<Frame | undefined> {
+    for (;;) {
+      const frame = this.nextBuffered();
+      if (frame !== undefined) return frame;
+      if (!(await this.readMore())) return undefined;
+    }
+  }
+
+  private nextBuffered(): Frame | undefined {
+    const next = this.opened.splitter.next();
+    if (next.isLeft()) {
+      this.close();
+      return undefined;
+    }
+    return next.extract() as Frame | undefined;
+  }
+
+  private async readMore(): Promise<boolean> {
+    if (this.opened.stream.socket.destroyed) return false;
+    const chunk = await this.opened.stream.read();
+    if (chunk === undefined) return false;
+    this.opened.splitter.push(chunk);
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/backend/src/status_watch.ts
@@ -0,0 +1,93 @@
+import {Observable} from '@apricotlock/flow';
+import {MemberClient, MemberError, MemberStatus} from '@apricotlock/member';
+import {TimerService} from '@apricotlock/timer';
+import {Member} from '@apricotlock/topology';
+
+const HOLD_MILLISECONDS = 150;
+const ANSWER_TIMEOUT_MILLISECONDS = 400;
+const FRESH_TIMEOUT_MILLISECONDS = 250;
+const PAUSE_AFTER_FAILURE_MILLISECONDS = 25;
+
+/** What is known of a member. */
+export interface MemberObservation {
+  /** The last status that came. */
+  readonly status: MemberStatus | undefined;
+  /** When it came, on the timer's clock. */
+  readonly heardAt: number;
+  /** Why nothing comes now, on a fresh connection too. */
+  readonly failure: MemberError | undefined;
+}
+
+/** Follows one member's status by long polls, in a task of its own. */
+export class StatusWatch {
+  readonly observation = Observable.of<MemberObservation>({
+    status: undefined,
+    heardAt: 0,
+    failure: undefined,
+  });
+  private stopped = false;
+
+  private constructor(
+    readonly member: Member,
+    private readonly client: MemberClient,
+    private readonly timer: TimerService,
+  ) {}
+
+  /** Starts to follow a member. */
+  static start(
+    member: Member,
+    client: MemberClient,
+    timer: TimerService,
+  ): StatusWatch {
+    const watch = new StatusWatch(member, client, timer);
+    void watch.run();
+    return watch;
+  }
+
+  /** Ends the task. */
+  stop(): void {
+    this.stopped = true;
+  }
+
+  private async run(): Promise<void> {
+    while (!this.stopped) {
+      const answered = await this.poll();
+      if (!answered) await this.timer.sleep(PAUSE_AFTER_FAILURE_MILLISECONDS);
+    }
+  }
+
+  private async poll(): Promise<boolean> {
+    const {status} = this.observation.current;
+    const held = await this.client.status(this.member.apiAddress, {
+      ...(status === undefined ? {} : {unlike: status}),
+      holdMilliseconds: HOLD_MILLISECONDS,
+      timeoutMilliseconds: ANSWER_TIMEOUT_MILLISECONDS,
+    });
+    // An old connection may have gone silent while new ones work: only the
+    // failure of a fresh one says anything of the member.
+    const answer = held.isRight() ? held : await this.askAfresh();
+    if (this.stopped) return true;
+    answer.caseOf({
+      Left: failure => this.failed(failure),
+      Right: heard => this.heard(heard),
+    });
+    return answer.isRight();
+  }
+
+  private askAfresh() {
+    return this.client.status(this.member.apiAddress, {
+      holdMilliseconds: 0,
+      timeoutMilliseconds: FRESH_TIMEOUT_MILLISECONDS,
+      freshConnection: true,
+    });
+  }
+
+  private heard(status: MemberStatus): void {
+    const heardAt = this.timer.now();
+    this.observation.set({status, heardAt, failure: undefined});
+  }
+
+  private failed(failure: MemberError): void {
+    this.observation.set({...this.observation.current, failure});
+  }
+}
--- /dev/null
+++ b/packages/bench/src/layout.ts
@@ -0,0 +1,127 @@
+import {Address} from '@apricotlock/topology';
+
+const CALLER_PORT_OFFSET = 0;
+const PEER_PORT_OFFSET = 100;
+const OPERATOR_PORT_OFFSET = 200;
+const MEMBER_PORT_OFFSET = 300;
+const PORTS_A_MEMBER = 3;
+
+/** Which customer's sizes a system has. */
+export type ProfileName = 'bonanno' | 'kahurangi';
+
+/** The sizes of one customer, from the brief. */
+export interface Profile {
+  readonly name: ProfileName;
+  readonly dataCentres: readonly string[];
+  readonly databases: readonly string[];
+  readonly entryMachines: number;
+  readonly membersADatabase: number;
+  readonly connections: number;
+  readonly slots: number;
+  readonly openingMilliseconds: number;
+}
+
+/** The layouts of the brief. */
+export const PROFILES: Readonly<Record<ProfileName, Profile>> = {
+  bonanno: {
+    name: 'bonanno',
+    dataCentres: ['catania', 'palermo', 'messina', 'siracusa'],
+    databases: ['booking-ledger-1', 'booking-ledger-2', 'booking-ledger-3'],
+    entryMachines: 6,
+    membersADatabase: 3,
+    connections: 16,
+    slots: 2,
+    openingMilliseconds: 10,
+  },
+  kahurangi: {
+    name: 'kahurangi',
+    dataCentres: ['akl-a', 'akl-b', 'akl-c'],
+    databases: ['service-ledger-1', 'service-ledger-2', 'service-ledger-3'],
+    entryMachines: 6,
+    membersADatabase: 3,
+    connections: 30,
+    slots: 2,
+    openingMilliseconds: 30,
+  },
+};
+
+/** One entry VM of a layout. */
+export interface MachineLayout {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly callerAddress: Address;
+  readonly peerAddress: Address;
+  readonly operatorAddress: Address;
+  readonly controlVoter: boolean;
+}
+
+/** One stand-in member of a layout. */
+export interface MemberLayout {
+  readonly name: string;
+  readonly database: string;
+  readonly dataCentre: string;
+  readonly address: Address;
+  readonly apiAddress: Address;
+  readonly commandAddress: Address;
+  readonly primary: boolean;
+}
+
+/** All processes of a system on loopback. */
+export interface Layout {
+  readonly profile: Profile;
+  readonly machines: readonly MachineLayout[];
+  readonly members: readonly MemberLayout[];
+}
+
+/** Lays a profile out on the ports from `basePort` on. */
+export function layOut(profile: Profile, basePort: number): Layout {
+  return {
+    profile,
+    machines: machineLayouts(profile, basePort),
+    members: memberLayouts(profile, basePort),
+  };
+}
+
+function machineLayouts(
+  profile: Profile,
+  basePort: number,
+): readonly MachineLayout[] {
+  const voters = profile.entryMachines - 1 + (profile.entryMachines % 2);
+  return Array.from({length: profile.entryMachines}, (_, index) => ({
+    name: `vm-${index + 1}`,
+    dataCentre: dataCentreOf(profile, index),
+    callerAddress: loopback(basePort + CALLER_PORT_OFFSET + index),
+    peerAddress: loopback(basePort + PEER_PORT_OFFSET + index),
+    operatorAddress: loopback(basePort + OPERATOR_PORT_OFFSET + index),
+    controlVoter: index < Math.min(1, voters),
+  }));
+}
+
+function memberLayouts(
+  profile: Profile,
+  basePort: number,
+): readonly MemberLayout[] {
+  return profile.databases.flatMap((database, databaseIndex) =>
+    Array.from({length: profile.membersADatabase}, (_, index) => {
+      const place = databaseIndex * profile.membersADatabase + index;
+      const port = basePort + MEMBER_PORT_OFFSET + place * PORTS_A_MEMBER;
+      return {
+        name: `${database}-${'abcdefghi'.charAt(index)}`,
+        database,
+        dataCentre: dataCentreOf(profile, databaseIndex + index),
+        address: loopback(port),
+        apiAddress: loopback(port + 1),
+        commandAddress: loopback(port + 2),
+        primary: index === 0,
+      };
+    }),
+  );
+}
+
+function dataCentreOf(profile: Profile, index: number): string {
+  return profile.dataCentres[index % profile.dataCentres.length] as string;
+}
+
+function loopback(port: number): Address {
+  return {host: '127.0.0.1', port};
+}
--- /dev/null
+++ b/packages/bench/src/ledger.ts
@@ -0,0 +1,47 @@
+import {Row} from './caller.js';
+import {NO_VIOLATIONS, Violations} from './violations.js';
+
+/** What callers were told of their writes, by the writes' unique ids. */
+export class Ledger {
+  private readonly acknowledged = new Set<string>();
+  private readonly refused = new Set<string>();
+  private readonly unknown = new Set<string>();
+
+  private constructor() {}
+
+  /** A ledger without entries. */
+  static create(): Ledger {
+    return new Ledger();
+  }
+
+  /** Notes what a caller was told of a write. */
+  note(id: string, told: 'done' | 'notRun' | 'unknown'): void {
+    if (told === 'done') this.acknowledged.add(id);
+    else if (told === 'notRun') this.refused.add(id);
+    else this.unknown.add(id);
+  }
+
+  /** Writes whose outcome the callers do not know. */
+  get unknownCount(): number {
+    return this.unknown.size;
+  }
+
+  /** Compares with what a database holds in the end. */
+  check(rows: readonly Row[]): Violations {
+    const found = new Map<string, number>();
+    for (const row of rows) {
+      const id = String(row['id']);
+      found.set(id, (found.get(id) ?? 0) + 1);
+    }
+    return {
+      ...NO_VIOLATIONS,
+      acknowledgedLost: count(this.acknowledged, id => !found.has(id)),
+      falseNotRun: count(this.refused, id => found.has(id)),
+      runTwice: count(found.keys(), id => (found.get(id) ?? 0) > 1),
+    };
+  }
+}
+
+function count(ids: Iterable<string>, test: (id: string) => boolean): number {
+  return [...ids].filter(test).length;
+}
--- /dev/null
+++ b/packages/control/src/control_log.ts
@@ -0,0 +1,28 @@
+import {Either} from 'purify-ts';
+import {Observable} from '@apricotlock/flow';
+import {CommandAnswer, ControlCommand} from './control_command.js';
+import {ControlState} from './control_state.js';
+
+/** Why a command has no answer. */
+export type ControlError =
+  /** It was not taken: there is no quorum or no leader to be reached. */
+  | {readonly kind: 'unavailable'; readonly reason: string}
+  /** It may have been taken: ask again with the same change id. */
+  | {readonly kind: 'unknown'; readonly reason: string};
+
+/** The replicated log of decisions, from any process's point of view. */
+export abstract class ControlLog {
+  /** What this process knows to be decided; it may be behind. */
+  abstract readonly state: Observable<ControlState>;
+
+  /** Whether this process leads the quorum now, as far as it knows. */
+  abstract readonly leading: Observable<boolean>;
+
+  /** The name of the leader, as far as this process knows. */
+  abstract readonly leader: Observable<string | undefined>;
+
+  /** Puts a command into the log and waits until it has been carried out. */
+  abstract propose(
+    command: ControlCommand,
+  ): Promise<Either<ControlError, CommandAnswer>>;
+}
--- /dev/null
+++ b/packages/control/src/sole_control_log.ts
@@ -0,0 +1,32 @@
+import {Either, Right} from 'purify-ts';
+import {Observable} from '@apricotlock/flow';
+import {applyCommand} from './apply_command.js';
+import {CommandAnswer, ControlCommand} from './control_command.js';
+import {ControlError, ControlLog} from './control_log.js';
+import {ControlState, EMPTY_CONTROL_STATE} from './control_state.js';
+
+/** A log that one process keeps in its memory: for tests of other parts. */
+export class SoleControlLog extends ControlLog {
+  override readonly state = Observable.of<ControlState>(EMPTY_CONTROL_STATE);
+  override readonly leading = Observable.of(true);
+  override readonly leader: Observable<string | undefined>;
+
+  private constructor(self: string) {
+    super();
+    this.leader = Observable.of<string | undefined>(self);
+  }
+
+  /** An empty log that `self` leads. */
+  static create(self: string): SoleControlLog {
+    return new SoleControlLog(self);
+  }
+
+  override async propose(
+    command: ControlCommand,
+  ): Promise<Either<ControlError, CommandAnswer>> {
+    const index = this.state.current.view.index + 1;
+    const applied = applyCommand(this.state.current, index, command);
+    this.state.set(applied.state);
+    return Right(applied.answer);
+  }
+}
--- /dev/null
+++ b/packages/member/src/announcement.ts
@@ -0,0 +1,30 @@
+import {z} from 'zod';
+import {Address, Member, parseAddress} from '@apricotlock/topology';
+
+const NAME_PATTERN = /^[a-z][a-z0-9-]{0,62}$/;
+
+const addressSchema = z.string().transform((text, context): Address => {
+  const address = parseAddress(text);
+  if (address.isLeft()) {
+    context.addIssue({code: 'custom', message: 'not an address'});
+  }
+  return address.orDefault({host: '', port: 0});
+});
+
+const announcementSchema = z.strictObject({
+  name: z.string().regex(NAME_PATTERN),
+  database: z.string().regex(NAME_PATTERN),
+  dataCentre: z.string().regex(NAME_PATTERN),
+  address: addressSchema,
+  apiAddress: addressSchema,
+  incarnation: z.int().min(0),
+});
+
+/** What a backend server says when it makes itself known. */
+export type Announcement = Omit<Member, 'state'>;
+
+/** Reads the JSON form; `undefined` if it is not an announcement. */
+export function readAnnouncement(candidate: unknown): Announcement | undefined {
+  const result = announcementSchema.safeParse(candidate);
+  return result.success ? result.data : undefined;
+}
--- /dev/null
+++ b/packages/operator/src/operator_client.ts
@@ -0,0 +1,132 @@
+import {Either, Left, Right} from 'purify-ts';
+import {AuditRecord} from '@apricotlock/control';
+import {
+  Address,
+  Catalogue,
+  CatalogueFault,
+  formatAddress,
+} from '@apricotlock/topology';
+import {ChangeReport, ServerReport, StatusReport} from './operator_messages.js';
+
+const REQUEST_TIMEOUT_MILLISECONDS = 15_000;
+
+/** Why an operator's call has no answer of use. */
+export type OperatorError =
+  | {readonly kind: 'unreachable'; readonly reason: string}
+  | {readonly kind: 'unauthorized'}
+  | {readonly kind: 'refused'; readonly reason: string}
+  | {readonly kind: 'faults'; readonly faults: readonly CatalogueFault[]}
+  | {readonly kind: 'conflict'; readonly version: number};
+
+type Body = Readonly<Record<string, unknown>>;
+
+/** The operators' API from outside. */
+export class OperatorClient {
+  private constructor(
+    private readonly address: Address,
+    private readonly token: string,
+    private readonly actor: string,
+  ) {}
+
+  /** A client of the process at `address`. */
+  static create(
+    address: Address,
+    token: string,
+    actor: string,
+  ): OperatorClient {
+    return new OperatorClient(address, token, actor);
+  }
+
+  status(): Promise<Either<OperatorError, StatusReport>> {
+    return this.send<StatusReport>('GET', '/v1/status');
+  }
+
+  async servers(): Promise<Either<OperatorError, readonly ServerReport[]>> {
+    const answer = await this.send<{servers: readonly ServerReport[]}>(
+      'GET',
+      '/v1/servers',
+    );
+    return answer.map(({servers}) => servers);
+  }
+
+  catalogue(): Promise<Either<OperatorError, Catalogue>> {
+    return this.send<Catalogue>('GET', '/v1/catalogue');
+  }
+
+  /** Replaces the catalogue, if its version is still `baseVersion`. */
+  putCatalogue(
+    changeId: string,
+    baseVersion: number,
+    entries: readonly unknown[],
+    wait: boolean,
+  ): Promise<Either<OperatorError, ChangeReport>> {
+    const path = wait ? '/v1/catalogue?wait=1' : '/v1/catalogue';
+    return this.send('PUT', path, {changeId, baseVersion, entries});
+  }
+
+  /** Drains, removes or takes back a backend server. */
+  changeServer(
+    name: string,
+    action: 'drain' | 'remove' | 'activate',
+    changeId: string,
+    wait: boolean,
+  ): Promise<Either<OperatorError, ChangeReport>> {
+    const path = `/v1/servers/${encodeURIComponent(name)}/${action}`;
+    return this.send('POST', wait ? `${path}?wait=1` : path, {changeId});
+  }
+
+  /** Makes an entry VM drain. */
+  drainMachine(name: string): Promise<Either<OperatorError, ChangeReport>> {
+    return this.send('POST', `/v1/vms/${encodeURIComponent(name)}/drain`, {});
+  }
+
+  /** The audit trail after an index. */
+  async audit(
+    since: number,
+  ): Promise<Either<OperatorError, readonly AuditRecord[]>> {
+    const answer = await this.send<{records: readonly AuditRecord[]}>(
+      'GET',
+      `/v1/audit?since=${since}`,
+    );
+    return answer.map(({records}) => records);
+  }
+
+  private async send<T>(
+    method: string,
+    path: string,
+    body?: Body,
+  ): Promise<Either<OperatorError, T>> {
+    try {
+      const response = await fetch(
+        `http://${formatAddress(this.address)}${path}`,
+        {
+          method,
+          headers: {
+            authorization: `Bearer ${this.token}`,
+            'x-apricotlock-actor': this.actor,
+            ...(body === undefined ? {} : {'content-type': 'application/json'}),
+          },
+          ...(body === undefined ? {} : {body: JSON.stringify(body)}),
+          signal: AbortSignal.timeout(REQUEST_TIMEOUT_MILLISECONDS),
+        },
+      );
+      const answer = (await response.json()) as Body;
+      if (response.ok) return Right(answer as T);
+      return Left(errorOf(response.status, answer));
+    } catch (failure) {
+      return Left({kind: 'unreachable', reason: String(failure)});
+    }
+  }
+}
+
+function errorOf(status: number, answer: Body): OperatorError {
+  if (status === 401) return {kind: 'unauthorized'};
+  if (answer['result'] === 'conflict') {
+    return {kind: 'conflict', version: Number(answer['version'])};
+  }
+  if (Array.isArray(answer['faults'])) {
+    return {kind: 'faults', faults: answer['faults'] as CatalogueFault[]};
+  }
+  const reason = String(answer['reason'] ?? answer['error'] ?? status);
+  return {kind: 'refused', reason};
+}
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -6,7 +6,11 @@
  * @packageDocumentation
  */
 export {PeerCall, PeerConversation, type Check} from './peer_call.js';
-export {PeerChannel} from './peer_channel.js';
+export {
+  createChannelPair,
+  PeerChannel,
+  type ChannelPair,
+} from './peer_channel.js';
 export {describePeerError, type PeerError} from './peer_error.js';
 export {
   PeerNetwork,
--- a/packages/peer/src/peer_channel.ts
+++ b/packages/peer/src/peer_channel.ts
@@ -67,3 +67,30 @@
     this.inbox.close();
   }
 }
+
+/** The two ends of a conversation inside one process. */
+export interface ChannelPair<Up, Down> {
+  readonly caller: PeerChannel<Up, Down>;
+  readonly called: PeerChannel<Down, Up>;
+}
+
+/** Makes a conversation inside one process, with the same rules as a link. */
+export function createChannelPair<Up, Down>(): ChannelPair<Up, Down> {
+  const caller: LinkChannel<Up, Down> = LinkChannel.over<Up, Down>(
+    {send: body => deliverTo(called, body), ended: () => called.closed()},
+    body => body as Down,
+  );
+  const called: LinkChannel<Down, Up> = LinkChannel.over<Down, Up>(
+    {send: body => deliverTo(caller, body), ended: () => caller.closed()},
+    body => body as Up,
+  );
+  return {caller, called};
+}
+
+function deliverTo<Sent, Received>(
+  channel: LinkChannel<Sent, Received>,
+  body: unknown,
+): boolean {
+  channel.deliver(body);
+  return true;
+}
--- a/packages/peer/src/peer_frame.ts
+++ b/packages/peer/src/peer_frame.ts
@@ -30,7 +30,7 @@
   'end',
 ]);
 
-const packr = new Packr({useRecords: false, int64AsType: 'auto'});
+const packr = new Packr({useRecords: false});
 
 /** Encodes a frame as MessagePack. */
 export function encodeFrame(frame: PeerFrame): Buffer {
--- a/packages/peer/src/peer_link.ts
+++ b/packages/peer/src/peer_link.ts
@@ -63,7 +63,11 @@
       return Left({kind: 'notSent', reason: 'the link is full or closed'});
     }
     const {timer} = this.options;
-    const frame = await withTimeout(timer, timeoutMilliseconds, deferred.promise);
+    const frame = await withTimeout(
+      timer,
+      timeoutMilliseconds,
+      deferred.promise,
+    );
     this.calls.delete(id);
     return readAnswer(call, frame);
   }
@@ -96,7 +100,8 @@
     this.channels.set(id, channel as LinkChannel<unknown, unknown>);
     void this.connected().then(connected => {
       carried = true;
-      const sent = connected.isRight() && waiting.every(frame => this.send(frame));
+      const sent =
+        connected.isRight() && waiting.every(frame => this.send(frame));
       if (!sent) this.closeChannel(id);
     });
     return channel;
--- a/packages/peer/src/web_socket_peer_network.ts
+++ b/packages/peer/src/web_socket_peer_network.ts
@@ -8,12 +8,13 @@
 import {LinkChannel, PeerChannel} from './peer_channel.js';
 import {PeerError} from './peer_error.js';
 import {decodeFrame, PeerFrame} from './peer_frame.js';
-import {LinkOptions, PeerLink, sendFrame, watchForSilence} from './peer_link.js';
 import {
-  CallHandler,
-  ConversationHandler,
-  PeerNetwork,
-} from './peer_network.js';
+  LinkOptions,
+  PeerLink,
+  sendFrame,
+  watchForSilence,
+} from './peer_link.js';
+import {CallHandler, ConversationHandler, PeerNetwork} from './peer_network.js';
 
 type AnyCall = (body: unknown) => Promise<Either<string, unknown>>;
 type AnyConversation = (
--- a/packages/peer/test/web_socket_peer_network_test.ts
+++ b/packages/peer/test/web_socket_peer_network_test.ts
@@ -75,7 +75,9 @@
     it('carries messages in order and then ends', async () => {
       const channel = client.converse(serverAddress, COUNT, 3);
       const seen: Array<number | undefined> = [];
-      for (let count = 0; count < 4; count++) seen.push(await channel.receive());
+      for (let count = 0; count < 4; count++) {
+        seen.push(await channel.receive());
+      }
       expect(seen).to.deep.equal([1, 2, 3, undefined]);
     });
   });
--- /dev/null
+++ b/packages/proxy/src/outcome.ts
@@ -0,0 +1,75 @@
+import {LeaseRefusal} from '@apricotlock/backend';
+import {DatabaseErrorFields, SqlState} from '@apricotlock/wire';
+
+/** Why a batch has no answer from a member that can be passed on. */
+export type Failure =
+  /** Nothing was run; another try may work after a while. */
+  | {
+      readonly kind: 'notRun';
+      readonly reason: string;
+      readonly retryAfterMilliseconds: number;
+    }
+  /** Nothing was run, and the same request can never be. */
+  | {
+      readonly kind: 'notPossible';
+      readonly code: string;
+      readonly reason: string;
+    }
+  /** It may or may not have been run. */
+  | {readonly kind: 'unknown'; readonly reason: string}
+  /** The transaction had not been committed, and is rolled back. */
+  | {readonly kind: 'rolledBack'; readonly reason: string};
+
+/** The failure in the words of PostgreSQL. */
+export function failureFields(failure: Failure): DatabaseErrorFields {
+  switch (failure.kind) {
+    case 'notRun':
+      return {
+        severity: 'ERROR',
+        code: SqlState.CANNOT_CONNECT_NOW,
+        message: `not run: ${failure.reason}`,
+        hint: `Try again in ${failure.retryAfterMilliseconds} ms.`,
+      };
+    case 'notPossible':
+      return {
+        severity: 'ERROR',
+        code: failure.code,
+        message: `not run: ${failure.reason}`,
+      };
+    case 'unknown':
+      return {
+        severity: 'ERROR',
+        code: SqlState.TRANSACTION_RESOLUTION_UNKNOWN,
+        message: `the outcome is unknown: ${failure.reason}`,
+        hint:
+          'Send it again with the same apricotlock.idempotency_key to learn ' +
+          'the outcome without running it twice.',
+      };
+    case 'rolledBack':
+      return {
+        severity: 'ERROR',
+        code: SqlState.TRANSACTION_ROLLBACK,
+        message: `the transaction was rolled back: ${failure.reason}`,
+      };
+  }
+}
+
+/** What a refusal of a member's owner means to the caller. */
+export function refusalFailure(refusal: LeaseRefusal): Failure {
+  const retryAfterMilliseconds =
+    refusal.kind === 'overloaded' ? refusal.retryAfterMilliseconds : 100;
+  return {
+    kind: 'notRun',
+    reason: REFUSAL_REASONS[refusal.kind],
+    retryAfterMilliseconds,
+  };
+}
+
+const REFUSAL_REASONS: Readonly<Record<LeaseRefusal['kind'], string>> = {
+  notOwner: 'the member is being handed over',
+  behind: 'no replica is fresh enough',
+  wrongTerm: 'a primary is being appointed',
+  draining: 'the backend server is leaving',
+  overloaded: 'too many requests are waiting',
+  unreachable: 'the backend server cannot be reached',
+};
--- a/packages/sql/src/index.ts
+++ b/packages/sql/src/index.ts
@@ -8,9 +8,4 @@
   StatementClassifier,
   type ClassifiedQuery,
 } from './statement_classifier.js';
-export {
-  fieldOf,
-  isNode,
-  stringOf,
-  type SyntaxNode,
-} from './syntax_tree.js';
+export {fieldOf, isNode, stringOf, type SyntaxNode} from './syntax_tree.js';
--- a/packages/sql/src/statement_classifier.ts
+++ b/packages/sql/src/statement_classifier.ts
@@ -126,7 +126,9 @@
     case 'TRANS_STMT_START':
       return {kind: 'begin', options: {readOnly: asksReadOnly(body)}};
     case 'TRANS_STMT_COMMIT':
-      return body['chain'] === true ? unsupported('AND CHAIN') : {kind: 'commit'};
+      return body['chain'] === true
+        ? unsupported('AND CHAIN')
+        : {kind: 'commit'};
     case 'TRANS_STMT_ROLLBACK':
       return body['chain'] === true
         ? unsupported('AND CHAIN')
@@ -167,7 +169,9 @@
   const first = values[0];
   if (first === undefined) return undefined;
   const constant = fieldOf(first, 'A_Const');
-  if ('sval' in constant) return String(fieldOf(constant, 'sval')['sval'] ?? '');
+  if ('sval' in constant) {
+    return String(fieldOf(constant, 'sval')['sval'] ?? '');
+  }
   if ('ival' in constant) return String(fieldOf(constant, 'ival')['ival'] ?? 0);
   if ('fval' in constant) return String(fieldOf(constant, 'fval')['fval']);
   return undefined;
--- a/packages/sql/src/syntax_tree.ts
+++ b/packages/sql/src/syntax_tree.ts
@@ -7,7 +7,10 @@
 }
 
 /** The object under `name`, or an empty one. */
-export function fieldOf(node: SyntaxNode | undefined, name: string): SyntaxNode {
+export function fieldOf(
+  node: SyntaxNode | undefined,
+  name: string,
+): SyntaxNode {
   const value = node?.[name];
   return isObject(value) ? value : {};
 }
--- a/packages/sql/test/statement_classifier_test.ts
+++ b/packages/sql/test/statement_classifier_test.ts
@@ -53,9 +53,11 @@
     });
 
     it('knows the statements of one text', () => {
-      expect(kindsOf('BEGIN; INSERT INTO a VALUES (1); COMMIT')).to.deep.equal(
-        ['begin', 'write', 'commit'],
-      );
+      expect(kindsOf('BEGIN; INSERT INTO a VALUES (1); COMMIT')).to.deep.equal([
+        'begin',
+        'write',
+        'commit',
+      ]);
     });
   });
 
--- /dev/null
+++ b/packages/standin/src/database_session.ts
@@ -0,0 +1,412 @@
+import {Duplex} from 'node:stream';
+import {Socket} from 'node:net';
+import {Right} from 'purify-ts';
+import {fieldOf, isNode, SyntaxNode} from '@apricotlock/sql';
+import {TimerService} from '@apricotlock/timer';
+import {
+  AcceptedCaller,
+  acceptCaller,
+  BackendType,
+  bareMessage,
+  commandComplete,
+  dataRow,
+  errorResponse,
+  Frame,
+  FrontendType,
+  parameterDescription,
+  readBind,
+  readParse,
+  readQuery,
+  readTarget,
+  readyForQuery,
+  rowDescription,
+  SqlState,
+  TransactionStatus,
+} from '@apricotlock/wire';
+import {Answer, tagOnly} from './answer.js';
+import {MemberRuntime} from './member_runtime.js';
+import {
+  parseStatements,
+  Portal,
+  prepare,
+  PreparedStatement,
+  readBindValues,
+} from './prepared_statement.js';
+import {RunContext} from './select.js';
+import {SqlError} from './sql_error.js';
+import {givesRows, runStatement} from './statement_runner.js';
+import {SystemFunctions} from './system_functions.js';
+import {Transaction} from './transaction.js';
+import {TypeOid, Value, valueToText} from './value.js';
+import {WorkCounter} from './work_counter.js';
+
+const MAXIMUM_MESSAGE_BYTES = 16 << 20;
+const SERVER_VERSION = '17.0';
+
+/** What all sessions of a member share. */
+export interface SessionOptions {
+  readonly runtime: MemberRuntime;
+  readonly timer: TimerService;
+  readonly counter: WorkCounter;
+  /** What opening a connection takes, in milliseconds. */
+  readonly openingMilliseconds: number;
+}
+
+let nextProcessId = 1;
+
+/** Serves one connection until it ends. */
+export async function serveConnection(
+  stream: Duplex,
+  options: SessionOptions,
+): Promise<void> {
+  const {counter, timer, runtime} = options;
+  if (!counter.connected()) {
+    stream.end(errorResponse(TOO_MANY_CONNECTIONS));
+    return;
+  }
+  const stopListening = runtime.sessionsEnded.subscribe(() => stream.destroy());
+  try {
+    await timer.sleep(options.openingMilliseconds);
+    const accepted = await acceptCaller(stream as Socket, {
+      maximumMessageBytes: MAXIMUM_MESSAGE_BYTES,
+      serverVersion: SERVER_VERSION,
+      secureContext: undefined,
+      processId: nextProcessId++,
+      secret: 0,
+      authenticate: () => Right({method: 'trust'}),
+    });
+    if (accepted.isLeft()) return;
+    await DatabaseSession.create(accepted.unsafeCoerce(), options).run();
+  } finally {
+    stopListening();
+    counter.disconnected();
+    stream.destroy();
+  }
+}
+
+const TOO_MANY_CONNECTIONS = {
+  severity: 'FATAL',
+  code: SqlState.TOO_MANY_CONNECTIONS,
+  message: 'sorry, too many clients already',
+} as const;
+
+class DatabaseSession {
+  private transaction: Transaction | undefined;
+  private failed = false;
+  /** After an error, extended messages are skipped up to Sync. */
+  private skipping = false;
+  private readonly prepared = new Map<string, PreparedStatement>();
+  private readonly portals = new Map<string, Portal>();
+  private readonly functions: SystemFunctions;
+
+  private constructor(
+    private readonly caller: AcceptedCaller,
+    private readonly options: SessionOptions,
+  ) {
+    this.functions = SystemFunctions.of(options.runtime);
+  }
+
+  static create(
+    caller: AcceptedCaller,
+    options: SessionOptions,
+  ): DatabaseSession {
+    return new DatabaseSession(caller, options);
+  }
+
+  async run(): Promise<void> {
+    const {splitter, stream} = this.caller;
+    try {
+      for (;;) {
+        const chunk = await stream.read();
+        if (chunk === undefined) return;
+        splitter.push(chunk);
+        for (const frame of splitter.drain().orDefault([])) {
+          if (frame.type === FrontendType.TERMINATE) return;
+          await this.handle(frame);
+        }
+      }
+    } finally {
+      this.transaction?.rollBack();
+    }
+  }
+
+  private async handle(frame: Frame): Promise<void> {
+    if (frame.type === FrontendType.QUERY) {
+      await this.runQuery(readQuery(frame).orDefault(''));
+      this.send(readyForQuery(this.status));
+    } else if (frame.type === FrontendType.SYNC) {
+      this.skipping = false;
+      this.send(readyForQuery(this.status));
+    } else if (!this.skipping) {
+      await this.guard(() => this.handleExtended(frame));
+    }
+  }
+
+  private get status(): TransactionStatus {
+    if (this.transaction === undefined) return 'idle';
+    return this.failed ? 'failed' : 'transaction';
+  }
+
+  private async runQuery(text: string): Promise<void> {
+    const finished = await this.guard(async () => {
+      const statements = parseStatements(text);
+      if (statements.length === 0) {
+        this.send(bareMessage(BackendType.EMPTY_QUERY));
+      }
+      for (const statement of statements) {
+        const answer = await this.execute(statement, []);
+        if (givesRows(statement)) this.send(rowDescription(answer.columns));
+        this.sendRows(answer);
+      }
+    });
+    if (!finished) this.skipping = false;
+  }
+
+  /** Runs `work`; an SQL error is told to the caller and gives `false`. */
+  private async guard(work: () => Promise<void>): Promise<boolean> {
+    try {
+      await work();
+      return true;
+    } catch (failure) {
+      if (!(failure instanceof SqlError)) throw failure;
+      this.failed = true;
+      this.skipping = true;
+      const {code, message} = failure;
+      this.send(errorResponse({severity: 'ERROR', code, message}));
+      return false;
+    }
+  }
+
+  private async handleExtended(frame: Frame): Promise<void> {
+    switch (frame.type) {
+      case FrontendType.PARSE: {
+        const {statement, query} = readParse(frame).unsafeCoerce();
+        this.prepared.set(statement, prepare(query));
+        this.send(bareMessage(BackendType.PARSE_COMPLETE));
+        return;
+      }
+      case FrontendType.BIND: {
+        const {portal, statement, rest} = readBind(frame).unsafeCoerce();
+        const prepared = this.preparedStatement(statement);
+        this.portals.set(portal, {prepared, values: readBindValues(rest)});
+        this.send(bareMessage(BackendType.BIND_COMPLETE));
+        return;
+      }
+      case FrontendType.DESCRIBE:
+        return this.describe(frame);
+      case FrontendType.EXECUTE:
+        return this.executePortal(frame);
+      case FrontendType.CLOSE: {
+        const {target, name} = readTarget(frame).unsafeCoerce();
+        (target === 'statement' ? this.prepared : this.portals).delete(name);
+        this.send(bareMessage(BackendType.CLOSE_COMPLETE));
+        return;
+      }
+      case FrontendType.FLUSH:
+        return;
+      default:
+        throw SqlError.of(SqlState.PROTOCOL_VIOLATION, 'unexpected message');
+    }
+  }
+
+  private async describe(frame: Frame): Promise<void> {
+    const {target, name} = readTarget(frame).unsafeCoerce();
+    const prepared =
+      target === 'statement'
+        ? this.preparedStatement(name)
+        : this.portal(name).prepared;
+    if (target === 'statement') {
+      const oids = Array.from(
+        {length: prepared.parameterCount},
+        () => TypeOid.TEXT,
+      );
+      this.send(parameterDescription(oids));
+    }
+    const {statement} = prepared;
+    if (statement === undefined || !givesRows(statement)) {
+      this.send(bareMessage(BackendType.NO_DATA));
+      return;
+    }
+    this.send(rowDescription(await this.columnsOf(statement)));
+  }
+
+  /** The columns that a statement would give, found without storing rows. */
+  private async columnsOf(statement: SyntaxNode): Promise<Answer['columns']> {
+    const probe = Transaction.begin(true, this.options.timer);
+    const body = isNode(statement, 'SelectStmt')
+      ? fieldOf(statement, 'SelectStmt')
+      : returningAsSelect(statement);
+    const {lockingClause: _locking, ...unlocked} = body;
+    const context = this.contextFor(probe, []);
+    const select = {...unlocked, limitCount: ZERO_ROWS};
+    const answer = await runStatement({SelectStmt: select}, context);
+    return answer.columns;
+  }
+
+  private async executePortal(frame: Frame): Promise<void> {
+    const name = frame.bytes.toString('utf8', 5, frame.bytes.indexOf(0, 5));
+    const {prepared, values} = this.portal(name);
+    if (prepared.statement === undefined) {
+      this.send(bareMessage(BackendType.EMPTY_QUERY));
+      return;
+    }
+    this.sendRows(await this.execute(prepared.statement, values));
+  }
+
+  private async execute(
+    statement: SyntaxNode,
+    values: readonly Value[],
+  ): Promise<Answer> {
+    const command = fieldOf(statement, 'TransactionStmt')['kind'];
+    if (command !== undefined) return this.control(String(command), statement);
+    if (this.failed && this.transaction !== undefined) {
+      throw inFailedTransaction();
+    }
+    const {counter, timer, runtime} = this.options;
+    return counter.run(async () => {
+      if (runtime.delays.statement > 0) {
+        await timer.sleep(runtime.delays.statement);
+      }
+      if (this.transaction !== undefined) {
+        return this.runIn(this.transaction, statement, values);
+      }
+      return this.autocommit(statement, values);
+    });
+  }
+
+  private async autocommit(
+    statement: SyntaxNode,
+    values: readonly Value[],
+  ): Promise<Answer> {
+    const {timer, runtime} = this.options;
+    const transaction = Transaction.begin(!runtime.leads, timer);
+    try {
+      const answer = await this.runIn(transaction, statement, values);
+      this.commit(transaction);
+      return answer;
+    } catch (failure) {
+      transaction.rollBack();
+      throw failure;
+    }
+  }
+
+  private async runIn(
+    transaction: Transaction,
+    statement: SyntaxNode,
+    values: readonly Value[],
+  ): Promise<Answer> {
+    const answer = await runStatement(
+      statement,
+      this.contextFor(transaction, values),
+    );
+    const sleep = this.functions.takeSleep();
+    if (sleep > 0) await this.options.timer.sleep(sleep);
+    return answer;
+  }
+
+  private contextFor(
+    transaction: Transaction,
+    parameters: readonly Value[],
+  ): RunContext {
+    return {
+      database: this.options.runtime.database,
+      transaction,
+      parameters,
+      call: (name, values) => this.functions.call(name, values),
+    };
+  }
+
+  private control(command: string, statement: SyntaxNode): Answer {
+    switch (command) {
+      case 'TRANS_STMT_BEGIN':
+      case 'TRANS_STMT_START': {
+        const asked = JSON.stringify(statement).includes(
+          'transaction_read_only',
+        );
+        const readOnly = asked || !this.options.runtime.leads;
+        this.transaction ??= Transaction.begin(readOnly, this.options.timer);
+        this.failed = false;
+        return tagOnly('BEGIN');
+      }
+      case 'TRANS_STMT_COMMIT':
+        return this.endTransaction();
+      case 'TRANS_STMT_ROLLBACK':
+        this.transaction?.rollBack();
+        this.transaction = undefined;
+        this.failed = false;
+        return tagOnly('ROLLBACK');
+      default:
+        throw SqlError.of(
+          SqlState.FEATURE_NOT_SUPPORTED,
+          'the stand-in knows no savepoints',
+        );
+    }
+  }
+
+  private endTransaction(): Answer {
+    const {transaction} = this;
+    this.transaction = undefined;
+    if (transaction === undefined) return tagOnly('COMMIT');
+    if (this.failed) {
+      this.failed = false;
+      transaction.rollBack();
+      return tagOnly('ROLLBACK');
+    }
+    this.commit(transaction);
+    return tagOnly('COMMIT');
+  }
+
+  private commit(transaction: Transaction): void {
+    const {runtime} = this.options;
+    if (!transaction.readOnly && !runtime.leads) {
+      transaction.rollBack();
+      throw SqlError.of(
+        SqlState.READ_ONLY_TRANSACTION,
+        'no longer the primary',
+      );
+    }
+    const changes = transaction.commit();
+    if (changes.length > 0) runtime.commit(changes);
+  }
+
+  private preparedStatement(name: string): PreparedStatement {
+    const prepared = this.prepared.get(name);
+    if (prepared !== undefined) return prepared;
+    throw SqlError.of(
+      SqlState.INVALID_STATEMENT_NAME,
+      `prepared statement "${name}" does not exist`,
+    );
+  }
+
+  private portal(name: string): Portal {
+    const portal = this.portals.get(name);
+    if (portal !== undefined) return portal;
+    throw SqlError.of('34000', `portal "${name}" does not exist`);
+  }
+
+  private sendRows(answer: Answer): void {
+    const rows = answer.rows.map(row => dataRow(row.map(valueToText)));
+    this.send(Buffer.concat([...rows, commandComplete(answer.tag)]));
+  }
+
+  private send(bytes: Buffer): void {
+    this.caller.stream.write(bytes);
+  }
+}
+
+const ZERO_ROWS = {A_Const: {ival: {ival: 0}}};
+
+function inFailedTransaction(): SqlError {
+  return SqlError.of(
+    SqlState.IN_FAILED_TRANSACTION,
+    'current transaction is aborted, commands ignored until end of ' +
+      'transaction block',
+  );
+}
+
+function returningAsSelect(statement: SyntaxNode): SyntaxNode {
+  const [type] = Object.keys(statement);
+  const body = fieldOf(statement, type ?? '');
+  const targets = fieldOf(body, 'returningClause')['exprs'];
+  return {targetList: targets, fromClause: [{RangeVar: body['relation']}]};
+}
--- /dev/null
+++ b/packages/standin/src/index.ts
@@ -0,0 +1,8 @@
+/**
+ * A stand-in database member for tests, demonstrations and measurements. It
+ * is never shipped.
+ *
+ * @packageDocumentation
+ */
+export {FaultGate, type GateMode} from './fault_gate.js';
+export {type WorkCounts} from './work_counter.js';
--- /dev/null
+++ b/packages/standin/src/replication.ts
@@ -0,0 +1,158 @@
+import {request, Agent} from 'node:http';
+import {Logger} from '@apricotlock/logging';
+import {
+  formatPosition,
+  parsePosition,
+  Position,
+  POSITION_ZERO,
+} from '@apricotlock/session';
+import {TimerService} from '@apricotlock/timer';
+import {LogRecord} from './change.js';
+import {FaultGate} from './fault_gate.js';
+import {LogSource, MemberRuntime} from './member_runtime.js';
+import {recordFromJson} from './member_store.js';
+
+const RETRY_MILLISECONDS = 20;
+const REQUEST_TIMEOUT_MILLISECONDS = 1_500;
+const BOUNDARIES_A_REQUEST = 500;
+
+/** What a replica needs to follow a primary. */
+export interface ReplicationOptions {
+  readonly runtime: MemberRuntime;
+  readonly timer: TimerService;
+  readonly gate: FaultGate;
+  readonly key: string;
+  readonly logger: Logger;
+}
+
+/** The end of one record, by which two logs are compared. */
+export interface LogBoundary {
+  readonly term: number;
+  readonly position: string;
+}
+
+/** Takes the log from whichever primary the member follows, for ever. */
+export async function replicate(options: ReplicationOptions): Promise<void> {
+  const {runtime, timer, gate} = options;
+  for (;;) {
+    const source = await runtime.source.until(value => value !== undefined);
+    await gate.opened();
+    if (source === undefined || runtime.source.current !== source) continue;
+    const moved = await followOnce(source, options).catch(() => false);
+    if (!moved) await timer.sleep(RETRY_MILLISECONDS);
+  }
+}
+
+/** Shows held records to readers after the member's apply delay, for ever. */
+export async function applyRecords(
+  runtime: MemberRuntime,
+  timer: TimerService,
+): Promise<void> {
+  for (;;) {
+    await runtime.status.until(
+      status => status.role === 'replica' && status.received > status.applied,
+    );
+    const {database, delays} = runtime;
+    const batch = database.log.after(database.applied, BOUNDARIES_A_REQUEST);
+    if (delays.apply > 0) await timer.sleep(delays.apply);
+    for (const record of batch) applyIfNext(runtime, record);
+  }
+}
+
+function applyIfNext(runtime: MemberRuntime, record: LogRecord): void {
+  const [next] = runtime.database.log.after(runtime.database.applied, 1);
+  if (next === record) runtime.apply(record);
+}
+
+async function followOnce(
+  source: LogSource,
+  options: ReplicationOptions,
+): Promise<boolean> {
+  const {runtime} = options;
+  if (runtime.term !== source.term) {
+    const common = await commonPosition(source, options);
+    if (common === undefined || runtime.source.current !== source) return false;
+    runtime.adopt(source.term, common);
+  }
+  const after = runtime.database.log.end;
+  const records = await fetchRecords(source, after, options);
+  if (records === undefined) return false;
+  const {receive} = runtime.delays;
+  if (receive > 0) await options.timer.sleep(receive);
+  await options.gate.opened();
+  // A fence may have come while the records were on their way.
+  const current = runtime.source.current === source;
+  if (!current || runtime.database.log.end !== after) return true;
+  runtime.receive(records);
+  return true;
+}
+
+async function commonPosition(
+  source: LogSource,
+  options: ReplicationOptions,
+): Promise<Position | undefined> {
+  const boundaries = [...options.runtime.database.log.all]
+    .reverse()
+    .map(record => ({
+      term: record.term,
+      position: formatPosition(record.position),
+    }));
+  for (let start = 0; ; start += BOUNDARIES_A_REQUEST) {
+    const part = boundaries.slice(start, start + BOUNDARIES_A_REQUEST);
+    if (part.length === 0) return POSITION_ZERO;
+    const body = {term: source.term, boundaries: part};
+    const answer = await post(source, '/v1/log/common', body, options);
+    if (answer === undefined) return undefined;
+    const {common} = answer as {readonly common: string | null};
+    if (common !== null) return parsePosition(common).unsafeCoerce();
+  }
+}
+
+async function fetchRecords(
+  source: LogSource,
+  after: Position,
+  options: ReplicationOptions,
+): Promise<readonly LogRecord[] | undefined> {
+  const body = {term: source.term, after: formatPosition(after)};
+  const answer = await post(source, '/v1/log/records', body, options);
+  if (answer === undefined) return undefined;
+  const {records} = answer as {
+    readonly records: ReadonlyArray<Parameters<typeof recordFromJson>[0]>;
+  };
+  return records.map(recordFromJson);
+}
+
+const agent = new Agent({keepAlive: true});
+
+function post(
+  source: LogSource,
+  path: string,
+  body: object,
+  options: ReplicationOptions,
+): Promise<unknown> {
+  return new Promise(resolve => {
+    const outgoing = request(
+      {
+        host: source.host,
+        port: source.port,
+        path,
+        method: 'POST',
+        agent,
+        timeout: REQUEST_TIMEOUT_MILLISECONDS,
+        headers: {authorization: `Bearer ${options.key}`},
+      },
+      response => {
+        const chunks: Buffer[] = [];
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('error', () => resolve(undefined));
+        response.on('end', () => {
+          const text = Buffer.concat(chunks).toString('utf8');
+          resolve(response.statusCode === 200 ? JSON.parse(text) : undefined);
+        });
+      },
+    );
+    outgoing.on('timeout', () => outgoing.destroy());
+    outgoing.on('error', () => resolve(undefined));
+    outgoing.end(JSON.stringify(body));
+  });
+}
--- a/packages/topology/src/catalogue.ts
+++ b/packages/topology/src/catalogue.ts
@@ -2,6 +2,7 @@
 import {Either, Left, Right} from 'purify-ts';
 
 const NAME_PATTERN = /^[a-z][a-z0-9-]{0,62}$/;
+const MAXIMUM_MEMBERS = 9;
 const MAXIMUM_ENTRIES = 20_000;
 const MAXIMUM_CONNECTIONS = 10_000;
 const MAXIMUM_QUEUE_LENGTH = 1_000_000;
@@ -30,6 +31,7 @@
   owner: z.string().min(1).max(200),
   class: z.enum(['critical', 'standard', 'background']),
   database: nameSchema,
+  members: z.int().min(1).max(MAXIMUM_MEMBERS),
   limits: limitsSchema,
   verifier: verifierSchema.optional(),
 });
@@ -81,6 +83,8 @@
   readonly class: ServiceClass;
   /** The database group that serves it. */
   readonly database: string;
+  /** How many members the group has when it is whole. */
+  readonly members: number;
   readonly limits: EntryLimits;
   /** Without one, the entry's callers need no password. */
   readonly verifier?: EntryVerifier | undefined;
--- a/packages/topology/src/database_group.ts
+++ b/packages/topology/src/database_group.ts
@@ -12,12 +12,16 @@
   readonly address: Address;
   /** Where it takes calls of the member API. */
   readonly apiAddress: Address;
+  /** New at each start of the member, and then higher. */
+  readonly incarnation: number;
   readonly state: MemberState;
 }
 
 /** One database: a primary and its replicas. */
 export interface DatabaseGroup {
   readonly database: string;
+  /** How many members it has when it is whole, as the catalogue says. */
+  readonly size: number;
   /** The highest term that the control quorum has given out. */
   readonly term: number;
   /** The term's primary; `undefined` while one is being chosen. */
@@ -38,7 +42,11 @@
   return group.members.filter(member => member.state !== 'removed');
 }
 
-/** How many members make a majority of the group. */
+/**
+ * How many members make a majority. Members that have never announced
+ * themselves count too: a majority of the known ones could be a minority.
+ */
 export function majorityOf(group: DatabaseGroup): number {
-  return Math.floor(votingMembers(group).length / 2) + 1;
+  const members = Math.max(group.size, votingMembers(group).length);
+  return Math.floor(members / 2) + 1;
 }
--- a/packages/topology/test/catalogue_test.ts
+++ b/packages/topology/test/catalogue_test.ts
@@ -6,6 +6,7 @@
   owner: 'counter-team',
   class: 'critical',
   database: 'booking-ledger-1',
+  members: 3,
   limits: {
     connections: 16,
     slots: 2,
--- a/packages/wire/src/backend_message.ts
+++ b/packages/wire/src/backend_message.ts
@@ -77,11 +77,7 @@
 
 /** Writes BackendKeyData, by which a caller may cancel a statement. */
 export function backendKeyData(processId: number, secret: number): Buffer {
-  return message(
-    BackendType.BACKEND_KEY_DATA,
-    int32(processId),
-    int32(secret),
-  );
+  return message(BackendType.BACKEND_KEY_DATA, int32(processId), int32(secret));
 }
 
 /** Writes CommandComplete with a tag such as `INSERT 0 1`. */
--- a/packages/wire/src/backend_start_up.ts
+++ b/packages/wire/src/backend_start_up.ts
@@ -42,7 +42,9 @@
   options: BackendStartUp,
 ): Promise<Either<BackendConnectionError, OpenedBackend>> {
   const connected = await connectSocket(options.host, options.port);
-  if (connected.isLeft()) return connected as Either<BackendConnectionError, never>;
+  if (connected.isLeft()) {
+    return connected as Either<BackendConnectionError, never>;
+  }
   const socket = connected.unsafeCoerce();
   const stream = ByteStream.of(socket, MAXIMUM_WAITING_BYTES);
   stream.write(startUpBytes(options));
@@ -97,7 +99,9 @@
       }
       if (frame.type === BackendType.AUTHENTICATION) {
         const answered = answerAuthentication(stream, frame, options);
-        if (answered.isLeft()) return answered as Either<BackendConnectionError, never>;
+        if (answered.isLeft()) {
+          return answered as Either<BackendConnectionError, never>;
+        }
       }
       if (frame.type === BackendType.READY_FOR_QUERY) {
         return Right({stream, splitter, processId, secret});
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -50,10 +50,7 @@
   FrontendType,
   type TransactionStatus,
 } from './message_type.js';
-export {
-  scramVerifier,
-  type ScramVerifier,
-} from './scram_verifier.js';
+export {scramVerifier, type ScramVerifier} from './scram_verifier.js';
 export {
   acceptCaller,
   type AcceptedCaller,
--- a/packages/wire/src/start_up.ts
+++ b/packages/wire/src/start_up.ts
@@ -2,7 +2,11 @@
 import {SecureContext, TLSSocket} from 'node:tls';
 import {Either, Left, Right} from 'purify-ts';
 import {createDuplexPair, PostgresConnection} from 'pg-gateway';
-import {backendKeyData, errorResponse, parameterStatus} from './backend_message.js';
+import {
+  backendKeyData,
+  errorResponse,
+  parameterStatus,
+} from './backend_message.js';
 import {ByteStream} from './byte_stream.js';
 import {Frame, FrameSplitter} from './frame.js';
 import {BackendType} from './message_type.js';
@@ -74,7 +78,9 @@
   if (opened.isLeft()) return opened as Either<AcceptError, never>;
   const start = opened.unsafeCoerce();
   const chosen = options.authenticate(start.parameters);
-  if (chosen.isLeft()) return refuse(start.stream, chosen.extract() as AcceptError);
+  if (chosen.isLeft()) {
+    return refuse(start.stream, chosen.extract() as AcceptError);
+  }
   start.splitter.expect('regular');
   const proved = await authenticate(start, chosen.unsafeCoerce(), options);
   if (!proved) return Left({kind: 'authenticationFailed'});
