Give the watching of a group a package of its own

Cause: failover and owners both need it, and will change apart from it. Change: packages/group; packages/testing hands out test ports. Conclusion: the parts can now be worked on side by side.

--- a/packages/apricotlock/src/entry_process.ts
+++ b/packages/apricotlock/src/entry_process.ts
@@ -1,21 +1,16 @@
-import {
-  GroupWatch,
-  OwnerBackendGate,
-  OwnerRegistry,
-} from '@apricotlock/backend';
+import {OwnerBackendGate, OwnerRegistry} from '@apricotlock/backend';
 import {ControlClient, ControlLog, SoleControlLog} from '@apricotlock/control';
 import {
   FailoverCoordinator,
   FailureReporter,
   ReplicaReconciler,
 } from '@apricotlock/failover';
-import {Observable} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
-import {HttpMemberClient} from '@apricotlock/member';
+import {HttpMemberClient, MemberClient} from '@apricotlock/member';
 import {GossipMembership, Membership} from '@apricotlock/membership';
 import {OperatorServer} from '@apricotlock/operator';
 import {PeerNetwork, WebSocketPeerNetwork} from '@apricotlock/peer';
-import {CallerListener, Router} from '@apricotlock/proxy';
+import {CallerListener, Router, SessionObserver} from '@apricotlock/proxy';
 import {SystemTimerService, TimerService} from '@apricotlock/timer';
 import {EntryOperatorBackend} from './entry_operator_backend.js';
 import {Metrics} from './metrics.js';
@@ -23,21 +18,30 @@
 
 const MAXIMUM_PEER_MESSAGE_BYTES = 64 << 20;
 
-interface Parts {
+/** What every part is given. */
+interface Base {
+  readonly settings: Settings;
+  readonly timer: TimerService;
+  readonly logger: Logger;
   readonly network: PeerNetwork;
+}
+
+/** The parts that know who is alive, what is decided and who owns what. */
+interface Deciding {
   readonly membership: Membership;
+  readonly log: ControlLog | undefined;
   readonly control: ControlClient;
   readonly registry: OwnerRegistry;
+}
+
+interface Parts extends Base, Deciding {
   readonly callers: CallerListener;
   readonly operators: OperatorServer;
 }
 
 /** One process of the system, with all its parts. */
 export class EntryProcess {
-  private constructor(
-    private readonly settings: Settings,
-    private readonly parts: Parts,
-  ) {}
+  private constructor(private readonly parts: Parts) {}
 
   /** Starts every part. Throws if an address can't be had. */
   static async start(
@@ -53,83 +57,31 @@
       logger,
       maximumMessageBytes: MAXIMUM_PEER_MESSAGE_BYTES,
     });
-    const membership = joinMembership(settings, network, timer);
-    const {machines} = membership;
-    const log = settings.controlVoter
-      ? SoleControlLog.create(settings.name)
-      : undefined;
-    const self = settings.name;
-    const control = ControlClient.start({self, network, timer, machines, log});
-    const {view} = control;
-    const client = HttpMemberClient.create(settings.memberKey, timer);
-    const registry = OwnerRegistry.start({
-      self,
-      view,
-      machines,
-      network,
-      client,
-      timer,
-      logger,
-      memberUser: settings.memberUser,
-      memberPassword: settings.memberPassword,
-    });
-    startFailover(settings, registry.groups, {
-      network,
-      membership,
-      client,
-      timer,
-      logger,
-      log,
-    });
-    const gate = OwnerBackendGate.create(
-      self,
-      view,
-      machines,
-      network,
-      registry,
-    );
+    const base: Base = {settings, timer, logger, network};
+    const deciding = startDeciding(base);
     const metrics = Metrics.create();
-    const callers = await CallerListener.start({
-      self,
-      listen: settings.callerAddress,
-      view,
-      router: Router.create(settings.dataCentre, view, gate, timer),
-      timer,
-      logger,
-      observer: metrics,
-      secureContext: undefined,
-    });
+    const callers = await startCallers(base, deciding, metrics);
     const operators = await OperatorServer.start({
       listen: settings.operatorAddress,
       operatorToken: settings.operatorToken,
       memberKey: settings.memberKey,
       backend: EntryOperatorBackend.create({
-        settings,
-        control,
-        log,
-        membership,
-        network,
+        ...base,
+        ...deciding,
         metrics,
-        timer,
         requestShutdown,
       }),
     });
     logger.info('serving', {callers: settings.callerAddress.port});
-    return new EntryProcess(settings, {
-      network,
-      membership,
-      control,
-      registry,
-      callers,
-      operators,
-    });
+    return new EntryProcess({...base, ...deciding, callers, operators});
   }
 
   /** Ends without cutting a request, if the deadline allows; gives the cuts. */
   async drain(): Promise<number> {
-    const {membership, callers, registry, operators, network} = this.parts;
+    const {settings, membership, callers, registry, operators, network} =
+      this.parts;
     membership.announce('draining');
-    const cut = await callers.drain(this.settings.drainMilliseconds);
+    const cut = await callers.drain(settings.drainMilliseconds);
     await membership.leave();
     registry.stop();
     await operators.close();
@@ -138,11 +90,59 @@
   }
 }
 
-function joinMembership(
-  settings: Settings,
-  network: PeerNetwork,
-  timer: TimerService,
-): Membership {
+function startDeciding(base: Base): Deciding {
+  const {settings, timer, logger, network} = base;
+  const self = settings.name;
+  const membership = joinMembership(base);
+  const {machines} = membership;
+  const log = settings.controlVoter ? SoleControlLog.create(self) : undefined;
+  const control = ControlClient.start({self, network, timer, machines, log});
+  const client = HttpMemberClient.create(settings.memberKey, timer);
+  const registry = OwnerRegistry.start({
+    self,
+    view: control.view,
+    machines,
+    network,
+    client,
+    timer,
+    logger,
+    memberUser: settings.memberUser,
+    memberPassword: settings.memberPassword,
+  });
+  const deciding = {membership, log, control, registry};
+  startFailover(base, deciding, client);
+  return deciding;
+}
+
+function startCallers(
+  base: Base,
+  deciding: Deciding,
+  observer: SessionObserver,
+): Promise<CallerListener> {
+  const {settings, timer, logger, network} = base;
+  const {membership, control, registry} = deciding;
+  const {view} = control;
+  const self = settings.name;
+  const gate = OwnerBackendGate.create(
+    self,
+    view,
+    membership.machines,
+    network,
+    registry,
+  );
+  return CallerListener.start({
+    self,
+    listen: settings.callerAddress,
+    view,
+    router: Router.create(settings.dataCentre, view, gate, timer),
+    timer,
+    logger,
+    observer,
+    secureContext: undefined,
+  });
+}
+
+function joinMembership({settings, network, timer}: Base): Membership {
   return GossipMembership.start({
     self: {
       name: settings.name,
@@ -159,32 +159,23 @@
   });
 }
 
-interface FailoverParts {
-  readonly network: PeerNetwork;
-  readonly membership: Membership;
-  readonly client: HttpMemberClient;
-  readonly timer: TimerService;
-  readonly logger: Logger;
-  readonly log: ControlLog | undefined;
-}
-
 function startFailover(
-  settings: Settings,
-  groups: Observable<readonly GroupWatch[]>,
-  parts: FailoverParts,
+  base: Base,
+  {log, registry, membership}: Deciding,
+  client: MemberClient,
 ): void {
-  const {network, membership, client, timer, logger, log} = parts;
+  const {network, timer, logger} = base;
   const coordinator =
     log === undefined
       ? undefined
       : FailoverCoordinator.start({log, client, network, timer, logger});
   FailureReporter.start({
-    self: settings.name,
-    groups,
+    self: base.settings.name,
+    groups: registry.groups,
     machines: membership.machines,
     network,
     timer,
     local: suspicion => coordinator?.suspect(suspicion),
   });
-  ReplicaReconciler.start(groups, client, timer);
+  ReplicaReconciler.start(registry.groups, client, timer);
 }
--- a/packages/backend/src/index.ts
+++ b/packages/backend/src/index.ts
@@ -11,7 +11,6 @@
   OwnerBackendGate,
   type LeaseConversation,
 } from './backend_gate.js';
-export {GroupWatch} from './group_watch.js';
 export {
   type GroupPosition,
   type LeaseDown,
@@ -21,4 +20,3 @@
   type ReadFloor,
 } from './lease_messages.js';
 export {OwnerRegistry, type OwnerRegistryOptions} from './owner_registry.js';
-export {StatusWatch, type MemberObservation} from './status_watch.js';
--- a/packages/backend/src/member_owner.ts
+++ b/packages/backend/src/member_owner.ts
@@ -1,3 +1,4 @@
+import {GroupWatch} from '@apricotlock/group';
 import {Either, Left, Right} from 'purify-ts';
 import {TIMED_OUT, withTimeout} from '@apricotlock/flow';
 import {PeerChannel} from '@apricotlock/peer';
@@ -6,7 +7,6 @@
 import {queryMessage} from '@apricotlock/wire';
 import {BackendConnection, ExchangeEnd} from './backend_connection.js';
 import {ConnectionPool, OpenConnection, PoolLimits} from './connection_pool.js';
-import {GroupWatch} from './group_watch.js';
 import {
   LeaseDown,
   LeaseRefusal,
--- a/packages/backend/src/owner_registry.ts
+++ b/packages/backend/src/owner_registry.ts
@@ -1,3 +1,4 @@
+import {GroupWatch} from '@apricotlock/group';
 import {Observable} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
 import {MemberClient} from '@apricotlock/member';
@@ -14,7 +15,6 @@
 } from '@apricotlock/topology';
 import {openBackendConnection} from '@apricotlock/wire';
 import {PoolLimits} from './connection_pool.js';
-import {GroupWatch} from './group_watch.js';
 import {
   GROUP_POSITION,
   GroupPosition,
--- a/packages/bench/test/whole_path_test.ts
+++ b/packages/bench/test/whole_path_test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import {testPort} from '@apricotlock/testing';
 import {SystemTimerService} from '@apricotlock/timer';
 import {
   layOut,
@@ -9,7 +10,7 @@
   WorkloadReport,
 } from '../src/index.js';
 
-const BASE_PORT = 19_000;
+const BASE_PORT = testPort(100);
 const FAILOVER_LIMIT_MILLISECONDS = 6_000;
 const BEFORE_FAULT_MILLISECONDS = 500;
 
--- a/packages/failover/src/replica_reconciler.ts
+++ b/packages/failover/src/replica_reconciler.ts
@@ -1,4 +1,4 @@
-import {GroupWatch} from '@apricotlock/backend';
+import {GroupWatch} from '@apricotlock/group';
 import {Observable} from '@apricotlock/flow';
 import {MemberClient} from '@apricotlock/member';
 import {TimerService} from '@apricotlock/timer';
--- a/packages/peer/test/web_socket_peer_network_test.ts
+++ b/packages/peer/test/web_socket_peer_network_test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import {Left, Right} from 'purify-ts';
 import {Logger} from '@apricotlock/logging';
+import {testPort} from '@apricotlock/testing';
 import {SystemTimerService} from '@apricotlock/timer';
 import {
   PeerCall,
@@ -25,15 +26,15 @@
 }
 
 describe('WebSocketPeerNetwork', () => {
-  const serverAddress = {host: '127.0.0.1', port: 18_431};
+  const serverAddress = {host: '127.0.0.1', port: testPort(0)};
   let server: WebSocketPeerNetwork;
   let client: WebSocketPeerNetwork;
   let stranger: WebSocketPeerNetwork;
 
   before(async () => {
     server = await startNetwork(serverAddress.port);
-    client = await startNetwork(18_432);
-    stranger = await startNetwork(18_433, 'another key');
+    client = await startNetwork(testPort(1));
+    stranger = await startNetwork(testPort(2), 'another key');
     server.handle(DOUBLE, async value =>
       value < 0 ? Left('negative') : Right(value * 2),
     );
