Hold the demonstration open, check the tree, and measure reads and changes

Cause: nothing measured the stated targets, and nothing checked imports, the reference page or listed failures.

--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -5,7 +5,9 @@
 import {TimerService} from '@apricotlock/timer';
 import {formatAddress} from '@apricotlock/topology';
 import {Caller} from './caller.js';
+import {describeHeldSystem, HeldSystem} from './held_system.js';
 import {layOut, MemberLayout, Profile} from './layout.js';
+import {readCounts} from './read_counts.js';
 import {SystemUnderTest} from './system_under_test.js';
 import {Violations} from './violations.js';
 import {Workload, WorkloadReport} from './workload.js';
@@ -54,6 +56,19 @@
     return demo;
   }
 
+  /** Leaves the system up until `released` settles; gives where it is. */
+  async hold(
+    show: (system: HeldSystem) => void,
+    released: Promise<void>,
+  ): Promise<void> {
+    try {
+      show(describeHeldSystem(this.system));
+      await released;
+    } finally {
+      await this.system.stop();
+    }
+  }
+
   /** Runs the demonstration and ends the system. */
   async run(): Promise<DemoReport> {
     try {
@@ -165,14 +180,11 @@
   }
 
   private async replicaReadShare(): Promise<number> {
-    const texts = await Promise.all(
-      this.system.layout.machines.map(async machine => {
-        const address = formatAddress(machine.operatorAddress);
-        return (await fetch(`http://${address}/metrics`)).text();
-      }),
+    const {byReplica, byPrimary} = await readCounts(
+      this.system.layout.machines.map(machine =>
+        formatAddress(machine.operatorAddress),
+      ),
     );
-    const byReplica = sum(texts.map(text => readsBy(text, 'replica')));
-    const byPrimary = sum(texts.map(text => readsBy(text, 'primary')));
     return byReplica / Math.max(1, byReplica + byPrimary);
   }
 
@@ -209,13 +221,6 @@
   return counts.statements;
 }
 
-function readsBy(metrics: string, by: string): number {
-  const pattern = new RegExp(
-    `apricotlock_batches_total\\{by="${by}",purpose="read"\\} ([0-9]+)`,
-  );
-  return Number(pattern.exec(metrics)?.[1] ?? 0);
-}
-
 function sum(values: readonly number[]): number {
   return values.reduce((total, value) => total + value, 0);
 }
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -4,10 +4,12 @@
  * @packageDocumentation
  */
 export {Caller, type Outcome, type Row} from './caller.js';
+export {describeHeldSystem, type HeldSystem} from './held_system.js';
 export {Demo, type DemoReport} from './demo.js';
 export {layOut, PROFILES, type Layout, type Profile} from './layout.js';
 export {Ledger} from './ledger.js';
 export {ProcessGroup} from './process_group.js';
+export {ReaderLoad, type ReaderLoadOptions} from './reader_load.js';
 export {SystemUnderTest} from './system_under_test.js';
 export {NO_VIOLATIONS, totalOf, type Violations} from './violations.js';
 export {
--- /dev/null
+++ b/packages/checks/src/reference_page.ts
@@ -0,0 +1,103 @@
+import {readFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {SETTING_DESCRIPTIONS, variableOf} from 'apricotlock';
+import {ExitCode} from 'apricotctl';
+import {SettingName} from '@apricotlock/proxy';
+import {SqlState} from '@apricotlock/wire';
+import {typeScriptFiles} from './workspace_package.js';
+
+const ROUTE_PATTERN =
+  /\.(get|put|post|delete)\(\s*'(\/[^']*)'|route\(\s*'(GET|PUT|POST|DELETE)',\s*'(\/[^']*)'/g;
+const METRIC_PATTERN = /\bapricotlock_[a-z0-9_]+\b/g;
+
+/** The reference of all that is seen from outside, made from the code. */
+export function referencePage(root: string): string {
+  return [
+    '# Reference',
+    'Made from the code by `npm run reference`; CI checks that it is current.',
+    '## Settings of `apricotlock`',
+    table(['flag', 'variable', 'default', 'meaning'], settingRows()),
+    '## Settings of a caller’s session',
+    'Set by `SET name = value`, read by `SHOW name`, or given as a start-up ' +
+      'parameter.',
+    table(['setting'], Object.values(SettingName).map(code).map(one)),
+    '## SQLSTATE codes that apricotlock itself sends or looks for',
+    table(['code', 'name'], sqlStateRows()),
+    '## Exit codes of `apricotctl`',
+    table(['code', 'name'], exitCodeRows()),
+    '## HTTP routes',
+    table(['method', 'path'], routeRows(root)),
+    '## Metrics',
+    table(['name'], metricNames(root).map(code).map(one)),
+    '',
+  ].join('\n\n');
+}
+
+function settingRows(): ReadonlyArray<readonly string[]> {
+  return SETTING_DESCRIPTIONS.map(setting => [
+    code(`--${setting.flag}`),
+    code(variableOf(setting.flag)),
+    setting.default === undefined ? 'needed' : code(setting.default || ' '),
+    setting.describe,
+  ]);
+}
+
+function sqlStateRows(): ReadonlyArray<readonly string[]> {
+  return Object.entries(SqlState)
+    .sort(([, left], [, right]) => (left < right ? -1 : 1))
+    .map(([name, state]) => [code(state), words(name)]);
+}
+
+function exitCodeRows(): ReadonlyArray<readonly string[]> {
+  return Object.entries(ExitCode).map(([name, value]) => [
+    code(String(value)),
+    words(name),
+  ]);
+}
+
+function routeRows(root: string): ReadonlyArray<readonly string[]> {
+  const found = new Set<string>();
+  for (const text of sourcesOf(root, 'operator')) {
+    for (const match of text.matchAll(ROUTE_PATTERN)) {
+      const method = (match[1] ?? match[3] ?? '').toUpperCase();
+      found.add(`${match[2] ?? match[4]} ${method}`);
+    }
+  }
+  return [...found].sort().map(route => {
+    const [path, method] = route.split(' ');
+    return [method ?? '', code(path ?? '')];
+  });
+}
+
+function metricNames(root: string): readonly string[] {
+  const names = new Set<string>();
+  for (const text of sourcesOf(root, 'apricotlock')) {
+    for (const match of text.matchAll(METRIC_PATTERN)) names.add(match[0]);
+  }
+  return [...names].sort();
+}
+
+function sourcesOf(root: string, name: string): readonly string[] {
+  const folder = join(root, 'packages', name, 'src');
+  return typeScriptFiles(folder).map(path => readFileSync(path, 'utf8'));
+}
+
+function table(
+  columns: readonly string[],
+  rows: ReadonlyArray<readonly string[]>,
+): string {
+  const lines = [columns, columns.map(() => '---'), ...rows];
+  return lines.map(cells => `| ${cells.join(' | ')} |`).join('\n');
+}
+
+function code(text: string): string {
+  return `\`${text}\``;
+}
+
+function one(text: string): readonly string[] {
+  return [text];
+}
+
+function words(name: string): string {
+  return name.toLowerCase().replaceAll('_', ' ');
+}
