Measure the slopes from which the direction's size is worked out

Change: npm run measure:capacity fits sessions, statements, watching and views at three sizes or more and writes the projection, marking what misses.

--- /dev/null
+++ b/packages/bench/src/capacity_watching.ts
@@ -0,0 +1,89 @@
+import {TimerService} from '@apricotlock/timer';
+import {layOut, Profile} from './layout.js';
+import {fitLine, Sample} from './linear_fit.js';
+import {usageOf} from './process_usage.js';
+import {Slope} from './slope.js';
+import {SystemUnderTest} from './system_under_test.js';
+
+const DATABASE_COUNTS = [1, 2, 4];
+const SETTLE_MILLISECONDS = 2_000;
+const RUN_MILLISECONDS = 5_000;
+const MILLISECONDS_A_SECOND = 1_000;
+
+interface WatchSample {
+  readonly databases: number;
+  readonly processorMicroseconds: number;
+  readonly bytes: number;
+}
+
+/** Measures what watching idle databases costs their owner a second. */
+export async function measureWatching(
+  profile: Profile,
+  basePort: number,
+  timer: TimerService,
+): Promise<readonly Slope[]> {
+  const samples: WatchSample[] = [];
+  for (const databases of DATABASE_COUNTS) {
+    samples.push(await watchOnce(profile, databases, basePort, timer));
+  }
+  const method =
+    'one entry VM that owns all three members of each of that many idle ' +
+    'databases';
+  return [
+    {
+      name: 'processor time a second of watching a database',
+      unit: 'microseconds a second',
+      fit: fitLine(points(samples, sample => sample.processorMicroseconds)),
+      method,
+    },
+    {
+      name: 'bytes a second of watching a database',
+      unit: 'bytes a second',
+      fit: fitLine(points(samples, sample => sample.bytes)),
+      method,
+    },
+  ];
+}
+
+function points(
+  samples: readonly WatchSample[],
+  valueOf: (sample: WatchSample) => number,
+): readonly Sample[] {
+  return samples.map(sample => ({
+    size: sample.databases,
+    value: valueOf(sample),
+  }));
+}
+
+async function watchOnce(
+  profile: Profile,
+  databases: number,
+  basePort: number,
+  timer: TimerService,
+): Promise<WatchSample> {
+  const names = Array.from(
+    {length: databases},
+    (_, index) => `db-${index + 1}`,
+  );
+  const layout = layOut({...profile, databases: names}, basePort);
+  const system = await SystemUnderTest.start(layout, timer);
+  try {
+    const entries = system.catalogueEntries();
+    await system.operator().putCatalogue('first', 0, entries, true);
+    await system.untilWhole();
+    await timer.sleep(SETTLE_MILLISECONDS);
+    const processId = system.processes.processId('vm-1') ?? 0;
+    const before = usageOf(processId);
+    await timer.sleep(RUN_MILLISECONDS);
+    const after = usageOf(processId);
+    const seconds = RUN_MILLISECONDS / MILLISECONDS_A_SECOND;
+    const used = after.processorMicroseconds - before.processorMicroseconds;
+    return {
+      databases,
+      processorMicroseconds: used / seconds,
+      bytes: (after.transferredBytes - before.transferredBytes) / seconds,
+    };
+  } finally {
+    await system.stop();
+  }
+}
--- /dev/null
+++ b/packages/bench/src/measure_capacity_main.ts
@@ -0,0 +1,69 @@
+import {readFileSync, writeFileSync} from 'node:fs';
+import {SystemTimerService} from '@apricotlock/timer';
+import {projectionTable} from './capacity_projection.js';
+import {measureSessionMemory} from './capacity_sessions.js';
+import {measureStatementCost} from './capacity_statements.js';
+import {measureViews} from './capacity_views.js';
+import {measureWatching} from './capacity_watching.js';
+import {layOut, Profile, PROFILES} from './layout.js';
+import {measurementOrigin} from './measurement_page.js';
+import {Slope, slopeTable} from './slope.js';
+import {SystemUnderTest} from './system_under_test.js';
+
+const BASE_PORT = 18_400;
+const PAGE_PATH = 'docs/CAPACITY.md';
+const BEGIN_MARK = '<!-- measured: begin -->';
+const END_MARK = '<!-- measured: end -->';
+
+const timer = SystemTimerService.create();
+/** One data centre, so that every VM may own every member. */
+const small: Profile = {
+  ...PROFILES.bonanno,
+  dataCentres: ['catania'],
+  databases: ['booking-ledger-1'],
+  entryMachines: 1,
+};
+
+const slopes: readonly Slope[] = [
+  ...measureViews(timer),
+  ...(await measureWatching(small, BASE_PORT, timer)),
+  ...(await measureCallers()),
+];
+writePage(slopes);
+process.exit(0);
+
+async function measureCallers(): Promise<readonly Slope[]> {
+  const twoCentres: Profile = {
+    ...small,
+    entryMachines: 2,
+    membersADatabase: 1,
+    dataCentres: ['catania', 'palermo'],
+  };
+  const system = await SystemUnderTest.start(
+    layOut(twoCentres, BASE_PORT),
+    timer,
+  );
+  try {
+    const entries = system.catalogueEntries();
+    await system.operator().putCatalogue('first', 0, entries, true);
+    await system.untilWhole();
+    const statements = await measureStatementCost(system, timer);
+    return [...statements, await measureSessionMemory(system, timer)];
+  } finally {
+    await system.stop();
+  }
+}
+
+function writePage(measured: readonly Slope[]): void {
+  const page = readFileSync(PAGE_PATH, 'utf8');
+  const begin = page.indexOf(BEGIN_MARK) + BEGIN_MARK.length;
+  const end = page.indexOf(END_MARK);
+  const parts = [
+    measurementOrigin(),
+    slopeTable(measured),
+    '### Worked out for 1,800 VMs and 2,400 databases',
+    projectionTable(measured),
+  ];
+  const middle = `\n\n${parts.join('\n\n')}\n\n`;
+  writeFileSync(PAGE_PATH, page.slice(0, begin) + middle + page.slice(end));
+}
--- a/packages/bench/src/measurement_page.ts
+++ b/packages/bench/src/measurement_page.ts
@@ -23,11 +23,12 @@
     section.text,
     ...(section.figures.length === 0 ? [] : [figureTable(section.figures)]),
   ]);
-  const page = [`# ${title}`, origin(), ...parts].join('\n\n');
+  const page = [`# ${title}`, measurementOrigin(), ...parts].join('\n\n');
   writeFileSync(path, `${page}\n`);
 }
 
-function origin(): string {
+/** Where and at which commit figures were measured. */
+export function measurementOrigin(): string {
   const commit = execFileSync('git', ['rev-parse', '--short=12', 'HEAD'], {
     encoding: 'utf8',
   }).trim();
--- /dev/null
+++ b/packages/bench/src/slope.ts
@@ -0,0 +1,40 @@
+import {LinearFit} from './linear_fit.js';
+
+/** A measured cost for each one more of something. */
+export interface Slope {
+  readonly name: SlopeName;
+  /** Such as `bytes a session`. */
+  readonly unit: string;
+  readonly fit: LinearFit;
+  /** How it was measured, in one sentence. */
+  readonly method: string;
+}
+
+/** The costs from which the size of the direction is worked out. */
+export type SlopeName =
+  | 'memory of an idle session'
+  | 'processor time of a statement, owner on the same VM'
+  | 'processor time of a statement on the caller’s VM, owner elsewhere'
+  | 'processor time of a statement on the owner’s VM'
+  | 'processor time a second of watching a database'
+  | 'bytes a second of watching a database'
+  | 'bytes of a view for each database'
+  | 'memory of a view for each database'
+  | 'processor time to take a view for each database';
+
+/** Slopes as a table for a page. */
+export function slopeTable(slopes: readonly Slope[]): string {
+  const lines = [
+    '| slope | unit | value | error | at sizes | how |',
+    '|---|---|---|---|---|---|',
+    ...slopes.map(slopeLine),
+  ];
+  return lines.join('\n');
+}
+
+function slopeLine({name, unit, fit, method}: Slope): string {
+  const sizes = fit.samples.map(({size}) => Math.round(size)).join(', ');
+  const value = fit.slope.toPrecision(3);
+  const error = `± ${fit.slopeError.toPrecision(2)}`;
+  return `| ${name} | ${unit} | ${value} | ${error} | ${sizes} | ${method} |`;
+}
