Replace the heartbeat gossip by probes with bounded piggybacking

Cause: each exchange carried every record, so bytes a VM grew with the number of VMs, and death was found by 1.5 s of silence alone. Change: SWIM-like membership over authenticated datagrams: one probe a period, indirect probes, suspicion and refutation, updates riding on probes, digests of fixed size. ManualTimerService keeps its alarms in order and can let tasks run between moments.

--- a/packages/apricotlock/src/entry_process.ts
+++ b/packages/apricotlock/src/entry_process.ts
@@ -5,11 +5,17 @@
   FailureReporter,
   ReplicaReconciler,
 } from '@apricotlock/failover';
+import {Observable} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
 import {HttpMemberClient, MemberClient} from '@apricotlock/member';
-import {GossipMembership, Membership} from '@apricotlock/membership';
+import {
+  DatagramTransport,
+  Membership,
+  SwimMembership,
+  UdpDatagramTransport,
+} from '@apricotlock/membership';
 import {OperatorServer} from '@apricotlock/operator';
-import {PeerNetwork, WebSocketPeerNetwork} from '@apricotlock/peer';
+import {PeerNetwork, ringOf, WebSocketPeerNetwork} from '@apricotlock/peer';
 import {CallerListener, Router, SessionObserver} from '@apricotlock/proxy';
 import {SystemTimerService, TimerService} from '@apricotlock/timer';
 import {EntryOperatorBackend} from './entry_operator_backend.js';
@@ -24,6 +30,7 @@
   readonly timer: TimerService;
   readonly logger: Logger;
   readonly network: PeerNetwork;
+  readonly datagrams: DatagramTransport;
 }
 
 /** The parts that know who is alive, what is decided and who owns what. */
@@ -57,7 +64,8 @@
       logger,
       maximumMessageBytes: MAXIMUM_PEER_MESSAGE_BYTES,
     });
-    const base: Base = {settings, timer, logger, network};
+    const datagrams = await UdpDatagramTransport.start(settings.peerAddress);
+    const base: Base = {settings, timer, logger, network, datagrams};
     const deciding = startDeciding(base);
     const metrics = Metrics.create();
     const callers = await startCallers(base, deciding, metrics);
@@ -142,8 +150,9 @@
   });
 }
 
-function joinMembership({settings, network, timer}: Base): Membership {
-  return GossipMembership.start({
+function joinMembership(base: Base): Membership {
+  const {settings, datagrams: transport, timer, logger} = base;
+  return SwimMembership.start({
     self: {
       name: settings.name,
       incarnation: timer.wallClock(),
@@ -154,8 +163,10 @@
       state: 'serving',
     },
     seeds: settings.seeds,
-    network,
+    transport,
+    keys: Observable.of(ringOf(settings.peerKey)),
     timer,
+    logger,
   });
 }
 
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,7 +1,13 @@
 /**
- * Which processes of the system are alive.
+ * Which processes of the system are alive: SWIM over authenticated datagrams.
  *
  * @packageDocumentation
  */
-export {GossipMembership, type GossipOptions} from './gossip_membership.js';
+export {DatagramTransport, type DatagramHandler} from './datagram_transport.js';
 export {Membership} from './membership.js';
+export {
+  MemoryDatagramNetwork,
+  type DatagramFilter,
+} from './memory_datagram_network.js';
+export {SwimMembership, type SwimOptions} from './swim_membership.js';
+export {UdpDatagramTransport} from './udp_datagram_transport.js';
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -17,6 +17,7 @@
   type CallHandler,
   type ConversationHandler,
 } from './peer_network.js';
+export {ringOf, type SecretRing} from './secret_ring.js';
 export {
   WebSocketPeerNetwork,
   type PeerNetworkOptions,
--- a/packages/timer/src/manual_timer_service.ts
+++ b/packages/timer/src/manual_timer_service.ts
@@ -1,15 +1,17 @@
+import {setImmediate} from 'node:timers/promises';
 import {TimerService, Unsubscribe} from './timer_service.js';
 
 interface Alarm {
   readonly dueAt: number;
-  readonly periodMilliseconds: number | undefined;
   readonly action: () => void;
 }
 
 /** Time that moves only when told to: for tests of other packages. */
 export class ManualTimerService extends TimerService {
   private time = 0;
-  private alarms: readonly Alarm[] = [];
+  /** The next one last; of those due together, the first added last. */
+  private readonly alarms: Alarm[] = [];
+  private readonly stopped = new WeakSet<Alarm>();
 
   private constructor() {
     super();
@@ -29,11 +31,11 @@
   }
 
   override once(delayMilliseconds: number, action: () => void): Unsubscribe {
-    return this.add({
-      dueAt: this.time + delayMilliseconds,
-      periodMilliseconds: undefined,
-      action,
-    });
+    const alarm: Alarm = {dueAt: this.time + delayMilliseconds, action};
+    this.alarms.splice(this.placeOf(alarm.dueAt), 0, alarm);
+    return () => {
+      this.stopped.add(alarm);
+    };
   }
 
   override every(periodMilliseconds: number, action: () => void): Unsubscribe {
@@ -54,27 +56,42 @@
 
   /** Moves time on and runs, in order, every action that falls due. */
   advance(milliseconds: number): void {
+    const end = this.time + milliseconds;
+    while (this.runNext(end));
+    this.time = end;
+  }
+
+  /** Like `advance`, but lets tasks go on after each moment with an action. */
+  async advanceTasks(milliseconds: number): Promise<void> {
     const end = this.time + milliseconds;
     for (;;) {
-      const due = this.nextDueBy(end);
-      if (due === undefined) break;
-      this.alarms = this.alarms.filter(alarm => alarm !== due);
-      this.time = due.dueAt;
-      due.action();
+      const moment = this.alarms[this.alarms.length - 1]?.dueAt ?? Infinity;
+      if (moment > end) break;
+      while (this.runNext(moment));
+      await setImmediate();
     }
     this.time = end;
   }
 
-  private add(alarm: Alarm): Unsubscribe {
-    this.alarms = [...this.alarms, alarm];
-    return () => {
-      this.alarms = this.alarms.filter(other => other !== alarm);
-    };
+  private runNext(end: number): boolean {
+    const next = this.alarms[this.alarms.length - 1];
+    if (next === undefined || next.dueAt > end) return false;
+    this.alarms.pop();
+    if (this.stopped.has(next)) return true;
+    this.time = next.dueAt;
+    next.action();
+    return true;
   }
 
-  private nextDueBy(end: number): Alarm | undefined {
-    return this.alarms
-      .filter(alarm => alarm.dueAt <= end)
-      .sort((left, right) => left.dueAt - right.dueAt)[0];
+  /** The first place whose alarm is due before or at `dueAt`. */
+  private placeOf(dueAt: number): number {
+    let low = 0;
+    let high = this.alarms.length;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if ((this.alarms[middle] as Alarm).dueAt > dueAt) low = middle + 1;
+      else high = middle;
+    }
+    return low;
   }
 }
