Keep each entry's limits at the member's owner, and share slots fairly

Cause: connections and queue lengths were summed up per database, slots were not kept at all, one queue in order of arrival let a greedy entry starve the others, and a refusal came only when the time in the queue had run out.

Change: a scheduler per member keeps connections and slots per entry, shares slot time by start-time fair queueing with weights of the classes, lets the sessions of an entry take turns, keeps a reserve for writes, puts open transactions first and refuses at once what would wait beyond its deadline. The pool opens at most four connections at a time, keeps some warm, and takes 53300 for no outage. A commit that waits for its confirmation holds neither connection nor slot. A member may announce its capacity. A VM that was refused for overload does not ask again for a quarter of the hint.

--- a/packages/apricotlock/src/entry_process.ts
+++ b/packages/apricotlock/src/entry_process.ts
@@ -129,6 +129,7 @@
     membership.machines,
     network,
     registry,
+    timer,
   );
   return CallerListener.start({
     self,
--- a/packages/backend/src/backend_connection.ts
+++ b/packages/backend/src/backend_connection.ts
@@ -1,8 +1,11 @@
 import {Either, Left, Right} from 'purify-ts';
 import {parsePosition, Position} from '@apricotlock/session';
+import {TIMED_OUT, withTimeout} from '@apricotlock/flow';
+import {TimerService} from '@apricotlock/timer';
 import {
   BackendType,
   Frame,
+  FrontendType,
   OpenedBackend,
   queryMessage,
   readFirstValue,
@@ -12,6 +15,8 @@
 
 const RESET_QUERY = queryMessage('DISCARD ALL');
 const ROLLBACK_QUERY = queryMessage('ROLLBACK');
+/** A Sync: the server answers it without running anything. */
+const PROBE = Buffer.from([FrontendType.SYNC, 0, 0, 0, 4]);
 
 /** The connection ended, or broke the protocol, in the middle of an answer. */
 export interface ExchangeError {
@@ -41,11 +46,28 @@
   private needsReset = false;
   private broken = false;
 
-  private constructor(private readonly opened: OpenedBackend) {}
+  private lastHeardAt: number;
+
+  private constructor(
+    private readonly opened: OpenedBackend,
+    private readonly timer: TimerService,
+  ) {
+    this.lastHeardAt = timer.now();
+  }
 
   /** A connection that has just been opened. */
-  static of(opened: OpenedBackend): BackendConnection {
-    return new BackendConnection(opened);
+  static of(opened: OpenedBackend, timer: TimerService): BackendConnection {
+    return new BackendConnection(opened, timer);
+  }
+
+  /** How long nothing has come on it, in milliseconds. */
+  get silentMilliseconds(): number {
+    return this.timer.now() - this.lastHeardAt;
+  }
+
+  /** Whether {@link BackendConnection.clean} would run anything. */
+  get needsCleaning(): boolean {
+    return this.usable && (this.inTransaction || this.needsReset);
   }
 
   /** Whether it can be used for another exchange. */
@@ -90,6 +112,17 @@
     return true;
   }
 
+  /** Whether the server still answers on it; if not, it has to be closed. */
+  async probe(timeoutMilliseconds: number): Promise<boolean> {
+    if (!this.usable) return false;
+    const answered = await withTimeout(
+      this.timer,
+      timeoutMilliseconds,
+      this.command(PROBE),
+    );
+    return answered !== TIMED_OUT && answered;
+  }
+
   /** Ends the connection at once. */
   close(): void {
     this.broken = true;
@@ -166,6 +199,7 @@
     if (this.opened.stream.socket.destroyed) return false;
     const chunk = await this.opened.stream.read();
     if (chunk === undefined) return false;
+    this.lastHeardAt = this.timer.now();
     this.opened.splitter.push(chunk);
     return true;
   }
--- a/packages/backend/src/backend_gate.ts
+++ b/packages/backend/src/backend_gate.ts
@@ -1,6 +1,7 @@
 import {Either, Left, Right} from 'purify-ts';
 import {Observable} from '@apricotlock/flow';
 import {createChannelPair, PeerChannel, PeerNetwork} from '@apricotlock/peer';
+import {TimerService} from '@apricotlock/timer';
 import {
   ClusterView,
   findGroup,
@@ -17,6 +18,7 @@
   LeaseRequest,
   LeaseUp,
 } from './lease_messages.js';
+import {OverloadMemory} from './overload_memory.js';
 import {OwnerRegistry} from './owner_registry.js';
 
 const POSITION_TIMEOUT_MILLISECONDS = 700;
@@ -43,6 +45,7 @@
     private readonly machines: Observable<readonly VirtualMachine[]>,
     private readonly network: PeerNetwork,
     private readonly registry: OwnerRegistry,
+    private readonly overloads: OverloadMemory,
   ) {
     super();
   }
@@ -54,11 +57,31 @@
     machines: Observable<readonly VirtualMachine[]>,
     network: PeerNetwork,
     registry: OwnerRegistry,
+    timer: TimerService,
   ): OwnerBackendGate {
-    return new OwnerBackendGate(self, view, machines, network, registry);
+    const overloads = OverloadMemory.create(timer);
+    return new OwnerBackendGate(
+      self,
+      view,
+      machines,
+      network,
+      registry,
+      overloads,
+    );
   }
 
   override lease(request: LeaseRequest): LeaseConversation {
+    const retryAfterMilliseconds = this.overloads.retryAfter(request);
+    if (retryAfterMilliseconds === undefined) {
+      return this.overloads.watch(request, this.ask(request));
+    }
+    const pair = createChannelPair<LeaseUp, LeaseDown>();
+    const refusal = {kind: 'overloaded', retryAfterMilliseconds} as const;
+    pair.called.send({kind: 'refused', refusal});
+    return pair.caller;
+  }
+
+  private ask(request: LeaseRequest): LeaseConversation {
     const owner = this.ownerOf(request.database, request.member);
     if (owner !== undefined && owner.name !== this.self) {
       return this.network.converse(owner.peerAddress, LEASE, request);
--- a/packages/backend/src/connection_pool.ts
+++ b/packages/backend/src/connection_pool.ts
@@ -1,160 +1,187 @@
-import {Either, Left, Right} from 'purify-ts';
-import {Deferred} from '@apricotlock/flow';
-import {TimerService} from '@apricotlock/timer';
+import {Either} from 'purify-ts';
+import {TIMED_OUT, withTimeout} from '@apricotlock/flow';
+import {TimerService, Unsubscribe} from '@apricotlock/timer';
 import {BackendConnectionError, OpenedBackend} from '@apricotlock/wire';
 import {BackendConnection} from './backend_connection.js';
 
 const RETRY_OPENING_MILLISECONDS = 100;
-
-/** Why there is no connection. */
-export type PoolError =
-  | {readonly kind: 'overloaded'; readonly retryAfterMilliseconds: number}
-  | {readonly kind: 'unreachable'};
-
-/** Opens a connection to the pool's member. */
-export type OpenConnection = () => Promise<
-  Either<BackendConnectionError, OpenedBackend>
->;
-
-/** How many connections and waiting requests a pool may have. */
-export interface PoolLimits {
-  readonly connections: number;
-  readonly queueLength: number;
-}
-
-interface Waiting {
-  readonly turn: Deferred<Either<PoolError, BackendConnection>>;
-}
-
-/** The connections to one member, and the requests that wait for one. */
+const OPENING_TIMEOUT_MILLISECONDS = 1_500;
+const MAXIMUM_OPENING = 4;
+
+/** Opens a connection to the pool's member; given up once aborted. */
+export type OpenConnection = (
+  abort: AbortSignal,
+) => Promise<Either<BackendConnectionError, OpenedBackend>>;
+
+/**
+ * The connections to one member. It never has more than its maximum, those
+ * being opened included, and opens a few at a time: a member that is slow to
+ * open them is not flooded. It keeps some open ahead of need.
+ */
 export class ConnectionPool {
   private idle: readonly BackendConnection[] = [];
-  private waiting: readonly Waiting[] = [];
   /** Connections that are open or being opened. */
   private open = 0;
+  private opening = 0;
+  private wanted = 0;
+  private warmCount = 0;
+  private maximum = 0;
   private closed = false;
+  private stopPause: Unsubscribe | undefined;
+  private changed: () => void = () => undefined;
+  private unreachable: () => void = () => undefined;
 
   private constructor(
-    private readonly opening: OpenConnection,
-    private limits: PoolLimits,
+    private readonly openConnection: OpenConnection,
     private readonly timer: TimerService,
   ) {}
 
   /** A pool without connections. */
-  static create(
-    opening: OpenConnection,
-    limits: PoolLimits,
-    timer: TimerService,
-  ): ConnectionPool {
-    return new ConnectionPool(opening, limits, timer);
-  }
-
-  /** Takes over new limits; connections over them go when given back. */
-  setLimits(limits: PoolLimits): void {
-    this.limits = limits;
-  }
-
-  /** Takes a connection, after waiting for one at most this long. */
-  async take(
-    queueMilliseconds: number,
-  ): Promise<Either<PoolError, BackendConnection>> {
-    const idle = this.takeIdle();
-    if (idle !== undefined) return Right(idle);
-    if (this.waiting.length >= this.limits.queueLength) {
-      return Left(overloaded(queueMilliseconds));
-    }
-    const request: Waiting = {turn: Deferred.create()};
-    this.waiting = [...this.waiting, request];
-    const stopAlarm = this.timer.once(queueMilliseconds, () => {
-      this.waiting = this.waiting.filter(other => other !== request);
-      request.turn.resolve(Left(overloaded(queueMilliseconds)));
-    });
-    this.openIfNeeded();
-    const result = await request.turn.promise;
-    stopAlarm();
-    return result;
+  static create(open: OpenConnection, timer: TimerService): ConnectionPool {
+    return new ConnectionPool(open, timer);
   }
 
-  /** Gives a connection back; it is cleaned before anybody else has it. */
-  async giveBack(connection: BackendConnection): Promise<void> {
-    const clean = await connection.clean();
-    const wanted = !this.closed && this.open <= this.limits.connections;
-    if (clean && wanted) this.offer(connection);
-    else this.discard(connection);
+  /** Calls `listener` whenever a connection may have become free. */
+  onChange(listener: () => void): void {
+    this.changed = listener;
   }
 
-  /** Closes a connection that cannot be used any more. */
-  discard(connection: BackendConnection): void {
-    connection.close();
-    this.open -= 1;
-    this.openIfNeeded();
+  /** Calls `listener` when there is no connection and none can be opened. */
+  onUnreachable(listener: () => void): void {
+    this.unreachable = listener;
   }
 
-  /** Opens connections ahead of need, up to `count`. */
-  warm(count: number): void {
-    const missing = Math.min(count, this.limits.connections) - this.open;
-    for (let index = 0; index < missing; index++) void this.openOne();
+  /** Connections that are open or being opened. */
+  get openCount(): number {
+    return this.open;
   }
 
-  /** Closes what is idle and refuses what waits. */
-  close(): void {
-    this.closed = true;
-    for (const connection of this.idle) this.discard(connection);
-    this.idle = [];
-    this.refuseWaiting({kind: 'unreachable'});
+  /** Connections that nobody has. */
+  get idleConnections(): readonly BackendConnection[] {
+    return this.idle;
   }
 
-  private takeIdle(): BackendConnection | undefined {
+  /** Sets how many there may be; those over it go when given back. */
+  setMaximum(maximum: number): void {
+    this.maximum = maximum;
+    while (this.open > maximum && this.idle.length > 0) {
+      const [first] = this.idle;
+      this.discard(first as BackendConnection);
+    }
+    this.openMore();
+  }
+
+  /** Keeps this many open ahead of need. */
+  keepWarm(count: number): void {
+    this.warmCount = count;
+    this.openMore();
+  }
+
+  /** Sets how many could be used at once if they were open. */
+  want(count: number): void {
+    this.wanted = count;
+    if (count > 0) this.openMore();
+  }
+
+  /** Takes the connection that was used last. */
+  take(): BackendConnection | undefined {
     for (;;) {
       const connection = this.idle[this.idle.length - 1];
       if (connection === undefined) return undefined;
       this.idle = this.idle.slice(0, -1);
       if (connection.usable) return connection;
-      this.discard(connection);
+      this.drop(connection);
     }
   }
 
-  private offer(connection: BackendConnection): void {
-    const [next, ...rest] = this.waiting;
-    if (next === undefined) {
-      this.idle = [...this.idle, connection];
+  /** Takes one certain connection, unless somebody has it. */
+  takeThis(connection: BackendConnection): boolean {
+    const others = this.idle.filter(other => other !== connection);
+    if (others.length === this.idle.length) return false;
+    this.idle = others;
+    return true;
+  }
+
+  /** Puts a clean connection back. */
+  put(connection: BackendConnection): void {
+    if (this.closed || this.open > this.maximum || !connection.usable) {
+      this.discard(connection);
       return;
     }
-    this.waiting = rest;
-    next.turn.resolve(Right(connection));
+    this.idle = [...this.idle, connection];
+    this.changed();
+  }
+
+  /** Closes a connection that cannot be used any more. */
+  discard(connection: BackendConnection): void {
+    this.takeThis(connection);
+    this.drop(connection);
+    this.openMore();
+    this.changed();
+  }
+
+  /** Closes what is idle; what is lent goes when given back. */
+  close(): void {
+    this.closed = true;
+    this.stopPause?.();
+    for (const connection of this.idle) this.drop(connection);
+    this.idle = [];
+  }
+
+  private drop(connection: BackendConnection): void {
+    connection.close();
+    this.open -= 1;
+  }
+
+  private openMore(): void {
+    if (this.closed || this.stopPause !== undefined) return;
+    while (this.opening < MAXIMUM_OPENING && this.wantsMore) {
+      void this.openOne();
+    }
   }
 
-  private openIfNeeded(): void {
-    if (this.closed || this.waiting.length === 0) return;
-    if (this.open < this.limits.connections) void this.openOne();
+  private get wantsMore(): boolean {
+    if (this.open >= this.maximum) return false;
+    const coming = this.idle.length + this.opening;
+    return coming < this.wanted || this.open < this.warmCount;
   }
 
   private async openOne(): Promise<void> {
     this.open += 1;
-    const opened = await this.opening();
-    if (opened.isRight()) {
-      const connection = BackendConnection.of(opened.unsafeCoerce());
-      if (this.closed) this.discard(connection);
-      else this.offer(connection);
-      return;
-    }
+    this.opening += 1;
+    const abort = new AbortController();
+    const work = this.openConnection(abort.signal);
+    const timeout = OPENING_TIMEOUT_MILLISECONDS;
+    const inTime = await withTimeout(this.timer, timeout, work);
+    if (inTime === TIMED_OUT) abort.abort();
+    // Its place is free only once the attempt is surely over.
+    const opened = inTime === TIMED_OUT ? await work : inTime;
+    this.opening -= 1;
+    opened.caseOf({
+      Left: failure => this.failed(failure),
+      Right: backend => this.put(BackendConnection.of(backend, this.timer)),
+    });
+    this.openMore();
+  }
+
+  /**
+   * A member that refuses has no connection to give now, and is no outage:
+   * the previous owner's may not be closed yet.
+   */
+  private failed(failure: BackendConnectionError): void {
     this.open -= 1;
-    const failure = opened.extract() as BackendConnectionError;
-    if (failure.kind !== 'refused') {
-      this.refuseWaiting({kind: 'unreachable'});
-      return;
+    if (failure.kind !== 'refused' && this.open === this.opening) {
+      this.unreachable();
     }
-    // The member has no connection to give now: another may hold them.
-    this.timer.once(RETRY_OPENING_MILLISECONDS, () => this.openIfNeeded());
+    this.pause();
   }
 
-  private refuseWaiting(error: PoolError): void {
-    const refused = this.waiting;
-    this.waiting = [];
-    for (const request of refused) request.turn.resolve(Left(error));
+  private pause(): void {
+    if (this.closed || this.stopPause !== undefined) return;
+    this.stopPause = this.timer.once(RETRY_OPENING_MILLISECONDS, () => {
+      this.stopPause = undefined;
+      this.openMore();
+      this.changed();
+    });
   }
 }
-
-function overloaded(queueMilliseconds: number): PoolError {
-  return {kind: 'overloaded', retryAfterMilliseconds: queueMilliseconds};
-}
--- /dev/null
+++ b/packages/backend/src/lease_admission.ts
@@ -0,0 +1,73 @@
+import {Either, Left, Right} from 'purify-ts';
+import {TIMED_OUT, withTimeout} from '@apricotlock/flow';
+import {GroupWatch} from '@apricotlock/group';
+import {TimerService} from '@apricotlock/timer';
+import {findMember} from '@apricotlock/topology';
+import {LeaseRefusal, LeaseRequest} from './lease_messages.js';
+
+/** Decides whether a member may serve a request, by its role and position. */
+export class LeaseAdmission {
+  private constructor(
+    private readonly member: string,
+    private readonly watch: GroupWatch,
+    private readonly timer: TimerService,
+  ) {}
+
+  /** The admission to one member. */
+  static of(
+    member: string,
+    watch: GroupWatch,
+    timer: TimerService,
+  ): LeaseAdmission {
+    return new LeaseAdmission(member, watch, timer);
+  }
+
+  /** Waits, as long as the request allows, for a replica to catch up. */
+  async admit(request: LeaseRequest): Promise<Either<LeaseRefusal, void>> {
+    const refusal = this.refusalFor(request);
+    if (refusal === undefined) return Right(undefined);
+    const mayWait =
+      refusal.kind === 'behind' && request.floorWaitMilliseconds > 0;
+    if (!mayWait) return Left(refusal);
+    const reached = await withTimeout(
+      this.timer,
+      request.floorWaitMilliseconds,
+      this.watch.changes.until(
+        () => this.refusalFor(request)?.kind !== 'behind',
+      ),
+    );
+    if (reached === TIMED_OUT) return Left({kind: 'behind'});
+    const later = this.refusalFor(request);
+    return later === undefined ? Right(undefined) : Left(later);
+  }
+
+  /** Why the member may not serve the request now. */
+  refusalFor(request: LeaseRequest): LeaseRefusal | undefined {
+    const {watch} = this;
+    const member = findMember(watch.group, this.member);
+    if (member === undefined || member.state !== 'active') {
+      return {kind: 'draining'};
+    }
+    const observation = watch.observation(member.name);
+    const status = observation?.status;
+    if (status === undefined) return {kind: 'unreachable'};
+    if (request.purpose === 'write') {
+      const leads = status.role === 'primary' && status.term === request.term;
+      return leads ? undefined : {kind: 'wrongTerm'};
+    }
+    if (observation?.failure !== undefined) return {kind: 'unreachable'};
+    // A member outside the current history may show what was never confirmed.
+    if (status.term < watch.group.term) return {kind: 'behind'};
+    const {floor} = request;
+    if (floor === undefined) return undefined;
+    const reached =
+      status.term >= floor.term && status.applied >= floor.position;
+    return reached ? undefined : {kind: 'behind'};
+  }
+
+  /** The member's term and role, as last heard. */
+  standing() {
+    const status = this.watch.observation(this.member)?.status;
+    return {term: status?.term ?? 0, role: status?.role ?? 'replica'};
+  }
+}
--- a/packages/backend/src/lease_messages.ts
+++ b/packages/backend/src/lease_messages.ts
@@ -39,7 +39,9 @@
   | {readonly kind: 'draining'}
   /** The queue is full, or time ran out in it. */
   | {readonly kind: 'overloaded'; readonly retryAfterMilliseconds: number}
-  | {readonly kind: 'unreachable'};
+  | {readonly kind: 'unreachable'}
+  /** The owner's catalogue has no such entry, yet or any more. */
+  | {readonly kind: 'unknownEntry'};
 
 /** What the holder of a lease says. */
 export type LeaseUp =
--- /dev/null
+++ b/packages/backend/src/lease_server.ts
@@ -0,0 +1,160 @@
+import {GroupWatch} from '@apricotlock/group';
+import {TIMED_OUT} from '@apricotlock/flow';
+import {PeerChannel} from '@apricotlock/peer';
+import {TimerService} from '@apricotlock/timer';
+import {queryMessage} from '@apricotlock/wire';
+import {ExchangeEnd} from './backend_connection.js';
+import {LeaseAdmission} from './lease_admission.js';
+import {LeaseInbox, RunMessage} from './lease_inbox.js';
+import {
+  LeaseDown,
+  LeaseRefusal,
+  LeaseRequest,
+  LeaseUp,
+} from './lease_messages.js';
+import {ScheduleError} from './schedule_error.js';
+import {endsTransaction} from './transaction_end.js';
+import {Turn} from './turn.js';
+import {WorkScheduler} from './work_scheduler.js';
+
+const CONFIRM_TIMEOUT_MILLISECONDS = 3_000;
+const IDLE_IN_TRANSACTION_LIMIT_MILLISECONDS = 60_000;
+const PRIMARY_POSITION_QUERY = queryMessage('SELECT pg_current_wal_lsn()');
+const REPLICA_POSITION_QUERY = queryMessage('SELECT pg_last_wal_replay_lsn()');
+
+/** What the leases of one member share. */
+export interface LeaseServerOptions {
+  readonly watch: GroupWatch;
+  readonly admission: LeaseAdmission;
+  readonly scheduler: WorkScheduler;
+  readonly timer: TimerService;
+}
+
+type LeaseChannel = PeerChannel<LeaseDown, LeaseUp>;
+
+/** Whether the lease goes on after an answer. */
+type RunOutcome = 'goOn' | 'over';
+
+/** Serves one lease: a statement by itself, or one transaction. */
+export class LeaseServer {
+  private readonly inbox: LeaseInbox;
+
+  private constructor(
+    private readonly request: LeaseRequest,
+    private readonly channel: LeaseChannel,
+    private readonly options: LeaseServerOptions,
+  ) {
+    this.inbox = LeaseInbox.of(channel, options.timer);
+  }
+
+  /** Serves a lease until it ends. */
+  static async serve(
+    request: LeaseRequest,
+    channel: LeaseChannel,
+    options: LeaseServerOptions,
+  ): Promise<void> {
+    await new LeaseServer(request, channel, options).serve();
+  }
+
+  private async serve(): Promise<void> {
+    // Nothing is taken before there is something to run on it.
+    const first = await this.inbox.next();
+    if (first === undefined) return;
+    const {admission, scheduler} = this.options;
+    const {request} = this;
+    const admitted = await admission.admit(request);
+    if (admitted.isLeft()) {
+      return this.refuse(admitted.extract() as LeaseRefusal);
+    }
+    const begun = await scheduler.begin({
+      entry: request.entry,
+      session: request.session,
+      purpose: request.purpose,
+      waitMilliseconds: request.queueMilliseconds,
+      abandoned: this.inbox.gone(),
+    });
+    if (begun.isLeft()) return this.refuseTurn(begun.extract() as never);
+    const turn = begun.unsafeCoerce();
+    // The member may have changed its role while the request waited.
+    const refusal = admission.refusalFor(request);
+    if (refusal !== undefined) {
+      this.refuse(refusal);
+      return turn.giveBack();
+    }
+    this.channel.send({kind: 'granted'});
+    await this.lend(turn, first);
+  }
+
+  private async lend(turn: Turn, first: RunMessage): Promise<void> {
+    let message: RunMessage = first;
+    while ((await this.run(turn, message)) === 'goOn') {
+      const next = await this.inbox.nextWithin(
+        IDLE_IN_TRANSACTION_LIMIT_MILLISECONDS,
+      );
+      // Whatever the transaction holds is freed by the clean-up.
+      if (next === undefined || next === TIMED_OUT) break;
+      if (!(await this.mayRun(turn, next))) {
+        this.refuse({kind: 'overloaded', retryAfterMilliseconds: 0});
+        break;
+      }
+      message = next;
+    }
+    await turn.giveBack();
+  }
+
+  /**
+   * The end of a transaction needs no slot: statements that wait for its locks
+   * may hold them all.
+   */
+  private async mayRun(turn: Turn, message: RunMessage): Promise<boolean> {
+    if (endsTransaction(message.bytes)) return true;
+    return turn.takeSlot(this.request.queueMilliseconds);
+  }
+
+  private async run(turn: Turn, message: RunMessage): Promise<RunOutcome> {
+    const {term, role} = this.options.admission.standing();
+    const {connection} = turn;
+    if (message.reset) connection.markForReset();
+    const ended = await connection.exchange({
+      bytes: message.bytes,
+      answers: message.answers,
+      positionQuery:
+        role === 'primary' ? PRIMARY_POSITION_QUERY : REPLICA_POSITION_QUERY,
+      relay: bytes => this.channel.send({kind: 'answer', bytes}),
+    });
+    if (ended.isLeft()) {
+      this.channel.send({kind: 'lost', sent: true});
+      turn.discard();
+      return 'over';
+    }
+    const end = ended.unsafeCoerce();
+    const idle = end.status === 'idle';
+    // Confirmation takes a while: nobody else should wait for that.
+    if (idle) void turn.giveBack();
+    else turn.freeSlot();
+    const confirmed = await this.confirm(term, role, end);
+    this.channel.send({kind: 'finished', ...end, term, confirmed});
+    return idle ? 'over' : 'goOn';
+  }
+
+  private async confirm(
+    term: number,
+    role: string,
+    end: ExchangeEnd,
+  ): Promise<boolean> {
+    const {purpose, term: requestedTerm} = this.request;
+    if (role !== 'primary') return purpose === 'read';
+    if (purpose === 'write' && term !== requestedTerm) return false;
+    if (end.position === undefined) return true;
+    const {watch} = this.options;
+    return watch.confirmed(term, end.position, CONFIRM_TIMEOUT_MILLISECONDS);
+  }
+
+  private refuse(refusal: LeaseRefusal): void {
+    this.channel.send({kind: 'refused', refusal});
+  }
+
+  private refuseTurn(error: ScheduleError): void {
+    if (error.kind !== 'abandoned') this.refuse(error);
+  }
+}
--- a/packages/backend/src/owner_registry.ts
+++ b/packages/backend/src/owner_registry.ts
@@ -14,7 +14,6 @@
   votingMembers,
 } from '@apricotlock/topology';
 import {openBackendConnection} from '@apricotlock/wire';
-import {PoolLimits} from './connection_pool.js';
 import {
   GROUP_POSITION,
   GroupPosition,
@@ -24,9 +23,9 @@
   LeaseUp,
 } from './lease_messages.js';
 import {MemberOwner} from './member_owner.js';
+import {ownerLimits, OwnerLimits} from './owner_limits.js';
 
 const MAXIMUM_MESSAGE_BYTES = 16 << 20;
-const DEFAULT_LIMITS: PoolLimits = {connections: 4, queueLength: 100};
 const WARM_CONNECTIONS = 4;
 
 /** What the registry needs. */
@@ -106,7 +105,7 @@
       if (mine.length === 0) this.dropWatch(group.database);
       for (const member of mine) {
         owned.add(member.name);
-        this.own(member, this.watchOf(group), group);
+        this.own(member, this.watchOf(group));
       }
     }
     this.dropOthers(owned);
@@ -125,8 +124,8 @@
     return watch;
   }
 
-  private own(member: Member, watch: GroupWatch, group: DatabaseGroup): void {
-    const limits = this.limitsOf(group.database);
+  private own(member: Member, watch: GroupWatch): void {
+    const limits = this.limitsOf(member);
     const known = this.owners.get(member.name);
     if (known !== undefined) {
       known.setLimits(limits);
@@ -139,13 +138,13 @@
       watch,
       limits,
       timer,
-      open: () => this.open(member),
+      open: abort => this.open(member, abort),
     });
-    owner.warm(WARM_CONNECTIONS);
+    owner.keepWarm(WARM_CONNECTIONS);
     this.owners.set(member.name, owner);
   }
 
-  private open(member: Member) {
+  private open(member: Member, abort: AbortSignal) {
     const {memberUser, memberPassword, self} = this.options;
     return openBackendConnection({
       ...member.address,
@@ -154,17 +153,14 @@
       database: member.database,
       applicationName: `apricotlock ${self}`,
       maximumMessageBytes: MAXIMUM_MESSAGE_BYTES,
+      abort,
     });
   }
 
-  private limitsOf(database: string): PoolLimits {
+  private limitsOf(member: Member): OwnerLimits {
     const {entries} = this.options.view.current.catalogue;
-    const mine = entries.filter(entry => entry.database === database);
-    if (mine.length === 0) return DEFAULT_LIMITS;
-    return {
-      connections: sum(mine.map(entry => entry.limits.connections)),
-      queueLength: sum(mine.map(entry => entry.limits.queueLength)),
-    };
+    const mine = entries.filter(({database}) => database === member.database);
+    return ownerLimits(mine, member.capacity);
   }
 
   private dropOthers(owned: ReadonlySet<string>): void {
@@ -181,7 +177,3 @@
     this.watches.delete(database);
   }
 }
-
-function sum(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
--- a/packages/member/src/announcement.ts
+++ b/packages/member/src/announcement.ts
@@ -18,6 +18,12 @@
   address: addressSchema,
   apiAddress: addressSchema,
   incarnation: z.int().min(0),
+  capacity: z
+    .strictObject({
+      connections: z.int().min(1),
+      slots: z.int().min(1),
+    })
+    .optional(),
 });
 
 /** What a backend server says when it makes itself known. */
--- a/packages/proxy/src/outcome.ts
+++ b/packages/proxy/src/outcome.ts
@@ -72,4 +72,5 @@
   draining: 'the backend server is leaving',
   overloaded: 'too many requests are waiting',
   unreachable: 'the backend server cannot be reached',
+  unknownEntry: 'the catalogue entry is not in force here yet',
 };
--- a/packages/standin/src/main.ts
+++ b/packages/standin/src/main.ts
@@ -85,6 +85,7 @@
     address: formatAddress(address),
     apiAddress: formatAddress(apiAddress),
     incarnation: timer.wallClock(),
+    capacity: {connections: options.connections, slots: options.slots},
   },
   timer,
   gate,
--- a/packages/topology/src/database_group.ts
+++ b/packages/topology/src/database_group.ts
@@ -3,6 +3,14 @@
 /** Whether a member takes work. */
 export type MemberState = 'active' | 'draining' | 'removed';
 
+/** What a backend server can do at once, as it says itself. */
+export interface MemberCapacity {
+  /** Open connections at most. */
+  readonly connections: number;
+  /** Statements that run at once at most. */
+  readonly slots: number;
+}
+
 /** A backend server as one member of a database group. */
 export interface Member {
   readonly name: string;
@@ -15,6 +23,8 @@
   /** New at each start of the member, and then higher. */
   readonly incarnation: number;
   readonly state: MemberState;
+  /** Unless it says so, only the catalogue's limits count. */
+  readonly capacity?: MemberCapacity | undefined;
 }
 
 /** One database: a primary and its replicas. */
--- a/packages/topology/src/index.ts
+++ b/packages/topology/src/index.ts
@@ -28,6 +28,7 @@
   votingMembers,
   type DatabaseGroup,
   type Member,
+  type MemberCapacity,
   type MemberState,
 } from './database_group.js';
 export {ownerOf} from './rendezvous.js';
--- a/packages/wire/src/backend_start_up.ts
+++ b/packages/wire/src/backend_start_up.ts
@@ -20,6 +20,10 @@
   readonly database: string;
   readonly applicationName: string;
   readonly maximumMessageBytes: number;
+  /** Settings of the server for this connection, by name. */
+  readonly settings?: Readonly<Record<string, string>>;
+  /** Gives the attempt up, and closes its socket, once aborted. */
+  readonly abort?: AbortSignal;
 }
 
 /** A connection to a backend server that is ready for a statement. */
@@ -41,7 +45,7 @@
 export async function openBackendConnection(
   options: BackendStartUp,
 ): Promise<Either<BackendConnectionError, OpenedBackend>> {
-  const connected = await connectSocket(options.host, options.port);
+  const connected = await connectSocket(options);
   if (connected.isLeft()) {
     return connected as Either<BackendConnectionError, never>;
   }
@@ -55,22 +59,26 @@
 
 function startUpBytes(options: BackendStartUp): Buffer {
   return serialize.startup({
+    ...options.settings,
     user: options.user,
     database: options.database,
     application_name: options.applicationName,
   }) as Buffer;
 }
 
-async function connectSocket(
-  host: string,
-  port: number,
-): Promise<Either<BackendConnectionError, Socket>> {
+async function connectSocket({
+  host,
+  port,
+  abort,
+}: BackendStartUp): Promise<Either<BackendConnectionError, Socket>> {
   const outcome = AsyncQueue.create<Either<BackendConnectionError, Socket>>();
   const socket = connect({host, port, noDelay: true});
   socket.once('connect', () => outcome.push(Right(socket)));
   socket.on('error', (error: NodeJS.ErrnoException) => {
     outcome.push(Left({kind: 'unreachable', reason: error.code ?? 'error'}));
   });
+  const giveUp = () => socket.destroy(new Error('given up'));
+  abort?.addEventListener('abort', giveUp, {once: true});
   return (await outcome.take()) as Either<BackendConnectionError, Socket>;
 }
 
