--- a/packages/apricotlock/src/entry_process.ts
+++ b/packages/apricotlock/src/entry_process.ts
@@ -137,6 +137,7 @@
     membership.machines,
     network,
     registry,
+    timer,
   );
   return CallerListener.start({
     self,
