Bear out the current position by a majority before it becomes a floor

Cause: a session without a token takes the primary's position as its floor. A primary that was replaced while cut off gave an old one, so that a session that had roamed to its side could miss its own writes. Change: CurrentPosition asks all members after the question was put, and needs a majority that is not fenced at a later term (read index); all who ask while one question is under way share the next. Conclusion: in a cut-off data centre tokenless reads need a stated age.

--- a/packages/group/src/group_watch.ts
+++ b/packages/group/src/group_watch.ts
@@ -3,21 +3,23 @@
 import {Position} from '@apricotlock/session';
 import {TimerService} from '@apricotlock/timer';
 import {DatabaseGroup, majorityOf, votingMembers} from '@apricotlock/topology';
+import {CurrentPosition} from './current_position.js';
 import {MemberObservation, StatusWatch} from './status_watch.js';
 
-const FRESH_TIMEOUT_MILLISECONDS = 500;
-
 /** Follows all members of a database group. */
 export class GroupWatch {
   /** Counts changes of what is known; its value has no other meaning. */
   readonly changes = Observable.of(0);
+  private readonly currentPosition: CurrentPosition;
   private watches = new Map<string, StatusWatch>();
 
   private constructor(
     private current: DatabaseGroup,
     private readonly client: MemberClient,
     private readonly timer: TimerService,
-  ) {}
+  ) {
+    this.currentPosition = CurrentPosition.of(client, () => this.current);
+  }
 
   /** Starts to follow the members of `group`. */
   static start(
@@ -89,18 +91,9 @@
     return outcome !== TIMED_OUT;
   }
 
-  /** Where the primary of `term` stands now, asked afresh. */
-  async primaryPosition(term: number): Promise<Position | undefined> {
-    const {primary, members} = this.current;
-    const member = members.find(other => other.name === primary);
-    if (member === undefined || this.current.term !== term) return undefined;
-    const status = await this.client.status(member.apiAddress, {
-      holdMilliseconds: 0,
-      timeoutMilliseconds: FRESH_TIMEOUT_MILLISECONDS,
-    });
-    const answer = status.toMaybe().extract();
-    const leads = answer?.role === 'primary' && answer.term === term;
-    return leads ? answer.received : undefined;
+  /** Where the primary of `term` stands now, borne out by a majority. */
+  primaryPosition(term: number): Promise<Position | undefined> {
+    return this.currentPosition.read(term);
   }
 
   /** Ends all tasks. */
--- a/packages/group/src/index.ts
+++ b/packages/group/src/index.ts
@@ -4,5 +4,6 @@
  *
  * @packageDocumentation
  */
+export {CurrentPosition} from './current_position.js';
 export {GroupWatch} from './group_watch.js';
 export {StatusWatch, type MemberObservation} from './status_watch.js';
