--- a/packages/bench/src/process_group.ts
+++ b/packages/bench/src/process_group.ts
@@ -35,6 +35,11 @@
     this.children.set(options.name, child);
   }
 
+  /** The operating system's id of a process. */
+  processId(name: string): number | undefined {
+    return this.children.get(name)?.pid;
+  }
+
   /** Sends a signal to one process. */
   signal(name: string, signal: NodeJS.Signals): void {
     this.children.get(name)?.kill(signal);
