Tell a caller its session token only when it has changed

Cause: each read formatted the token, joined the answer with a ParameterStatus and made the caller parse it, though nothing new had been seen. Change: the token is merged only if it grows and told only if it differs.

--- a/packages/proxy/src/caller_session.ts
+++ b/packages/proxy/src/caller_session.ts
@@ -56,6 +56,8 @@
   private readonly reader: BatchReader;
   private batchUnderWay = false;
   private ending = false;
+  /** The token that the caller was last told. */
+  private toldToken: string | undefined;
 
   private constructor(private readonly options: CallerSessionOptions) {
     this.reader = BatchReader.create(options.classifier);
@@ -240,20 +242,23 @@
       this.lease = lease;
     }
     const answer = withoutHidden(result.answer, batch.hiddenMessages);
-    const token = this.learn(result);
-    if (token === undefined || result.status !== 'idle') return answer;
-    return withParameter(answer, SettingName.SESSION, token.toString());
+    this.learn(result);
+    const token = this.settings.token?.toString();
+    const told = token === undefined || token === this.toldToken;
+    if (told || result.status !== 'idle') return answer;
+    this.toldToken = token;
+    return withParameter(answer, SettingName.SESSION, token);
   }
 
   /** Later reads have to show at least what this answer may have shown. */
-  private learn(result: Routed['result']): SessionToken | undefined {
-    if (result.position === undefined) return undefined;
-    const {database} = this.options.entry() ?? {database: ''};
-    const seen = SessionToken.of(database, result.term, result.position);
+  private learn({term, position}: Routed['result']): void {
+    if (position === undefined) return;
     const {token} = this.settings;
+    if (token?.covers(term, position)) return;
+    const {database} = this.options.entry() ?? {database: ''};
+    const seen = SessionToken.of(database, term, position);
     const merged = token === undefined ? seen : token.merge(seen);
     this.settings = {...this.settings, token: merged};
-    return merged;
   }
 
   private fail(failure: Failure): Buffer {
--- a/packages/session/src/session_token.ts
+++ b/packages/session/src/session_token.ts
@@ -48,6 +48,11 @@
       .mapLeft(() => error);
   }
 
+  /** Whether the token already asks for at least this. */
+  covers(term: number, position: Position): boolean {
+    return this.term >= term && this.position >= position;
+  }
+
   /** The token that asks for all that both ask for. */
   merge(other: SessionToken): SessionToken {
     return new SessionToken(
