Find owners, groups and entries by index, not by search

Cause: each lease hashed the VMs with SHA-1 again (Hash, digest and update were 4 % of the profile), and entries and groups were searched one by one, which at 2,400 databases would cost more than the rest of the routing; the metrics copied their map for each count. Change: the owner is remembered until the machines change; catalogue and view have an index, kept with the immutable object; counters are counted in place.

--- a/packages/apricotlock/src/metrics.ts
+++ b/packages/apricotlock/src/metrics.ts
@@ -8,7 +8,7 @@
 
 /** Counts what the process does, for Prometheus. */
 export class Metrics implements SessionObserver {
-  private counters: ReadonlyMap<string, Counter> = new Map();
+  private readonly counters = new Map<string, Counter>();
 
   private constructor() {}
 
@@ -39,6 +39,6 @@
   private count(name: string, labels: string): void {
     const key = `${name}{${labels}}`;
     const value = (this.counters.get(key)?.value ?? 0) + 1;
-    this.counters = new Map(this.counters).set(key, {name, labels, value});
+    this.counters.set(key, {name, labels, value});
   }
 }
--- a/packages/backend/src/backend_gate.ts
+++ b/packages/backend/src/backend_gate.ts
@@ -37,6 +37,10 @@
 
 /** Leases from owners on this and on other entry VMs. */
 export class OwnerBackendGate extends BackendGate {
+  /** Owners by member, as `ownersOf` gives them. */
+  private readonly owners = new Map<string, VirtualMachine>();
+  private ownersOf: readonly VirtualMachine[] = [];
+
   private constructor(
     private readonly self: string,
     private readonly view: Observable<ClusterView>,
@@ -97,7 +101,22 @@
   ): VirtualMachine | undefined {
     const member = this.memberOf(database, memberName);
     if (member === undefined) return undefined;
-    return ownerOf(memberName, member.dataCentre, this.machines.current);
+    return this.rememberedOwner(member);
+  }
+
+  /** Hashing all VMs for each statement would cost more than the routing. */
+  private rememberedOwner(member: Member): VirtualMachine | undefined {
+    const machines = this.machines.current;
+    if (this.ownersOf !== machines) {
+      this.ownersOf = machines;
+      this.owners.clear();
+    }
+    const key = `${member.dataCentre}/${member.name}`;
+    const known = this.owners.get(key);
+    if (known !== undefined) return known;
+    const owner = ownerOf(member.name, member.dataCentre, machines);
+    if (owner !== undefined) this.owners.set(key, owner);
+    return owner;
   }
 
   private memberOf(database: string, memberName: string): Member | undefined {
--- a/packages/topology/src/catalogue.ts
+++ b/packages/topology/src/catalogue.ts
@@ -120,12 +120,23 @@
   );
 }
 
+/** Entries by name; a catalogue never changes once it is made. */
+const indexes = new WeakMap<Catalogue, ReadonlyMap<string, CatalogueEntry>>();
+
 /** The entry with this name. */
 export function findEntry(
   catalogue: Catalogue,
   name: string,
 ): CatalogueEntry | undefined {
-  return catalogue.entries.find(entry => entry.name === name);
+  return indexOf(catalogue).get(name);
+}
+
+function indexOf(catalogue: Catalogue): ReadonlyMap<string, CatalogueEntry> {
+  const known = indexes.get(catalogue);
+  if (known !== undefined) return known;
+  const index = new Map(catalogue.entries.map(entry => [entry.name, entry]));
+  indexes.set(catalogue, index);
+  return index;
 }
 
 function pathText(path: readonly PropertyKey[]): string {
--- a/packages/topology/src/cluster_view.ts
+++ b/packages/topology/src/cluster_view.ts
@@ -18,10 +18,21 @@
   groups: [],
 };
 
+/** Groups by database; a view never changes once it is made. */
+const indexes = new WeakMap<ClusterView, ReadonlyMap<string, DatabaseGroup>>();
+
 /** The group that serves a database. */
 export function findGroup(
   view: ClusterView,
   database: string,
 ): DatabaseGroup | undefined {
-  return view.groups.find(group => group.database === database);
+  return indexOf(view).get(database);
+}
+
+function indexOf(view: ClusterView): ReadonlyMap<string, DatabaseGroup> {
+  const known = indexes.get(view);
+  if (known !== undefined) return known;
+  const index = new Map(view.groups.map(group => [group.database, group]));
+  indexes.set(view, index);
+  return index;
 }
