--- a/packages/bench/src/process_group.ts
+++ b/packages/bench/src/process_group.ts
@@ -35,7 +35,7 @@
     this.children.set(options.name, child);
   }
 
-  /** The operating system's id of a process. */
+  /** The id of a process that was started. */
   processId(name: string): number | undefined {
     return this.children.get(name)?.pid;
   }
