--- a/packages/bench/src/membership_measurement_main.ts
+++ b/packages/bench/src/membership_measurement_main.ts
@@ -29,15 +29,18 @@
 report('known everywhere, ms', cost => cost.knownEverywhereMilliseconds);
 
 function report(name: string, valueOf: (cost: MembershipCost) => number): void {
-  if (costs.length < 2) return;
-  const points = costs.map(cost => ({x: cost.machines, y: valueOf(cost)}));
+  if (costs.length < 3) return;
+  const points = costs.map(cost => ({
+    size: cost.machines,
+    value: valueOf(cost),
+  }));
   process.stdout.write(`${name}: ${describeFit(fitLine(points))}\n`);
 }
 
-function describeFit({intercept, slope, error}: LinearFit): string {
+function describeFit({intercept, slope, slopeError}: LinearFit): string {
   const predicted = intercept + slope * PREDICTED_SIZE;
   return (
     `${intercept.toFixed(3)} + ${slope.toFixed(6)} for each VM, ` +
-    `error ${error.toFixed(3)}; ${predicted.toFixed(2)} with ${PREDICTED_SIZE}`
+    `slope ± ${slopeError.toPrecision(2)}; ${predicted.toFixed(2)} with ${PREDICTED_SIZE}`
   );
 }
