Hold the log of decisions on a quorum of disks

Cause: the log stood in one process's memory, so a restart lost the catalogue and the loss of one VM stopped every decision. The first voters begin a log only when all of them are blank; a lost voter is replaced by a spare that learns first. Conclusion: decisions outlive any minority of the control VMs.

--- a/packages/apricotlock/src/entry_process.ts
+++ b/packages/apricotlock/src/entry_process.ts
@@ -1,5 +1,5 @@
 import {OwnerBackendGate, OwnerRegistry} from '@apricotlock/backend';
-import {ControlClient, ControlLog, SoleControlLog} from '@apricotlock/control';
+import {ControlClient, ReplicatedControlLog} from '@apricotlock/control';
 import {
   FailoverCoordinator,
   FailureReporter,
@@ -12,6 +12,7 @@
 import {PeerNetwork, WebSocketPeerNetwork} from '@apricotlock/peer';
 import {CallerListener, Router, SessionObserver} from '@apricotlock/proxy';
 import {SystemTimerService, TimerService} from '@apricotlock/timer';
+import {startControlLog} from './control_node.js';
 import {EntryOperatorBackend} from './entry_operator_backend.js';
 import {Metrics} from './metrics.js';
 import {Settings} from './settings.js';
@@ -29,7 +30,7 @@
 /** The parts that know who is alive, what is decided and who owns what. */
 interface Deciding {
   readonly membership: Membership;
-  readonly log: ControlLog | undefined;
+  readonly log: ReplicatedControlLog | undefined;
   readonly control: ControlClient;
   readonly registry: OwnerRegistry;
 }
@@ -58,7 +59,7 @@
       maximumMessageBytes: MAXIMUM_PEER_MESSAGE_BYTES,
     });
     const base: Base = {settings, timer, logger, network};
-    const deciding = startDeciding(base);
+    const deciding = await startDeciding(base);
     const metrics = Metrics.create();
     const callers = await startCallers(base, deciding, metrics);
     const operators = await OperatorServer.start({
@@ -80,22 +81,24 @@
   async drain(): Promise<number> {
     const {settings, membership, callers, registry, operators, network} =
       this.parts;
+    const {log} = this.parts;
     membership.announce('draining');
     const cut = await callers.drain(settings.drainMilliseconds);
     await membership.leave();
     registry.stop();
     await operators.close();
+    await log?.stop();
     await network.close();
     return cut;
   }
 }
 
-function startDeciding(base: Base): Deciding {
+async function startDeciding(base: Base): Promise<Deciding> {
   const {settings, timer, logger, network} = base;
   const self = settings.name;
   const membership = joinMembership(base);
   const {machines} = membership;
-  const log = settings.controlVoter ? SoleControlLog.create(self) : undefined;
+  const log = await startControlLog({...base, machines});
   const control = ControlClient.start({self, network, timer, machines, log});
   const client = HttpMemberClient.create(settings.memberKey, timer);
   const registry = OwnerRegistry.start({
--- a/packages/apricotlock/src/settings.ts
+++ b/packages/apricotlock/src/settings.ts
@@ -1,6 +1,7 @@
 import {readFileSync} from 'node:fs';
 import {Either, Left, Right} from 'purify-ts';
 import {z} from 'zod';
+import {InitialVoter, MAXIMUM_VOTERS} from '@apricotlock/control';
 import {LogFormat} from '@apricotlock/logging';
 import {Address, parseAddress} from '@apricotlock/topology';
 
@@ -16,6 +17,8 @@
   readonly operatorAddress: Address;
   readonly seeds: readonly Address[];
   readonly controlVoter: boolean;
+  readonly initialVoters: readonly InitialVoter[];
+  readonly replaceVoterMilliseconds: number;
   readonly dataFolder: string | undefined;
   readonly peerKey: string;
   readonly memberKey: string;
@@ -61,10 +64,23 @@
   },
   {
     flag: 'control-voter',
-    describe: 'whether this VM votes on the replicated log',
+    describe: 'whether this VM may vote on the replicated log',
     boolean: true,
     default: 'false',
   },
+  {
+    flag: 'initial-voters',
+    describe:
+      'the voters of a new system as NAME=IP:PORT (peer addresses), ' +
+      'separated by commas, alike on every control VM',
+    list: true,
+    default: '',
+  },
+  {
+    flag: 'replace-voter-milliseconds',
+    describe: 'how long a voter is silent before a spare takes its place',
+    default: '60000',
+  },
   {
     flag: 'data-folder',
     describe: 'the folder for what must survive',
@@ -107,6 +123,15 @@
   return address.orDefault({host: '', port: 0});
 });
 
+const initialVoterSchema = z.string().transform((text, context) => {
+  const [name = '', address = ''] = text.split('=');
+  const parsed = parseAddress(address);
+  if (parsed.isLeft() || !NAME_PATTERN.test(name)) {
+    context.addIssue({code: 'custom', message: 'NAME=IP:PORT'});
+  }
+  return {name, address: parsed.orDefault({host: '', port: 0})};
+});
+
 const secretFileSchema = z.string().transform((path, context): string => {
   try {
     const secret = readFileSync(path, 'utf8').trim();
@@ -133,6 +158,11 @@
     .string()
     .transform(text => text.split(',').filter(part => part !== ''))
     .pipe(z.array(addressSchema)),
+  'initial-voters': z
+    .string()
+    .transform(text => text.split(',').filter(part => part !== ''))
+    .pipe(z.array(initialVoterSchema).max(MAXIMUM_VOTERS)),
+  'replace-voter-milliseconds': z.coerce.number().int().min(1_000),
   'control-voter': z.enum(['true', 'false']).transform(text => text === 'true'),
   'data-folder': z.string().transform(text => text || undefined),
   'peer-key-file': secretFileSchema,
@@ -186,6 +216,10 @@
     const message = 'a control voter needs a data folder';
     return Left([{flag: '--data-folder', message}]);
   }
+  if (data['control-voter'] && data['initial-voters'].length === 0) {
+    const message = 'a control voter needs to know the first voters';
+    return Left([{flag: '--initial-voters', message}]);
+  }
   return Right({
     name: data.name,
     dataCentre: data['data-centre'],
@@ -194,6 +228,8 @@
     operatorAddress: data['operator-address'],
     seeds: data.seeds,
     controlVoter: data['control-voter'],
+    initialVoters: data['initial-voters'],
+    replaceVoterMilliseconds: data['replace-voter-milliseconds'],
     dataFolder: data['data-folder'],
     peerKey: data['peer-key-file'],
     memberKey: data['member-key-file'],
--- a/packages/bench/src/layout.ts
+++ b/packages/bench/src/layout.ts
@@ -52,6 +52,7 @@
   readonly callerAddress: Address;
   readonly peerAddress: Address;
   readonly operatorAddress: Address;
+  /** Whether it is one of the first voters; the others are spares. */
   readonly controlVoter: boolean;
 }
 
@@ -93,7 +94,7 @@
     callerAddress: loopback(basePort + CALLER_PORT_OFFSET + index),
     peerAddress: loopback(basePort + PEER_PORT_OFFSET + index),
     operatorAddress: loopback(basePort + OPERATOR_PORT_OFFSET + index),
-    controlVoter: index < Math.min(1, voters),
+    controlVoter: index < voters,
   }));
 }
 
--- a/packages/bench/src/system_under_test.ts
+++ b/packages/bench/src/system_under_test.ts
@@ -10,6 +10,7 @@
 
 const POLL_MILLISECONDS = 25;
 const START_TIMEOUT_MILLISECONDS = 20_000;
+const REPLACE_VOTER_MILLISECONDS = '5000';
 const KEY_BYTES = 'an example key of many characters';
 
 const ENTRY_SCRIPT = fileURLToPath(
@@ -79,7 +80,9 @@
         ...flag('peer-address', formatAddress(machine.peerAddress)),
         ...flag('operator-address', formatAddress(machine.operatorAddress)),
         ...flag('seeds', seeds.join(',')),
-        ...flag('control-voter', String(machine.controlVoter)),
+        ...flag('control-voter', 'true'),
+        ...flag('initial-voters', this.initialVoters()),
+        ...flag('replace-voter-milliseconds', REPLACE_VOTER_MILLISECONDS),
         ...flag('data-folder', dataFolder),
       ],
       environment: {
@@ -198,6 +201,13 @@
     await this.processes.stopAll();
   }
 
+  private initialVoters(): string {
+    return this.layout.machines
+      .filter(({controlVoter}) => controlVoter)
+      .map(({name, peerAddress}) => `${name}=${formatAddress(peerAddress)}`)
+      .join(',');
+  }
+
   private logPath(name: string): string {
     return join(this.folder, `${name}.log`);
   }
--- a/packages/control/src/apply_command.ts
+++ b/packages/control/src/apply_command.ts
@@ -1,3 +1,4 @@
+import {isDeepStrictEqual} from 'node:util';
 import {match} from 'ts-pattern';
 import {
   CatalogueEntry,
@@ -16,6 +17,9 @@
 
 const MAXIMUM_REMEMBERED_ANSWERS = 10_000;
 const MAXIMUM_AUDIT_RECORDS = 20_000;
+const DAY_MILLISECONDS = 86_400_000;
+const MAXIMUM_AUDIT_AGE_MILLISECONDS = 30 * DAY_MILLISECONDS;
+const MAXIMUM_ANSWER_AGE_MILLISECONDS = 7 * DAY_MILLISECONDS;
 const SYSTEM_ACTOR = 'apricotlock';
 
 /** The state after a command, and the command's answer. */
@@ -82,11 +86,31 @@
 ): Change {
   const {version} = view.catalogue;
   if (baseVersion !== version) return {kind: 'conflict'};
-  const catalogue = {version: version + 1, entries};
+  const catalogue = {
+    version: version + 1,
+    entries: sharedEntries(entries, view.catalogue.entries),
+  };
   const groups = groupsFor(entries, view.groups);
   return {kind: 'changed', view: {...view, catalogue, groups}};
 }
 
+/**
+ * Entries by name, so that two catalogues with the same entries are equal;
+ * what did not change stays the same object, so that it is found fast.
+ */
+function sharedEntries(
+  entries: readonly CatalogueEntry[],
+  before: readonly CatalogueEntry[],
+): readonly CatalogueEntry[] {
+  const known = new Map(before.map(entry => [entry.name, entry]));
+  return entries
+    .map(entry => {
+      const old = known.get(entry.name);
+      return old !== undefined && isDeepStrictEqual(old, entry) ? old : entry;
+    })
+    .sort((left, right) => (left.name < right.name ? -1 : 1));
+}
+
 /** Groups outlive their entries: their members still have their data. */
 function groupsFor(
   entries: readonly CatalogueEntry[],
@@ -239,10 +263,12 @@
   command: ControlCommand,
   answer: CommandAnswer,
 ): ControlState['answers'] {
-  const changeId = originOf(command)?.changeId;
-  if (changeId === undefined) return state.answers;
-  const answers = [...state.answers, {changeId, answer}];
-  return answers.slice(-MAXIMUM_REMEMBERED_ANSWERS);
+  const origin = originOf(command);
+  if (origin === undefined) return state.answers;
+  const {changeId, at} = origin;
+  const oldest = at - MAXIMUM_ANSWER_AGE_MILLISECONDS;
+  const kept = state.answers.filter(known => known.at >= oldest);
+  return [...kept, {changeId, at, answer}].slice(-MAXIMUM_REMEMBERED_ANSWERS);
 }
 
 function withAudit(
@@ -264,7 +290,18 @@
     fromVersion: state.view.catalogue.version,
     result: answer.kind === 'refused' ? answer.reason : answer.kind,
   };
-  return [...state.audit, record].slice(-MAXIMUM_AUDIT_RECORDS);
+  return withRecord(state.audit, record);
+}
+
+/** The audit trail with one more record; the oldest ones go. */
+export function withRecord(
+  audit: readonly AuditRecord[],
+  record: AuditRecord,
+): readonly AuditRecord[] {
+  const oldest = record.at - MAXIMUM_AUDIT_AGE_MILLISECONDS;
+  const start = audit.findIndex(({at}) => at >= oldest);
+  const kept = start < 0 ? [] : audit.slice(start);
+  return [...kept, record].slice(-MAXIMUM_AUDIT_RECORDS);
 }
 
 function subjectOf(command: ControlCommand): string {
--- a/packages/control/src/control_client.ts
+++ b/packages/control/src/control_client.ts
@@ -1,10 +1,11 @@
 import {Either, Left} from 'purify-ts';
 import {Observable} from '@apricotlock/flow';
-import {describePeerError, PeerNetwork} from '@apricotlock/peer';
+import {PeerNetwork} from '@apricotlock/peer';
 import {TimerService} from '@apricotlock/timer';
 import {ClusterView, EMPTY_VIEW, VirtualMachine} from '@apricotlock/topology';
 import {CommandAnswer, ControlCommand} from './control_command.js';
 import {ControlError, ControlLog} from './control_log.js';
+import {packOutcome, unpackOutcome} from './propose_outcome.js';
 import {AuditRecord} from './control_state.js';
 import {
   FETCH_AUDIT,
@@ -13,10 +14,16 @@
   PUSH_VIEW,
 } from './control_messages.js';
 
-const PROPOSE_TIMEOUT_MILLISECONDS = 3_000;
+const PROPOSE_TIMEOUT_MILLISECONDS = 4_000;
+const PROPOSE_LIMIT_MILLISECONDS = 6_000;
 const FETCH_TIMEOUT_MILLISECONDS = 1_000;
 const ANTI_ENTROPY_PERIOD_MILLISECONDS = 500;
 
+const NOBODY_KNOWN: Either<ControlError, CommandAnswer> = Left({
+  kind: 'unavailable',
+  reason: 'no control VM is known',
+});
+
 /** What a process needs to take part in control. */
 export interface ControlClientOptions {
   readonly self: string;
@@ -56,7 +63,7 @@
     network.handle(PROPOSE, async command =>
       log === undefined
         ? Left('not a control VM')
-        : (await log.propose(command)).mapLeft(error => error.reason),
+        : Either.of(packOutcome(await log.propose(command))),
     );
     log?.state.subscribe(state => {
       client.take(state.view);
@@ -72,23 +79,30 @@
   async propose(
     command: ControlCommand,
   ): Promise<Either<ControlError, CommandAnswer>> {
-    const {log} = this.options;
-    if (log !== undefined) return log.propose(command);
-    const voter = this.voters()[0];
-    if (voter === undefined) {
-      return Left({kind: 'unavailable', reason: 'no control VM is known'});
+    const {log, timer} = this.options;
+    const deadline = timer.now() + PROPOSE_LIMIT_MILLISECONDS;
+    // A control VM that hears no leader may be the only one that does not.
+    const own = log?.leader.current === undefined ? undefined : log;
+    let outcome = (await own?.propose(command)) ?? NOBODY_KNOWN;
+    for (const voter of this.otherVoters()) {
+      if (!wasNotTaken(outcome) || timer.now() > deadline) return outcome;
+      outcome = await this.proposeAt(voter, command);
     }
+    if (!wasNotTaken(outcome) || log === undefined) return outcome;
+    return log.propose(command);
+  }
+
+  private async proposeAt(
+    voter: VirtualMachine,
+    command: ControlCommand,
+  ): Promise<Either<ControlError, CommandAnswer>> {
     const answer = await this.options.network.call(
       voter.peerAddress,
       PROPOSE,
       command,
       PROPOSE_TIMEOUT_MILLISECONDS,
     );
-    return answer.mapLeft((error): ControlError => {
-      const reason = describePeerError(error);
-      const kind = error.kind === 'noAnswer' ? 'unknown' : 'unavailable';
-      return {kind, reason};
-    });
+    return unpackOutcome(answer);
   }
 
   /** The audit trail after an index of the log. */
@@ -97,7 +111,7 @@
   ): Promise<Either<ControlError, readonly AuditRecord[]>> {
     const {log, network} = this.options;
     if (log !== undefined) return Either.of(auditSince(log, since));
-    for (const voter of this.voters()) {
+    for (const voter of this.otherVoters()) {
       const answer = await network.call(
         voter.peerAddress,
         FETCH_AUDIT,
@@ -114,9 +128,10 @@
     if (view.index > this.view.current.index) this.view.set(view);
   }
 
-  private voters(): readonly VirtualMachine[] {
-    return this.options.machines.current.filter(
-      machine => machine.controlVoter,
+  private otherVoters(): readonly VirtualMachine[] {
+    const {machines, self} = this.options;
+    return machines.current.filter(
+      machine => machine.controlVoter && machine.name !== self,
     );
   }
 
@@ -153,3 +168,9 @@
 function auditSince(log: ControlLog, since: number): readonly AuditRecord[] {
   return log.state.current.audit.filter(record => record.index > since);
 }
+
+/** Only what was certainly not taken may be asked of another VM. */
+function wasNotTaken(outcome: Either<ControlError, CommandAnswer>): boolean {
+  const error = outcome.isLeft() ? outcome.extract() : undefined;
+  return (error as ControlError | undefined)?.kind === 'unavailable';
+}
--- a/packages/control/src/control_log.ts
+++ b/packages/control/src/control_log.ts
@@ -21,6 +21,9 @@
   /** The name of the leader, as far as this process knows. */
   abstract readonly leader: Observable<string | undefined>;
 
+  /** How long ago this process was last known to be in touch with a quorum. */
+  abstract readonly ageMilliseconds: number;
+
   /** Puts a command into the log and waits until it has been carried out. */
   abstract propose(
     command: ControlCommand,
--- a/packages/control/src/control_messages.ts
+++ b/packages/control/src/control_messages.ts
@@ -1,13 +1,14 @@
 import {PeerCall} from '@apricotlock/peer';
 import {ClusterView} from '@apricotlock/topology';
 import {AuditRecord} from './control_state.js';
-import {CommandAnswer, ControlCommand} from './control_command.js';
+import {checkOf} from './consensus_messages.js';
+import {commandSchema, proposeOutcomeSchema} from './control_schemas.js';
 
-/** Carries a command to the leader. */
-export const PROPOSE = PeerCall.define<ControlCommand, CommandAnswer>(
+/** Carries a command to a control VM, which finds the leader. */
+export const PROPOSE = PeerCall.define(
   'control.propose',
-  candidate => kinded<ControlCommand>(candidate),
-  candidate => kinded<CommandAnswer>(candidate),
+  checkOf(commandSchema),
+  checkOf(proposeOutcomeSchema),
 );
 
 /** Asks for the newest view, if it is newer than `index`. */
@@ -40,12 +41,6 @@
   candidate => fields(candidate, 'records'),
 );
 
-function kinded<T extends {readonly kind: string}>(
-  candidate: unknown,
-): T | undefined {
-  return fields<T>(candidate, 'kind');
-}
-
 function fields<T extends object>(
   candidate: unknown,
   ...names: readonly string[]
--- /dev/null
+++ b/packages/control/src/control_schemas.ts
@@ -0,0 +1,132 @@
+import {z} from 'zod';
+import {catalogueEntrySchema} from '@apricotlock/topology';
+import {ControlCommand} from './control_command.js';
+import {ControlState} from './control_state.js';
+import {LogEntry, Snapshot} from './log_entry.js';
+
+const MAXIMUM_TEXT_CHARACTERS = 1_000;
+const MAXIMUM_PORT = 65_535;
+
+const text = z.string().max(MAXIMUM_TEXT_CHARACTERS);
+const count = z.int().min(0);
+const time = z.number();
+
+const address = z.object({
+  host: text,
+  port: z.int().min(0).max(MAXIMUM_PORT),
+});
+
+const origin = z.object({changeId: text.min(1), actor: text, at: time});
+
+const announcement = z.object({
+  name: text,
+  database: text,
+  dataCentre: text,
+  address,
+  apiAddress: address,
+  incarnation: count,
+});
+
+/** One schema for each command: a command without one does not compile. */
+const COMMAND_SCHEMAS: {
+  readonly [Kind in ControlCommand['kind']]: z.ZodType<
+    Extract<ControlCommand, {readonly kind: Kind}>
+  >;
+} = {
+  putCatalogue: z.object({
+    kind: z.literal('putCatalogue'),
+    origin,
+    baseVersion: count,
+    entries: z.array(catalogueEntrySchema),
+  }),
+  registerMember: z.object({
+    kind: z.literal('registerMember'),
+    announcement,
+    at: time,
+  }),
+  setMemberState: z.object({
+    kind: z.literal('setMemberState'),
+    origin,
+    member: text,
+    state: z.enum(['active', 'draining', 'removed']),
+  }),
+  beginTerm: z.object({
+    kind: z.literal('beginTerm'),
+    database: text,
+    expectedTerm: count,
+    term: count,
+    reason: text,
+    at: time,
+  }),
+  setPrimary: z.object({
+    kind: z.literal('setPrimary'),
+    database: text,
+    term: count,
+    primary: text,
+    at: time,
+  }),
+};
+
+/** Checks a command from another process. */
+export const commandSchema = z.union(
+  Object.values(COMMAND_SCHEMAS) as ReadonlyArray<z.ZodType<ControlCommand>>,
+);
+
+/** Checks the answer to a command, or why there is none. */
+export const proposeOutcomeSchema = z.discriminatedUnion('kind', [
+  z.object({kind: z.literal('accepted'), index: count, version: count}),
+  z.object({kind: z.literal('conflict'), version: count}),
+  z.object({kind: z.literal('refused'), reason: z.string()}),
+  z.object({kind: z.literal('unavailable'), reason: z.string()}),
+  z.object({kind: z.literal('unknown'), reason: z.string()}),
+]);
+
+/** Checks who takes part in the log. */
+export const configurationSchema = z.object({
+  members: z.array(
+    z.object({
+      name: text,
+      diskId: text,
+      dataCentre: text,
+      address,
+      role: z.enum(['voter', 'learner']),
+    }),
+  ),
+});
+
+/** Checks one entry of the log. */
+export const logEntrySchema: z.ZodType<LogEntry> = z.object({
+  index: z.int().min(1),
+  term: count,
+  body: z.discriminatedUnion('kind', [
+    z.object({kind: z.literal('command'), command: commandSchema}),
+    z.object({
+      kind: z.literal('configuration'),
+      configuration: configurationSchema,
+      reason: text,
+      at: time,
+    }),
+    z.object({kind: z.literal('termStart')}),
+  ]),
+});
+
+const view = z.looseObject({
+  index: count,
+  catalogue: z.looseObject({version: count, entries: z.array(z.unknown())}),
+  groups: z.array(z.looseObject({database: text})),
+});
+
+/** Checks the outline of a state: its parts were checked as commands. */
+export const stateSchema = z.object({
+  view,
+  audit: z.array(z.looseObject({index: count})),
+  answers: z.array(z.looseObject({changeId: text})),
+}) as unknown as z.ZodType<ControlState>;
+
+/** Checks a snapshot. */
+export const snapshotSchema: z.ZodType<Snapshot> = z.object({
+  index: count,
+  term: count,
+  configuration: configurationSchema,
+  state: stateSchema,
+});
--- a/packages/control/src/control_state.ts
+++ b/packages/control/src/control_state.ts
@@ -16,6 +16,8 @@
 /** The answer that a change got, for those who ask again. */
 export interface RememberedAnswer {
   readonly changeId: string;
+  /** Milliseconds since the Unix epoch. */
+  readonly at: number;
   readonly answer: CommandAnswer;
 }
 
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -5,6 +5,8 @@
  * @packageDocumentation
  */
 export {applyCommand, type Applied} from './apply_command.js';
+export {type InitialVoter} from './bootstrap.js';
+export {type ConsensusTimings, CONSENSUS_TIMINGS} from './consensus_timings.js';
 export {ControlClient, type ControlClientOptions} from './control_client.js';
 export {
   type ChangeOrigin,
@@ -12,10 +14,30 @@
   type ControlCommand,
 } from './control_command.js';
 export {ControlLog, type ControlError} from './control_log.js';
+export {
+  type ControlMemberReport,
+  type ControlReport,
+} from './control_report.js';
 export {
   EMPTY_CONTROL_STATE,
   type AuditRecord,
   type ControlState,
   type RememberedAnswer,
 } from './control_state.js';
+export {MAXIMUM_VOTERS} from './control_configuration.js';
+export {DurableLog} from './durable_log.js';
+export {
+  type EntryBody,
+  type LogEntry,
+  type LogPosition,
+  type Snapshot,
+  type VoteState,
+} from './log_entry.js';
+export {RandomSource} from './random_source.js';
+export {
+  ReplicatedControlLog,
+  type ReplicatedControlLogOptions,
+} from './replicated_control_log.js';
 export {SoleControlLog} from './sole_control_log.js';
+export {describeStorageError, type StorageError} from './storage_error.js';
+export {DiskFolder, StorageFile, StorageFolder} from './storage_folder.js';
--- a/packages/control/src/sole_control_log.ts
+++ b/packages/control/src/sole_control_log.ts
@@ -9,6 +9,7 @@
 export class SoleControlLog extends ControlLog {
   override readonly state = Observable.of<ControlState>(EMPTY_CONTROL_STATE);
   override readonly leading = Observable.of(true);
+  override readonly ageMilliseconds = 0;
   override readonly leader: Observable<string | undefined>;
 
   private constructor(self: string) {
--- a/packages/topology/src/catalogue.ts
+++ b/packages/topology/src/catalogue.ts
@@ -26,7 +26,8 @@
   serverKey: z.string(),
 });
 
-const entrySchema = z.strictObject({
+/** Checks one entry. */
+export const catalogueEntrySchema = z.strictObject({
   name: nameSchema,
   owner: z.string().min(1).max(200),
   class: z.enum(['critical', 'standard', 'background']),
@@ -37,7 +38,7 @@
 });
 
 const entriesSchema = z
-  .array(entrySchema)
+  .array(catalogueEntrySchema)
   .max(MAXIMUM_ENTRIES)
   .superRefine((entries, context) => {
     const seen = new Set<string>();
--- a/packages/topology/src/index.ts
+++ b/packages/topology/src/index.ts
@@ -11,6 +11,7 @@
   type AddressError,
 } from './address.js';
 export {
+  catalogueEntrySchema,
   checkEntries,
   EMPTY_CATALOGUE,
   findEntry,
