--- a/packages/bench/src/linear_fit.ts
+++ b/packages/bench/src/linear_fit.ts
@@ -1,29 +1,41 @@
-/** One measured point. */
-export interface Point {
-  readonly x: number;
-  readonly y: number;
+/** One measured value at one size. */
+export interface Sample {
+  readonly size: number;
+  readonly value: number;
 }
 
-/** A straight line through measured points. */
+/** A straight line through samples. */
 export interface LinearFit {
-  readonly intercept: number;
   readonly slope: number;
-  /** The root of the mean squared distance of the points from the line. */
-  readonly error: number;
+  readonly intercept: number;
+  /** Standard error of the slope. */
+  readonly slopeError: number;
+  readonly samples: readonly Sample[];
 }
 
-/** Fits a line by least squares; needs two points with different `x`. */
-export function fitLine(points: readonly Point[]): LinearFit {
-  const meanX = mean(points.map(({x}) => x));
-  const meanY = mean(points.map(({y}) => y));
-  const spread = mean(points.map(({x}) => (x - meanX) ** 2));
-  const common = mean(points.map(({x, y}) => (x - meanX) * (y - meanY)));
-  const slope = common / spread;
-  const intercept = meanY - slope * meanX;
-  const squares = points.map(({x, y}) => (y - intercept - slope * x) ** 2);
-  return {intercept, slope, error: Math.sqrt(mean(squares))};
+/** Fits a line by least squares; three samples or more are needed. */
+export function fitLine(samples: readonly Sample[]): LinearFit {
+  const count = samples.length;
+  if (count < 3) throw new Error('a fit needs three samples or more');
+  const meanSize = mean(samples.map(({size}) => size));
+  const meanValue = mean(samples.map(({value}) => value));
+  const spread = sum(samples.map(({size}) => (size - meanSize) ** 2));
+  const slope =
+    sum(
+      samples.map(({size, value}) => (size - meanSize) * (value - meanValue)),
+    ) / spread;
+  const intercept = meanValue - slope * meanSize;
+  const residual = sum(
+    samples.map(({size, value}) => (value - intercept - slope * size) ** 2),
+  );
+  const slopeError = Math.sqrt(residual / (count - 2) / spread);
+  return {slope, intercept, slopeError, samples};
 }
 
 function mean(values: readonly number[]): number {
-  return values.reduce((sum, value) => sum + value, 0) / values.length;
+  return sum(values) / values.length;
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
 }
