--- a/packages/topology/src/catalogue.ts
+++ b/packages/topology/src/catalogue.ts
@@ -26,7 +26,8 @@
   serverKey: z.string(),
 });
 
-const entrySchema = z.strictObject({
+/** Checks one entry. */
+export const catalogueEntrySchema = z.strictObject({
   name: nameSchema,
   owner: z.string().min(1).max(200),
   class: z.enum(['critical', 'standard', 'background']),
@@ -37,7 +38,7 @@
 });
 
 const entriesSchema = z
-  .array(entrySchema)
+  .array(catalogueEntrySchema)
   .max(MAXIMUM_ENTRIES)
   .superRefine((entries, context) => {
     const seen = new Set<string>();
@@ -120,12 +121,23 @@
   );
 }
 
+/** Entries by name; a catalogue never changes once it is made. */
+const indexes = new WeakMap<Catalogue, ReadonlyMap<string, CatalogueEntry>>();
+
 /** The entry with this name. */
 export function findEntry(
   catalogue: Catalogue,
   name: string,
 ): CatalogueEntry | undefined {
-  return catalogue.entries.find(entry => entry.name === name);
+  return indexOf(catalogue).get(name);
+}
+
+function indexOf(catalogue: Catalogue): ReadonlyMap<string, CatalogueEntry> {
+  const known = indexes.get(catalogue);
+  if (known !== undefined) return known;
+  const index = new Map(catalogue.entries.map(entry => [entry.name, entry]));
+  indexes.set(catalogue, index);
+  return index;
 }
 
 function pathText(path: readonly PropertyKey[]): string {
