Measure what a write costs all entry VMs

Cause: only reads had a slope, and a write's cost has the status polls in it. Change: a fourth statement slope, of confirmed inserts.

--- a/packages/bench/src/capacity_statements.ts
+++ b/packages/bench/src/capacity_statements.ts
@@ -1,11 +1,15 @@
 import {TimerService} from '@apricotlock/timer';
-import {Caller} from './caller.js';
+import {randomUUID} from 'node:crypto';
+import {Caller, Outcome} from './caller.js';
 import {fitLine, Sample} from './linear_fit.js';
 import {MachineLayout} from './layout.js';
 import {usageOf} from './process_usage.js';
 import {Slope, SlopeName} from './slope.js';
 import {SystemUnderTest} from './system_under_test.js';
 
+/** One statement of a load. */
+type Work = (client: Caller) => Promise<Outcome>;
+
 const CALLER_COUNTS = [4, 8, 16, 24];
 const WARM_UP_CALLERS = 24;
 const RUN_MILLISECONDS = 3_000;
@@ -41,6 +45,24 @@
   ];
 }
 
+/** Measures what a write costs all entry VMs together. */
+export async function measureWriteCost(
+  system: SystemUnderTest,
+  timer: TimerService,
+): Promise<Slope> {
+  const samples = await loads(system, timer, system.machine(0), writeRow);
+  const points: readonly Sample[] = samples.map(sample => ({
+    size: sample.statementsASecond,
+    value: sample.usage.reduce((total, time) => total + time, 0),
+  }));
+  return {
+    name: 'processor time of a write on all entry VMs',
+    unit: 'microseconds a statement',
+    fit: fitLine(points),
+    method: 'processor time a second at four rates of confirmed inserts',
+  };
+}
+
 function slope(
   name: SlopeName,
   samples: readonly LoadSample[],
@@ -62,12 +84,13 @@
   system: SystemUnderTest,
   timer: TimerService,
   through: MachineLayout,
+  work: Work = readConstant,
 ): Promise<readonly LoadSample[]> {
   const samples: LoadSample[] = [];
   // Code that is compiled while it is measured would bend the line.
-  await loadOnce(system, timer, through, WARM_UP_CALLERS);
+  await loadOnce(system, timer, through, WARM_UP_CALLERS, work);
   for (const callers of CALLER_COUNTS) {
-    samples.push(await loadOnce(system, timer, through, callers));
+    samples.push(await loadOnce(system, timer, through, callers, work));
   }
   return samples;
 }
@@ -77,6 +100,7 @@
   timer: TimerService,
   through: MachineLayout,
   callers: number,
+  work: Work,
 ): Promise<LoadSample> {
   const [database] = system.layout.profile.databases;
   const name = database as string;
@@ -87,7 +111,9 @@
   const before = processorTimes(system);
   const start = timer.now();
   const counts = await Promise.all(
-    clients.map(client => readUntil(client, start + RUN_MILLISECONDS, timer)),
+    clients.map(client =>
+      repeatUntil(client, start + RUN_MILLISECONDS, timer, work),
+    ),
   );
   const seconds = (timer.now() - start) / MILLISECONDS_A_SECOND;
   const after = processorTimes(system);
@@ -99,14 +125,15 @@
   };
 }
 
-async function readUntil(
+async function repeatUntil(
   client: Caller,
   end: number,
   timer: TimerService,
+  work: Work,
 ): Promise<number> {
   let count = 0;
   while (timer.now() < end) {
-    const outcome = await client.run('SELECT 1');
+    const outcome = await work(client);
     if (outcome.kind === 'done') count += 1;
     await timer.sleep(THINK_MILLISECONDS);
   }
@@ -119,3 +146,11 @@
     return usageOf(processId).processorMicroseconds;
   });
 }
+
+function readConstant(client: Caller): Promise<Outcome> {
+  return client.run('SELECT 1');
+}
+
+function writeRow(client: Caller): Promise<Outcome> {
+  return client.run('INSERT INTO written (id) VALUES ($1)', [randomUUID()]);
+}
--- a/packages/bench/src/measure_capacity_main.ts
+++ b/packages/bench/src/measure_capacity_main.ts
@@ -2,7 +2,8 @@
 import {SystemTimerService} from '@apricotlock/timer';
 import {projectionTable} from './capacity_projection.js';
 import {measureSessionMemory} from './capacity_sessions.js';
-import {measureStatementCost} from './capacity_statements.js';
+import {measureStatementCost, measureWriteCost} from './capacity_statements.js';
+import {Caller} from './caller.js';
 import {measureViews} from './capacity_views.js';
 import {measureWatching} from './capacity_watching.js';
 import {layOut, Profile, PROFILES} from './layout.js';
@@ -27,11 +28,38 @@
 const slopes: readonly Slope[] = [
   ...measureViews(timer),
   ...(await measureWatching(small, BASE_PORT, timer)),
+  await measureWriters(),
   ...(await measureCallers()),
 ];
 writePage(slopes);
 process.exit(0);
 
+async function measureWriters(): Promise<Slope> {
+  const profile: Profile = {
+    ...small,
+    entryMachines: 2,
+    dataCentres: ['catania', 'palermo'],
+  };
+  const system = await SystemUnderTest.start(layOut(profile, BASE_PORT), timer);
+  try {
+    const entries = system.catalogueEntries();
+    await system.operator().putCatalogue('first', 0, entries, true);
+    await system.untilWhole();
+    const [database] = profile.databases;
+    const caller = Caller.create(
+      database as string,
+      database as string,
+      system.machine(0).callerAddress,
+      timer,
+    );
+    await caller.run('CREATE TABLE written (id text PRIMARY KEY)');
+    await caller.close();
+    return await measureWriteCost(system, timer);
+  } finally {
+    await system.stop();
+  }
+}
+
 async function measureCallers(): Promise<readonly Slope[]> {
   const twoCentres: Profile = {
     ...small,
--- a/packages/bench/src/slope.ts
+++ b/packages/bench/src/slope.ts
@@ -16,6 +16,7 @@
   | 'processor time of a statement, owner on the same VM'
   | 'processor time of a statement on the caller’s VM, owner elsewhere'
   | 'processor time of a statement on the owner’s VM'
+  | 'processor time of a write on all entry VMs'
   | 'processor time a second of watching a database'
   | 'bytes a second of watching a database'
   | 'bytes of a view for each database'
