Serve the extended protocol, long answers and cancelled callers truly

Cause: a statement without a name was lost with its connection; named ones cost a DISCARD ALL each; a caller that waited after Flush hung; a lone Sync took a connection; COPY from a member, or an answer of any size, was kept whole in memory; error 25006 of a replica was told to the caller; what a caller had left running held its locks; an answer in a failed transaction counted as confirmed though nobody had asked for its position. Change: statements are prepared without a name just before use; batches are planned in one place; Flush is answered from what only prepares, and refused after Execute; settings that can be kept are set again on each connection; of an answer beyond 1 MiB parts are passed on once a position asked after they came is confirmed, one at a time; a lease carries its first statements and ends by itself; cancel reaches the member, whose connection is closed afterwards; each later attempt of a request has only what is left of its time. Reads may wait up to 1.2 s for a replica; one that was waited for in vain is not waited for again for 1 s.

--- a/packages/backend/src/backend_connection.ts
+++ b/packages/backend/src/backend_connection.ts
@@ -10,6 +10,7 @@
   queryMessage,
   readFirstValue,
   readReadyForQuery,
+  sendCancelRequest,
   TransactionStatus,
 } from '@apricotlock/wire';
 
@@ -18,6 +19,15 @@
 /** A Sync: the server answers it without running anything. */
 const PROBE = Buffer.from([FrontendType.SYNC, 0, 0, 0, 4]);
 
+/** COPY would wait for the caller, whom it does not reach. */
+const COPY_TYPES: ReadonlySet<number> = new Set([
+  BackendType.COPY_BOTH_RESPONSE,
+  BackendType.COPY_IN_RESPONSE,
+  BackendType.COPY_OUT_RESPONSE,
+]);
+/** How long a cancelled statement may take to end. */
+const CANCEL_LIMIT_MILLISECONDS = 1_000;
+
 /** The connection ended, or broke the protocol, in the middle of an answer. */
 export interface ExchangeError {
   readonly kind: 'connectionLost';
@@ -36,8 +46,8 @@
   readonly answers: number;
   /** Asks the member for its position once it has answered the rest. */
   readonly positionQuery: Buffer;
-  /** Takes the answer's messages as they come. */
-  readonly relay: (bytes: Buffer) => void;
+  /** Takes whole messages as they come; `false` ends the connection. */
+  readonly relay: (bytes: Buffer) => true | Promise<boolean>;
 }
 
 /** One connection to a member. At most one exchange is under way on it. */
@@ -45,7 +55,9 @@
   private inTransaction = false;
   private needsReset = false;
   private broken = false;
-
+  /** Whether a cancel may still be on its way to the server. */
+  private cancelled = false;
+  private exchanges = 0;
   private lastHeardAt: number;
 
   private constructor(
@@ -82,6 +94,7 @@
     const {stream} = this.opened;
     // Until the whole answer has come, an answer is owed on this connection.
     this.broken = true;
+    this.exchanges += 1;
     stream.write(Buffer.concat([exchange.bytes, exchange.positionQuery]));
     const status = await this.relayAnswers(exchange);
     if (status === undefined) return Left({kind: 'connectionLost'});
@@ -102,7 +115,8 @@
 
   /** Makes the connection as new; `false` if it has to be closed. */
   async clean(): Promise<boolean> {
-    if (!this.usable) return false;
+    // A late cancel would meet the next holder's statement.
+    if (!this.usable || this.cancelled) return false;
     if (this.inTransaction && !(await this.command(ROLLBACK_QUERY))) {
       return false;
     }
@@ -123,6 +137,20 @@
     return answered !== TIMED_OUT && answered;
   }
 
+  /**
+   * Asks the server to cancel the statement that it runs. If its answer does
+   * not come soon the connection is closed; nobody else has it afterwards.
+   */
+  cancel(): void {
+    if (this.cancelled) return;
+    this.cancelled = true;
+    void sendCancelRequest(this.opened);
+    const {exchanges} = this;
+    this.timer.once(CANCEL_LIMIT_MILLISECONDS, () => {
+      if (this.broken && this.exchanges === exchanges) this.close();
+    });
+  }
+
   /** Ends the connection at once. */
   close(): void {
     this.broken = true;
@@ -138,14 +166,15 @@
       while (owed > 0) {
         const frame = this.nextBuffered();
         if (frame === undefined) break;
+        if (COPY_TYPES.has(frame.type)) return undefined;
         relayed.push(frame.bytes);
         if (frame.type !== BackendType.READY_FOR_QUERY) continue;
         owed -= 1;
         if (owed > 0) continue;
-        exchange.relay(Buffer.concat(relayed));
+        if (!(await passedOn(exchange, relayed))) return undefined;
         return readReadyForQuery(frame);
       }
-      if (relayed.length > 0) exchange.relay(Buffer.concat(relayed));
+      if (!(await passedOn(exchange, relayed))) return undefined;
       if (!(await this.readMore())) return undefined;
     }
   }
@@ -204,3 +233,12 @@
     return true;
   }
 }
+
+function passedOn(
+  {relay}: Exchange,
+  messages: readonly Buffer[],
+): true | Promise<boolean> {
+  const [first] = messages;
+  if (first === undefined) return true;
+  return relay(messages.length === 1 ? first : Buffer.concat(messages));
+}
--- a/packages/backend/src/lease_messages.ts
+++ b/packages/backend/src/lease_messages.ts
@@ -25,6 +25,8 @@
   readonly floorWaitMilliseconds: number;
   /** How long the request may wait for a connection, in milliseconds. */
   readonly queueMilliseconds: number;
+  /** The first statements, to spare a message; `granted` is then not sent. */
+  readonly first?: RunMessage;
 }
 
 /** Why there is no connection; nothing has been run. */
@@ -41,18 +43,27 @@
   | {readonly kind: 'overloaded'; readonly retryAfterMilliseconds: number}
   | {readonly kind: 'unreachable'}
   /** The owner's catalogue has no such entry, yet or any more. */
-  | {readonly kind: 'unknownEntry'};
+  | {readonly kind: 'unknownEntry'}
+  /** The holder has asked for it while the statements waited. */
+  | {readonly kind: 'cancelled'};
+
+/** Statements to run. */
+export interface RunMessage {
+  readonly kind: 'run';
+  readonly bytes: Buffer;
+  /** How many times the member will say that it is ready. */
+  readonly answers: number;
+  /** Whether statements have left something that must be reset. */
+  readonly reset: boolean;
+}
 
 /** What the holder of a lease says. */
 export type LeaseUp =
-  | {
-      readonly kind: 'run';
-      readonly bytes: Buffer;
-      /** How many times the member will say that it is ready. */
-      readonly answers: number;
-      /** Whether statements have left something that must be reset. */
-      readonly reset: boolean;
-    }
+  | RunMessage
+  /** A confirmed part of the answer was passed on; there is room for more. */
+  | {readonly kind: 'more'}
+  /** The statements that wait or run are to be cancelled. */
+  | {readonly kind: 'cancel'}
   /** The lease is over; a transaction left open is rolled back. */
   | {readonly kind: 'release'};
 
@@ -60,9 +71,20 @@
 export type LeaseDown =
   | {readonly kind: 'refused'; readonly refusal: LeaseRefusal}
   | {readonly kind: 'granted'}
-  | {readonly kind: 'answer'; readonly bytes: Buffer}
+  | {
+      readonly kind: 'answer';
+      /** Whole messages. */
+      readonly bytes: Buffer;
+      /**
+       * Whether a majority holds all that the answer has shown up to here.
+       * Then it may be passed on, and the owner waits for `more`.
+       */
+      readonly confirmed?: boolean;
+    }
   | {
       readonly kind: 'finished';
+      /** The rest of the answer. */
+      readonly answer?: Buffer;
       readonly status: TransactionStatus;
       readonly term: number;
       /** What the answer may have shown, if the member said so. */
--- a/packages/backend/src/lease_server.ts
+++ b/packages/backend/src/lease_server.ts
@@ -2,15 +2,18 @@
 import {TIMED_OUT} from '@apricotlock/flow';
 import {PeerChannel} from '@apricotlock/peer';
 import {TimerService} from '@apricotlock/timer';
+import {majorityOf} from '@apricotlock/topology';
 import {queryMessage} from '@apricotlock/wire';
 import {ExchangeEnd} from './backend_connection.js';
 import {LeaseAdmission} from './lease_admission.js';
-import {LeaseInbox, RunMessage} from './lease_inbox.js';
+import {AnswerRelay} from './answer_relay.js';
+import {LeaseInbox} from './lease_inbox.js';
 import {
   LeaseDown,
   LeaseRefusal,
   LeaseRequest,
   LeaseUp,
+  RunMessage,
 } from './lease_messages.js';
 import {ScheduleError} from './schedule_error.js';
 import {endsTransaction} from './transaction_end.js';
@@ -19,6 +22,7 @@
 
 const CONFIRM_TIMEOUT_MILLISECONDS = 3_000;
 const IDLE_IN_TRANSACTION_LIMIT_MILLISECONDS = 60_000;
+const PRIMARY_AND_REPLICA = 2;
 const PRIMARY_POSITION_QUERY = queryMessage('SELECT pg_current_wal_lsn()');
 const REPLICA_POSITION_QUERY = queryMessage('SELECT pg_last_wal_replay_lsn()');
 
@@ -44,7 +48,7 @@
     private readonly channel: LeaseChannel,
     private readonly options: LeaseServerOptions,
   ) {
-    this.inbox = LeaseInbox.of(channel, options.timer);
+    this.inbox = LeaseInbox.of(channel, options.timer, request.first);
   }
 
   /** Serves a lease until it ends. */
@@ -71,7 +75,7 @@
       session: request.session,
       purpose: request.purpose,
       waitMilliseconds: request.queueMilliseconds,
-      abandoned: this.inbox.gone(),
+      abandoned: this.inbox.givenUp(),
     });
     if (begun.isLeft()) return this.refuseTurn(begun.extract() as never);
     const turn = begun.unsafeCoerce();
@@ -81,7 +85,7 @@
       this.refuse(refusal);
       return turn.giveBack();
     }
-    this.channel.send({kind: 'granted'});
+    if (request.first === undefined) this.channel.send({kind: 'granted'});
     await this.lend(turn, first);
   }
 
@@ -115,13 +119,24 @@
     const {term, role} = this.options.admission.standing();
     const {connection} = turn;
     if (message.reset) connection.markForReset();
+    const relay = AnswerRelay.create({
+      channel: this.channel,
+      inbox: this.inbox,
+      confirm: () => this.confirmNow(term, role),
+    });
+    let answered = false;
+    // A statement that nobody waits for must not hold its locks any longer.
+    void this.inbox.givenUp().then(() => {
+      if (!answered) connection.cancel();
+    });
     const ended = await connection.exchange({
       bytes: message.bytes,
       answers: message.answers,
       positionQuery:
         role === 'primary' ? PRIMARY_POSITION_QUERY : REPLICA_POSITION_QUERY,
-      relay: bytes => this.channel.send({kind: 'answer', bytes}),
+      relay: bytes => relay.take(bytes),
     });
+    answered = true;
     if (ended.isLeft()) {
       this.channel.send({kind: 'lost', sent: true});
       turn.discard();
@@ -133,7 +148,8 @@
     if (idle) void turn.giveBack();
     else turn.freeSlot();
     const confirmed = await this.confirm(term, role, end);
-    this.channel.send({kind: 'finished', ...end, term, confirmed});
+    const answer = relay.rest();
+    this.channel.send({kind: 'finished', answer, ...end, term, confirmed});
     return idle ? 'over' : 'goOn';
   }
 
@@ -143,18 +159,43 @@
     end: ExchangeEnd,
   ): Promise<boolean> {
     const {purpose, term: requestedTerm} = this.request;
-    if (role !== 'primary') return purpose === 'read';
+    if (role !== 'primary' && purpose !== 'read') return false;
     if (purpose === 'write' && term !== requestedTerm) return false;
-    if (end.position === undefined) return true;
+    // In a failed transaction the member does not say where it stands.
+    if (end.position === undefined) return this.confirmNow(term, role);
+    if (role !== 'primary' && this.replicaShowsConfirmed) return true;
     const {watch} = this.options;
     return watch.confirmed(term, end.position, CONFIRM_TIMEOUT_MILLISECONDS);
   }
 
+  /**
+   * Whether what a replica shows is held by a majority in any case: by the
+   * primary, which it comes from, and by the replica itself.
+   */
+  private get replicaShowsConfirmed(): boolean {
+    return majorityOf(this.options.watch.group) <= PRIMARY_AND_REPLICA;
+  }
+
+  /** Whether all that a statement now running may have shown is confirmed. */
+  private async confirmNow(term: number, role: string): Promise<boolean> {
+    const {purpose, term: requestedTerm} = this.request;
+    if (role !== 'primary' && this.replicaShowsConfirmed) {
+      return purpose === 'read';
+    }
+    if (purpose === 'write' && term !== requestedTerm) return false;
+    const {watch} = this.options;
+    // Asked after the rows came, it is not before their snapshot.
+    const position = await watch.primaryPosition(term);
+    if (position === undefined) return false;
+    return watch.confirmed(term, position, CONFIRM_TIMEOUT_MILLISECONDS);
+  }
+
   private refuse(refusal: LeaseRefusal): void {
     this.channel.send({kind: 'refused', refusal});
   }
 
   private refuseTurn(error: ScheduleError): void {
-    if (error.kind !== 'abandoned') this.refuse(error);
+    if (this.inbox.wantsCancel) this.refuse({kind: 'cancelled'});
+    else if (error.kind !== 'abandoned') this.refuse(error);
   }
 }
--- a/packages/proxy/src/caller_listener.ts
+++ b/packages/proxy/src/caller_listener.ts
@@ -20,7 +20,11 @@
   SqlState,
   StartUpParameters,
 } from '@apricotlock/wire';
-import {CallerSession, SessionObserver} from './caller_session.js';
+import {
+  CallerSession,
+  SessionObserver,
+  startUpSettings,
+} from './caller_session.js';
 import {Router} from './router.js';
 
 const MAXIMUM_MESSAGE_BYTES = 16 << 20;
@@ -130,9 +134,11 @@
     }
     const caller = accepted.unsafeCoerce();
     const name = caller.parameters.user;
+    const database = this.entry(name)?.database ?? name;
     const session = CallerSession.create({
       id: `${this.options.self}/${processId}`,
       caller,
+      settings: startUpSettings(caller.parameters, database),
       entry: () => this.entry(name),
       router: this.options.router,
       classifier: this.classifier,
--- a/packages/proxy/src/outcome.ts
+++ b/packages/proxy/src/outcome.ts
@@ -17,6 +17,10 @@
     }
   /** It may or may not have been run. */
   | {readonly kind: 'unknown'; readonly reason: string}
+  /** A read whose answer the caller has got in part; it changed nothing. */
+  | {readonly kind: 'cutShort'; readonly reason: string}
+  /** The caller asked for it; nothing was run, or it was rolled back. */
+  | {readonly kind: 'cancelled'}
   /** The transaction had not been committed, and is rolled back. */
   | {readonly kind: 'rolledBack'; readonly reason: string};
 
@@ -45,6 +49,19 @@
           'Send it again with the same apricotlock.idempotency_key to learn ' +
           'the outcome without running it twice.',
       };
+    case 'cutShort':
+      return {
+        severity: 'ERROR',
+        code: SqlState.CONNECTION_FAILURE,
+        message: `the answer was cut short: ${failure.reason}`,
+        hint: 'The statement changed nothing; send it again.',
+      };
+    case 'cancelled':
+      return {
+        severity: 'ERROR',
+        code: SqlState.QUERY_CANCELED,
+        message: 'not run: cancelled by the caller',
+      };
     case 'rolledBack':
       return {
         severity: 'ERROR',
@@ -56,6 +73,7 @@
 
 /** What a refusal of a member's owner means to the caller. */
 export function refusalFailure(refusal: LeaseRefusal): Failure {
+  if (refusal.kind === 'cancelled') return {kind: 'cancelled'};
   const retryAfterMilliseconds =
     refusal.kind === 'overloaded' ? refusal.retryAfterMilliseconds : 100;
   return {
@@ -65,7 +83,9 @@
   };
 }
 
-const REFUSAL_REASONS: Readonly<Record<LeaseRefusal['kind'], string>> = {
+const REFUSAL_REASONS: Readonly<
+  Record<Exclude<LeaseRefusal['kind'], 'cancelled'>, string>
+> = {
   notOwner: 'the member is being handed over',
   behind: 'no replica is fresh enough',
   wrongTerm: 'a primary is being appointed',
--- a/packages/proxy/src/request_batch.ts
+++ b/packages/proxy/src/request_batch.ts
@@ -5,19 +5,24 @@
   StatementClassifier,
 } from '@apricotlock/sql';
 import {
-  closeStatementMessage,
+  bindMessage,
+  describeStatementMessage,
   Frame,
   FrontendType,
+  MessageError,
   parseMessage,
   readBind,
   readParse,
   readQuery,
   readTarget,
 } from '@apricotlock/wire';
+import {executes} from './local_answer.js';
 
-const MESSAGES_A_PREPARATION = 2;
+/** The one prepared statement that a connection keeps between messages. */
+const UNNAMED = '';
+const NO_NUMBERS: ReadonlySet<number> = new Set();
 
-/** A prepared statement that a caller made by name. */
+/** A prepared statement that a caller made. */
 export interface PreparedStatement {
   readonly name: string;
   /** Query and parameter types, as in the caller's Parse. */
@@ -25,21 +30,27 @@
   readonly query: ClassifiedQuery;
 }
 
+/** A Parse of the caller's own: its number among the batch's Parse messages. */
+export interface MadeStatement {
+  readonly number: number;
+  readonly name: string;
+}
+
 /** What a caller sent up to one Sync, or one Query. */
 export interface RequestBatch {
+  readonly frames: readonly Frame[];
   readonly statements: readonly Statement[];
   /** Whether some text could not be read as SQL. */
   readonly unparsed: boolean;
-  /** The bytes for the member, with what named statements need before. */
+  /** The bytes for the member, with what prepared statements need before. */
   readonly bytes: Buffer;
-  /** Messages of the answer that belong to what was put before. */
-  readonly hiddenMessages: number;
-  /** Whether it leaves prepared statements on the connection. */
-  readonly leavesStatements: boolean;
+  /** Numbers of the Parse messages that the caller did not send. */
+  readonly hidden: ReadonlySet<number>;
+  readonly made: readonly MadeStatement[];
   /** Whether it is one Query of the simple protocol. */
   readonly simple: boolean;
-  /** Whether a Sync ends it that stands alone. */
-  readonly empty: boolean;
+  /** Whether it runs anything, and does not only prepare or describe. */
+  readonly executes: boolean;
 }
 
 /** A message that cannot be served. */
@@ -48,9 +59,13 @@
   readonly detail: string;
 }
 
-/** A caller's prepared statements; they follow it from member to member. */
+/**
+ * Reads batches, and keeps a caller's prepared statements. On a member they
+ * are all prepared without a name, just before they are used: so they follow
+ * the caller from connection to connection and leave nothing behind on any.
+ */
 export class BatchReader {
-  private prepared: ReadonlyMap<string, PreparedStatement> = new Map();
+  private readonly prepared = new Map<string, PreparedStatement>();
 
   private constructor(private readonly classifier: StatementClassifier) {}
 
@@ -65,89 +80,89 @@
     if (frames.length === 1 && first?.type === FrontendType.QUERY) {
       return this.readSimple(first);
     }
-    return this.readExtended(frames);
+    return BatchWriter.write(frames, this.prepared, this.classifier);
+  }
+
+  /** Forgets the statements whose Parse the member did not carry out. */
+  settle(batch: RequestBatch, parsed: number): void {
+    for (const {number, name} of batch.made) {
+      if (number >= parsed) this.prepared.delete(name);
+    }
+  }
+
+  /** Forgets all statements. */
+  forgetAll(): void {
+    this.prepared.clear();
   }
 
   private readSimple(frame: Frame): Either<BatchError, RequestBatch> {
     return readQuery(frame)
       .mapLeft(malformed)
-      .map(text => {
-        const query = this.classifier.classify(text);
-        return {
-          ...summary([query]),
-          bytes: frame.bytes,
-          hiddenMessages: 0,
-          leavesStatements: false,
-          simple: true,
-          empty: false,
-        };
-      });
+      .map(text => ({
+        ...summary([this.classifier.classify(text)]),
+        frames: [frame],
+        bytes: frame.bytes,
+        hidden: NO_NUMBERS,
+        made: [],
+        simple: true,
+        executes: true,
+      }));
   }
+}
+
+/** Writes what a member is sent for one batch of the extended protocol. */
+class BatchWriter {
+  private readonly queries: ClassifiedQuery[] = [];
+  private readonly out: Buffer[] = [];
+  private readonly hidden = new Set<number>();
+  private readonly made: MadeStatement[] = [];
+  private parses = 0;
+  /** Which of the caller's statements the member's unnamed one is now. */
+  private current: string | undefined;
 
-  private readExtended(
+  private constructor(
+    private readonly prepared: Map<string, PreparedStatement>,
+    private readonly classifier: StatementClassifier,
+  ) {}
+
+  static write(
     frames: readonly Frame[],
+    prepared: Map<string, PreparedStatement>,
+    classifier: StatementClassifier,
   ): Either<BatchError, RequestBatch> {
-    const queries: ClassifiedQuery[] = [];
-    const needed = new Map<string, PreparedStatement>();
-    const made = new Set<string>();
+    const writer = new BatchWriter(prepared, classifier);
     for (const frame of frames) {
-      const read = this.readMessage(frame);
-      if (read.isLeft()) return read as Either<BatchError, never>;
-      const {statement, makes, drops} = read.unsafeCoerce();
-      if (statement !== undefined) queries.push(statement.query);
-      if (makes !== undefined) {
-        made.add(makes.name);
-        this.remember(makes);
-      } else if (statement !== undefined && !made.has(statement.name)) {
-        needed.set(statement.name, statement);
-      }
-      if (drops !== undefined) this.forget(drops);
+      const written = writer.add(frame);
+      if (written.isLeft()) return written as Either<BatchError, never>;
     }
-    const named = [...needed.values()].filter(({name}) => name !== '');
-    const preparations = named.flatMap(({name, rest}) => [
-      closeStatementMessage(name),
-      parseMessage(name, rest),
-    ]);
+    const {queries, out, hidden, made} = writer;
     return Right({
       ...summary(queries),
-      bytes: Buffer.concat([
-        ...preparations,
-        ...frames.map(frame => frame.bytes),
-      ]),
-      hiddenMessages: named.length * MESSAGES_A_PREPARATION,
-      leavesStatements: named.length > 0 || [...made].some(name => name !== ''),
+      frames,
+      bytes: Buffer.concat(out),
+      hidden,
+      made,
       simple: false,
-      empty: frames.length === 1,
+      executes: executes(frames),
     });
   }
 
-  private readMessage(frame: Frame): Either<BatchError, ReadMessage> {
+  private add(frame: Frame): Either<BatchError, unknown> {
     switch (frame.type) {
       case FrontendType.PARSE:
-        return readParse(frame)
-          .mapLeft(malformed)
-          .map(({statement, query, rest}) => {
-            const classified = this.classifier.classify(query);
-            const makes = {name: statement, rest, query: classified};
-            return {statement: makes, makes};
-          });
+        return this.parse(frame);
       case FrontendType.BIND:
-        return readBind(frame)
-          .mapLeft(malformed)
-          .chain(({statement}) => this.known(statement));
+        return this.bind(frame);
       case FrontendType.DESCRIBE:
+        return this.describe(frame);
       case FrontendType.CLOSE:
-        return readTarget(frame)
-          .mapLeft(malformed)
-          .chain(({target, name}): Either<BatchError, ReadMessage> => {
-            if (target === 'portal') return Right({});
-            if (frame.type === FrontendType.CLOSE) return Right({drops: name});
-            return this.known(name);
-          });
+        return this.close(frame);
       case FrontendType.EXECUTE:
       case FrontendType.SYNC:
+        this.out.push(frame.bytes);
+        return Right(undefined);
       case FrontendType.FLUSH:
-        return Right({});
+        return Right(undefined);
       default:
         return Left({
           kind: 'unsupportedMessage',
@@ -156,27 +171,77 @@
     }
   }
 
-  private known(name: string): Either<BatchError, ReadMessage> {
-    const statement = this.prepared.get(name);
-    if (statement !== undefined) return Right({statement});
-    return Left({kind: 'unknownStatement', detail: name});
+  private parse(frame: Frame): Either<BatchError, unknown> {
+    return readParse(frame)
+      .mapLeft(malformed)
+      .ifRight(({statement: name, query, rest}) => {
+        const classified = this.classifier.classify(query);
+        this.prepared.set(name, {name, rest, query: classified});
+        this.queries.push(classified);
+        this.made.push({number: this.parses, name});
+        this.parses += 1;
+        this.current = name;
+        this.out.push(
+          name === UNNAMED ? frame.bytes : parseMessage(UNNAMED, rest),
+        );
+      });
   }
 
-  private remember(statement: PreparedStatement): void {
-    this.prepared = new Map(this.prepared).set(statement.name, statement);
+  private bind(frame: Frame): Either<BatchError, unknown> {
+    return readBind(frame)
+      .mapLeft(malformed)
+      .chain(({portal, statement, rest}) =>
+        this.use(statement).ifRight(() => {
+          this.out.push(
+            statement === UNNAMED
+              ? frame.bytes
+              : bindMessage(portal, UNNAMED, rest),
+          );
+        }),
+      );
   }
 
-  private forget(name: string): void {
-    const rest = new Map(this.prepared);
-    rest.delete(name);
-    this.prepared = rest;
+  private describe(frame: Frame): Either<BatchError, unknown> {
+    return readTarget(frame)
+      .mapLeft(malformed)
+      .chain(({target, name}): Either<BatchError, unknown> => {
+        if (target === 'portal' || name === UNNAMED) {
+          const known = target === 'portal' ? Right(true) : this.use(name);
+          return known.ifRight(() => this.out.push(frame.bytes));
+        }
+        return this.use(name).ifRight(() => {
+          this.out.push(describeStatementMessage(UNNAMED));
+        });
+      });
   }
-}
 
-interface ReadMessage {
-  readonly statement?: PreparedStatement;
-  readonly makes?: PreparedStatement;
-  readonly drops?: string;
+  /** A member knows no named statement; Close of none is not an error. */
+  private close(frame: Frame): Either<BatchError, unknown> {
+    return readTarget(frame)
+      .mapLeft(malformed)
+      .ifRight(({target, name}) => {
+        if (target === 'statement') {
+          this.prepared.delete(name);
+          if (name === UNNAMED) this.current = undefined;
+        }
+        this.out.push(frame.bytes);
+      });
+  }
+
+  /** Makes the member's unnamed statement the caller's `name`. */
+  private use(name: string): Either<BatchError, unknown> {
+    const statement = this.prepared.get(name);
+    if (statement === undefined) {
+      return Left({kind: 'unknownStatement', detail: name});
+    }
+    if (this.current === name) return Right(undefined);
+    this.queries.push(statement.query);
+    this.hidden.add(this.parses);
+    this.parses += 1;
+    this.current = name;
+    this.out.push(parseMessage(UNNAMED, statement.rest));
+    return Right(undefined);
+  }
 }
 
 function summary(
@@ -190,6 +255,6 @@
   };
 }
 
-function malformed(error: {readonly type: number}): BatchError {
+function malformed(error: MessageError): BatchError {
   return {kind: 'malformed', detail: String.fromCharCode(error.type)};
 }
--- a/packages/proxy/src/router.ts
+++ b/packages/proxy/src/router.ts
@@ -1,6 +1,5 @@
 import {BackendGate, LeaseRequest, ReadFloor} from '@apricotlock/backend';
 import {Observable} from '@apricotlock/flow';
-import {SessionToken} from '@apricotlock/session';
 import {TimerService} from '@apricotlock/timer';
 import {
   CatalogueEntry,
@@ -9,19 +8,35 @@
   findGroup,
   Member,
 } from '@apricotlock/topology';
-import {LeaseHolder, RunResult} from './lease_holder.js';
+import {SqlState} from '@apricotlock/wire';
+import {hasError} from './answer.js';
+import {
+  AnswerSink,
+  LeaseHolder,
+  RunRequest,
+  RunResult,
+} from './lease_holder.js';
 import {Failure, refusalFailure} from './outcome.js';
-import {RequestBatch} from './request_batch.js';
+import {ReplicaMemory} from './replica_memory.js';
+import {SessionSettings} from './session_settings.js';
 
-const FLOOR_WAIT_MILLISECONDS = 20;
 const RETRY_PAUSE_MILLISECONDS = 15;
+const RETRY_HINT_MILLISECONDS = 100;
+/** How often a read whose answer was lost may be sent once more. */
+const MAXIMUM_REPEATED_READS = 2;
 
 /** What is asked of the router. */
 export interface RouteRequest {
   readonly entry: CatalogueEntry;
   readonly session: string;
-  readonly token: SessionToken | undefined;
-  readonly batch: RequestBatch;
+  readonly settings: SessionSettings;
+  /** A read may run on any member that is fresh enough. */
+  readonly purpose: 'read' | 'write';
+  readonly run: RunRequest;
+  /** Takes parts of the answer that may be shown before its end. */
+  readonly sink: AnswerSink;
+  /** Told of each lease on which the batch is tried. */
+  readonly holding: (lease: LeaseHolder) => void;
 }
 
 /** A batch that was carried out, and the lease that it may go on with. */
@@ -41,17 +56,28 @@
 type Attempt =
   | Routed
   | NotRouted
-  /** Nothing was run, and another member or another try may work. */
-  | {readonly kind: 'tryAgain'; readonly failure: Failure};
+  /** Another member or another try may work. */
+  | {
+      readonly kind: 'tryAgain';
+      readonly failure: Failure;
+      /** Whether a member may have run it, which only a read may repeat. */
+      readonly sent: boolean;
+    }
+  /** A replica found that it is not a read after all. */
+  | {readonly kind: 'needsPrimary'};
 
 /** Finds the member that runs a batch. */
 export class Router {
+  private readonly memory: ReplicaMemory;
+
   private constructor(
     private readonly dataCentre: string,
     private readonly view: Observable<ClusterView>,
     private readonly gate: BackendGate,
     private readonly timer: TimerService,
-  ) {}
+  ) {
+    this.memory = ReplicaMemory.create(timer);
+  }
 
   /** A router for the callers of one entry VM. */
   static create(
@@ -63,101 +89,147 @@
     return new Router(dataCentre, view, gate, timer);
   }
 
-  /** Runs a batch on the primary; waits for one while there is none. */
-  write(request: RouteRequest): Promise<Routed | NotRouted> {
-    return this.retrying(request, () => this.tryWrite(request));
-  }
-
-  /** Runs a batch that changes nothing on any member that is fresh enough. */
-  read(request: RouteRequest): Promise<Routed | NotRouted> {
-    return this.retrying(request, () => this.tryRead(request));
-  }
-
-  private async retrying(
-    request: RouteRequest,
-    attempt: () => Promise<Attempt>,
-  ): Promise<Routed | NotRouted> {
-    const {queueMilliseconds} = request.entry.limits;
-    const deadline = this.timer.now() + queueMilliseconds;
+  /** Runs a batch; waits for a member that can while there is none. */
+  async route(request: RouteRequest): Promise<Routed | NotRouted> {
+    const deadline = this.timer.now() + request.entry.limits.queueMilliseconds;
+    let {purpose} = request;
+    let repeats = 0;
     for (;;) {
-      const outcome = await attempt();
-      if (outcome.kind !== 'tryAgain') return outcome;
-      if (this.timer.now() + RETRY_PAUSE_MILLISECONDS >= deadline) {
-        return {kind: 'notRouted', failure: outcome.failure};
+      const attempt =
+        purpose === 'read'
+          ? await this.tryRead(request, deadline)
+          : await this.tryWrite(request, deadline);
+      if (attempt.kind === 'needsPrimary') {
+        purpose = 'write';
+        continue;
+      }
+      if (attempt.kind !== 'tryAgain') return attempt;
+      if (attempt.sent) repeats += 1;
+      const late = this.timer.now() + RETRY_PAUSE_MILLISECONDS >= deadline;
+      if (late || repeats > MAXIMUM_REPEATED_READS) {
+        return {kind: 'notRouted', failure: attempt.failure};
       }
       await this.timer.sleep(RETRY_PAUSE_MILLISECONDS);
     }
   }
 
-  private async tryWrite(request: RouteRequest): Promise<Attempt> {
+  private async tryWrite(
+    request: RouteRequest,
+    deadline: number,
+  ): Promise<Attempt> {
     const group = findGroup(this.view.current, request.entry.database);
     if (group?.primary === undefined) {
       return tryAgain('there is no primary now');
     }
-    const lease = this.lease(request, group, group.primary, 'write', undefined);
-    const result = await lease.run(request.batch);
-    if (result.kind === 'finished') {
-      if (result.confirmed) {
-        return {kind: 'routed', result, lease, servedBy: 'primary'};
-      }
-      lease.release();
-      const reason = 'no majority of the group confirmed it in time';
-      return {kind: 'notRouted', failure: {kind: 'unknown', reason}};
+    const lease = this.lease(request, {
+      group,
+      member: group.primary,
+      purpose: 'write',
+      floor: undefined,
+      floorWaitMilliseconds: 0,
+      deadline,
+    });
+    const result = await lease.run(request.run, request.sink);
+    if (result.kind === 'finished' && result.confirmed) {
+      return {kind: 'routed', result, lease, servedBy: 'primary'};
     }
     lease.release();
     if (result.kind === 'refused') return refusedAttempt(result.refusal);
+    if (result.kind === 'finished') {
+      return unknown('no majority of the group confirmed it in time');
+    }
     if (!result.sent) return tryAgain('the backend server was lost');
-    const reason = 'the connection was lost before the answer came';
-    return {kind: 'notRouted', failure: {kind: 'unknown', reason}};
+    return unknown('the connection was lost before the answer came');
   }
 
-  private async tryRead(request: RouteRequest): Promise<Attempt> {
+  private async tryRead(
+    request: RouteRequest,
+    deadline: number,
+  ): Promise<Attempt> {
     const group = findGroup(this.view.current, request.entry.database);
     if (group === undefined) return tryAgain('the database is not known yet');
     const floor = await this.floorOf(request);
     if (floor === undefined) return tryAgain('the primary cannot be asked');
     let last: Attempt = tryAgain('no member can be reached');
-    for (const member of this.readOrder(group)) {
-      last = await this.readFrom(request, group, member, floor);
-      if (last.kind !== 'tryAgain') return last;
+    const order = this.readOrder(group);
+    // Members that are fresh enough now come before any that is waited for.
+    for (const mayWait of [false, true]) {
+      for (const member of order) {
+        const waits = mayWait ? this.waitFor(group, member) : 0;
+        if (mayWait && waits === 0) continue;
+        if (!mayWait && member.name === group.primary) continue;
+        last = await this.readFrom(request, {
+          group,
+          member: member.name,
+          purpose: 'read',
+          floor,
+          floorWaitMilliseconds: waits,
+          deadline,
+        });
+        if (last.kind !== 'tryAgain' || last.sent) return last;
+      }
     }
-    return last;
+    const primary = order.find(({name}) => name === group.primary);
+    if (primary === undefined) return last;
+    return this.readFrom(request, {
+      group,
+      member: primary.name,
+      purpose: 'read',
+      floor,
+      floorWaitMilliseconds: 0,
+      deadline,
+    });
+  }
+
+  private waitFor(group: DatabaseGroup, member: Member): number {
+    if (member.name === group.primary) return 0;
+    return this.memory.waitFor(member.name);
   }
 
   private async readFrom(
     request: RouteRequest,
-    group: DatabaseGroup,
-    member: Member,
-    floor: ReadFloor,
+    choice: LeaseChoice,
   ): Promise<Attempt> {
-    const lease = this.lease(request, group, member.name, 'read', floor);
-    const result = await lease.run(request.batch);
+    const {group, member} = choice;
+    const lease = this.lease(request, choice);
+    const result = await lease.run(request.run, request.sink);
+    const byReplica = member !== group.primary;
     if (result.kind === 'finished' && result.confirmed) {
-      const servedBy = member.name === group.primary ? 'primary' : 'replica';
+      if (byReplica && refusedAsWrite(result)) {
+        lease.release();
+        return {kind: 'needsPrimary'};
+      }
+      if (choice.floorWaitMilliseconds > 0) this.memory.caughtUp(member);
+      const servedBy = byReplica ? 'replica' : 'primary';
       return {kind: 'routed', result, lease, servedBy};
     }
     lease.release();
-    if (result.kind === 'refused') return refusedAttempt(result.refusal);
+    if (result.kind === 'refused') {
+      if (choice.floorWaitMilliseconds > 0) {
+        this.memory.waitedInVain(member);
+      }
+      return refusedAttempt(result.refusal);
+    }
+    if (result.partTold) {
+      const reason = 'the backend server was lost';
+      return {kind: 'notRouted', failure: {kind: 'cutShort', reason}};
+    }
     // A read may be repeated: the caller has seen nothing of it.
-    return tryAgain('the answer could not be confirmed');
+    return {...tryAgain('the answer could not be confirmed'), sent: true};
   }
 
   /** Without a token the floor is where the primary stands now. */
   private async floorOf(request: RouteRequest): Promise<ReadFloor | undefined> {
-    if (request.token !== undefined) return request.token;
+    const {token} = request.settings;
+    if (token !== undefined) return token;
     const position = await this.gate.position(request.entry.database);
     return position.toMaybe().extract();
   }
 
-  private lease(
-    request: RouteRequest,
-    group: DatabaseGroup,
-    member: string,
-    purpose: LeaseRequest['purpose'],
-    floor: ReadFloor | undefined,
-  ): LeaseHolder {
+  private lease(request: RouteRequest, choice: LeaseChoice): LeaseHolder {
     const {entry, session} = request;
-    const conversation = this.gate.lease({
+    const {group, member, purpose, floor, floorWaitMilliseconds} = choice;
+    const lease = LeaseHolder.create(this.gate, {
       database: group.database,
       member,
       entry: entry.name,
@@ -165,11 +237,15 @@
       purpose,
       term: group.term,
       floor: floor && {term: floor.term, position: floor.position},
-      floorWaitMilliseconds:
-        member === group.primary ? 0 : FLOOR_WAIT_MILLISECONDS,
-      queueMilliseconds: entry.limits.queueMilliseconds,
+      floorWaitMilliseconds,
+      // An attempt that is not the first has only what is left of the time.
+      queueMilliseconds: Math.max(
+        0,
+        Math.round(choice.deadline - this.timer.now()),
+      ),
     });
-    return LeaseHolder.of(conversation);
+    request.holding(lease);
+    return lease;
   }
 
   /** Replicas near by, then other replicas, then the primary. */
@@ -186,18 +262,45 @@
   }
 }
 
-function tryAgain(reason: string): Attempt {
+/** Which member is tried, and how long it may take. */
+interface LeaseChoice {
+  readonly group: DatabaseGroup;
+  readonly member: string;
+  readonly purpose: LeaseRequest['purpose'];
+  readonly floor: ReadFloor | undefined;
+  readonly floorWaitMilliseconds: number;
+  /** On the timer's clock. */
+  readonly deadline: number;
+}
+
+/** The read-only error of a replica says that nothing has been run. */
+function refusedAsWrite(result: Routed['result']): boolean {
+  if (result.partTold) return false;
+  return hasError(result.answer, SqlState.READ_ONLY_TRANSACTION);
+}
+
+function tryAgain(reason: string): Extract<Attempt, {kind: 'tryAgain'}> {
   return {
     kind: 'tryAgain',
-    failure: {kind: 'notRun', reason, retryAfterMilliseconds: 100},
+    sent: false,
+    failure: {
+      kind: 'notRun',
+      reason,
+      retryAfterMilliseconds: RETRY_HINT_MILLISECONDS,
+    },
   };
 }
 
+function unknown(reason: string): NotRouted {
+  return {kind: 'notRouted', failure: {kind: 'unknown', reason}};
+}
+
 function refusedAttempt(
   refusal: Extract<RunResult, {kind: 'refused'}>['refusal'],
 ): Attempt {
   const failure = refusalFailure(refusal);
   // Trying again at once would only add to an overload.
-  if (refusal.kind === 'overloaded') return {kind: 'notRouted', failure};
-  return {kind: 'tryAgain', failure};
+  const final = refusal.kind === 'overloaded' || refusal.kind === 'cancelled';
+  if (final) return {kind: 'notRouted', failure};
+  return {kind: 'tryAgain', failure, sent: false};
 }
--- a/packages/proxy/src/session_settings.ts
+++ b/packages/proxy/src/session_settings.ts
@@ -1,5 +1,6 @@
 import {Either, Left, Right} from 'purify-ts';
 import {SessionToken} from '@apricotlock/session';
+import {TrackedSettings} from './tracked_settings.js';
 
 const MAXIMUM_KEY_CHARACTERS = 200;
 const DURATION_PATTERN = /^([0-9]{1,9})(ms|s|min)?$/;
@@ -30,6 +31,8 @@
   readonly idempotencyKey: string | undefined;
   /** How old what a read shows may be, in milliseconds. */
   readonly maximumStalenessMilliseconds: number | undefined;
+  /** Settings of the database that are set again on each connection. */
+  readonly tracked: TrackedSettings;
 }
 
 /** The settings of a session that has set nothing. */
@@ -37,6 +40,7 @@
   token: undefined,
   idempotencyKey: undefined,
   maximumStalenessMilliseconds: undefined,
+  tracked: TrackedSettings.NONE,
 };
 
 /** The settings after `SET name = value`, or RESET without a value. */
--- a/packages/sql/src/statement.ts
+++ b/packages/sql/src/statement.ts
@@ -23,5 +23,14 @@
     }
   /** SHOW of one of the proxy's own settings. */
   | {readonly kind: 'showProxySetting'; readonly name: string}
+  /** SET of a setting of the database; RESET of it has no values. */
+  | {
+      readonly kind: 'setSession';
+      readonly name: string;
+      readonly values: readonly string[];
+    }
+  /** RESET ALL. */
+  | {readonly kind: 'resetSession'}
+  | {readonly kind: 'discardAll'}
   /** Needs a database session of the caller's own, which it does not have. */
   | {readonly kind: 'unsupported'; readonly what: string};
--- a/packages/sql/src/statement_classifier.ts
+++ b/packages/sql/src/statement_classifier.ts
@@ -13,6 +13,16 @@
 const MAXIMUM_CACHED_TEXTS = 5_000;
 const MAXIMUM_CACHED_CHARACTERS = 4_000_000;
 const PROXY_SETTING_PREFIX = 'apricotlock.';
+const SETTING_PATTERN = /^[a-z_][a-z0-9_.]{0,62}$/;
+const SET_KINDS: ReadonlySet<unknown> = new Set([
+  'VAR_SET_VALUE',
+  'VAR_SET_DEFAULT',
+  'VAR_RESET',
+]);
+const PRIMARY_SHOWS: ReadonlySet<string> = new Set([
+  'in_hot_standby',
+  'transaction_read_only',
+]);
 
 /** The statements of one query text, in order. */
 export type ClassifiedQuery =
@@ -90,7 +100,9 @@
     case 'DeclareCursorStmt':
       return unsupported('DECLARE CURSOR');
     case 'DiscardStmt':
-      return unsupported('DISCARD');
+      return body['target'] === 'DISCARD_ALL'
+        ? {kind: 'discardAll'}
+        : unsupported('DISCARD of a part');
     default:
       return {kind: 'write'};
   }
@@ -161,14 +173,29 @@
   if (body['kind'] === 'VAR_SET_MULTI' && name === 'TRANSACTION') {
     return {kind: 'insideTransaction'};
   }
-  return unsupported(`SET ${name} for a whole session`);
+  if (body['kind'] === 'VAR_RESET_ALL') return {kind: 'resetSession'};
+  const values = constantsOf(body);
+  const known = SET_KINDS.has(body['kind']) && SETTING_PATTERN.test(name);
+  return known && values !== undefined
+    ? {kind: 'setSession', name, values}
+    : unsupported(`SET ${name} for a whole session`);
+}
+
+/** The constants after SET; `undefined` if there is anything else. */
+function constantsOf(body: SyntaxNode): readonly string[] | undefined {
+  const nodes = (body['args'] as SyntaxNode[] | undefined) ?? [];
+  const values = nodes.map(constantText);
+  return values.every(value => value !== undefined) ? values : undefined;
 }
 
 function settingValue(body: SyntaxNode): string | undefined {
   const values = (body['args'] as SyntaxNode[] | undefined) ?? [];
   const first = values[0];
-  if (first === undefined) return undefined;
-  const constant = fieldOf(first, 'A_Const');
+  return first === undefined ? undefined : constantText(first);
+}
+
+function constantText(node: SyntaxNode): string | undefined {
+  const constant = fieldOf(node, 'A_Const');
   if ('sval' in constant) {
     return String(fieldOf(constant, 'sval')['sval'] ?? '');
   }
@@ -182,5 +209,6 @@
   if (name.startsWith(PROXY_SETTING_PREFIX)) {
     return {kind: 'showProxySetting', name};
   }
-  return {kind: 'read'};
+  // A driver that looks for a primary must not be told of a replica.
+  return {kind: PRIMARY_SHOWS.has(name) ? 'write' : 'read'};
 }
--- a/packages/standin/src/database_session.ts
+++ b/packages/standin/src/database_session.ts
@@ -6,6 +6,7 @@
 import {
   AcceptedCaller,
   acceptCaller,
+  AcceptError,
   BackendType,
   bareMessage,
   commandComplete,
@@ -35,6 +36,7 @@
 import {RunContext} from './select.js';
 import {SqlError} from './sql_error.js';
 import {givesRows, runStatement} from './statement_runner.js';
+import {StatementCancel} from './statement_cancel.js';
 import {SystemFunctions} from './system_functions.js';
 import {Transaction} from './transaction.js';
 import {TypeOid, Value, valueToText} from './value.js';
@@ -52,8 +54,6 @@
   readonly openingMilliseconds: number;
 }
 
-let nextProcessId = 1;
-
 /** Serves one connection until it ends. */
 export async function serveConnection(
   stream: Duplex,
@@ -64,6 +64,7 @@
     stream.end(errorResponse(TOO_MANY_CONNECTIONS));
     return;
   }
+  const cancel = StatementCancel.register(timer);
   const stopListening = runtime.sessionsEnded.subscribe(() => stream.destroy());
   try {
     await timer.sleep(options.openingMilliseconds);
@@ -71,14 +72,19 @@
       maximumMessageBytes: MAXIMUM_MESSAGE_BYTES,
       serverVersion: SERVER_VERSION,
       secureContext: undefined,
-      processId: nextProcessId++,
-      secret: 0,
+      processId: cancel.processId,
+      secret: cancel.secret,
       authenticate: () => Right({method: 'trust'}),
     });
-    if (accepted.isLeft()) return;
-    await DatabaseSession.create(accepted.unsafeCoerce(), options).run();
+    if (accepted.isLeft()) {
+      StatementCancel.takeRequest(accepted.extract() as AcceptError);
+      return;
+    }
+    const caller = accepted.unsafeCoerce();
+    await DatabaseSession.create(caller, options, cancel).run();
   } finally {
     stopListening();
+    cancel.unregister();
     counter.disconnected();
     stream.destroy();
   }
@@ -102,6 +108,7 @@
   private constructor(
     private readonly caller: AcceptedCaller,
     private readonly options: SessionOptions,
+    private readonly cancel: StatementCancel,
   ) {
     this.functions = SystemFunctions.of(options.runtime);
   }
@@ -109,8 +116,9 @@
   static create(
     caller: AcceptedCaller,
     options: SessionOptions,
+    cancel: StatementCancel,
   ): DatabaseSession {
-    return new DatabaseSession(caller, options);
+    return new DatabaseSession(caller, options, cancel);
   }
 
   async run(): Promise<void> {
@@ -262,10 +270,11 @@
     if (this.failed && this.transaction !== undefined) {
       throw inFailedTransaction();
     }
-    const {counter, timer, runtime} = this.options;
+    const {counter, runtime} = this.options;
     return counter.run(async () => {
+      this.cancel.statementBegins();
       if (runtime.delays.statement > 0) {
-        await timer.sleep(runtime.delays.statement);
+        await this.cancel.sleep(runtime.delays.statement);
       }
       if (this.transaction !== undefined) {
         return this.runIn(this.transaction, statement, values);
@@ -300,7 +309,7 @@
       this.contextFor(transaction, values),
     );
     const sleep = this.functions.takeSleep();
-    if (sleep > 0) await this.options.timer.sleep(sleep);
+    if (sleep > 0) await this.cancel.sleep(sleep);
     return answer;
   }
 
--- a/packages/wire/src/frontend_message.ts
+++ b/packages/wire/src/frontend_message.ts
@@ -82,9 +82,22 @@
   return Buffer.concat([head, name, rest]);
 }
 
-/** Writes Close for a prepared statement. */
-export function closeStatementMessage(statement: string): Buffer {
-  return serialize.close({type: 'S', name: statement}) as Buffer;
+/** Writes Bind from its names and what {@link readBind} called `rest`. */
+export function bindMessage(
+  portal: string,
+  statement: string,
+  rest: Buffer,
+): Buffer {
+  const names = Buffer.from(`${portal}\0${statement}\0`, 'utf8');
+  const head = Buffer.alloc(FRAME_HEADER_BYTES);
+  head.writeUInt8(0x42, 0);
+  head.writeUInt32BE(4 + names.length + rest.length, 1);
+  return Buffer.concat([head, names, rest]);
+}
+
+/** Writes Describe for a prepared statement. */
+export function describeStatementMessage(statement: string): Buffer {
+  return serialize.describe({type: 'S', name: statement}) as Buffer;
 }
 
 /** Writes Sync. */
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -23,6 +23,7 @@
   type ColumnDescription,
   type DatabaseErrorFields,
 } from './backend_message.js';
+export {cancelRequestBytes, sendCancelRequest} from './cancel_request.js';
 export {ByteStream} from './byte_stream.js';
 export {
   FRAME_HEADER_BYTES,
@@ -32,7 +33,8 @@
   type FrameForm,
 } from './frame.js';
 export {
-  closeStatementMessage,
+  bindMessage,
+  describeStatementMessage,
   parseMessage,
   queryMessage,
   readBind,
