Tell wrong passwords, databases and settings apart, and cancel across VMs

Cause: a wrong password was told as 28000; an unknown entry could be told from one with a password; the database was checked before the password; start-up settings were dropped without a word; cancel requests were ignored; nothing bounded how long a caller could take to log in, or how many there are. Change: 28P01 for a wrong password and, where any entry has one, for an unknown user, who is asked like any other; 3D000 and settings only after the proof; a process id names its entry VM, so that a cancel request finds it from any; 10 s for start-up, 20,000 sessions.

--- a/packages/apricotlock/src/entry_process.ts
+++ b/packages/apricotlock/src/entry_process.ts
@@ -16,7 +16,12 @@
 } from '@apricotlock/membership';
 import {OperatorServer} from '@apricotlock/operator';
 import {PeerNetwork, ringOf, WebSocketPeerNetwork} from '@apricotlock/peer';
-import {CallerListener, Router, SessionObserver} from '@apricotlock/proxy';
+import {
+  CallerListener,
+  CancelRouter,
+  Router,
+  SessionObserver,
+} from '@apricotlock/proxy';
 import {SystemTimerService, TimerService} from '@apricotlock/timer';
 import {startControlLog} from './control_node.js';
 import {EntryOperatorBackend} from './entry_operator_backend.js';
@@ -151,6 +156,11 @@
     logger,
     observer,
     secureContext: undefined,
+    cancels: CancelRouter.start({
+      self,
+      machines: membership.machines,
+      network,
+    }),
   });
 }
 
--- a/packages/proxy/src/caller_listener.ts
+++ b/packages/proxy/src/caller_listener.ts
@@ -1,36 +1,36 @@
 import {randomInt} from 'node:crypto';
 import {createServer, Server, Socket} from 'node:net';
 import {SecureContext} from 'node:tls';
-import {Either, Left, Right} from 'purify-ts';
+import {Either, Left} from 'purify-ts';
 import {Observable} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
 import {StatementClassifier} from '@apricotlock/sql';
 import {TimerService} from '@apricotlock/timer';
-import {
-  Address,
-  CatalogueEntry,
-  ClusterView,
-  findEntry,
-} from '@apricotlock/topology';
+import {Address, ClusterView} from '@apricotlock/topology';
 import {
   acceptCaller,
+  AcceptedCaller,
   AcceptError,
   CallerAuthentication,
+  CancelRequest,
   errorResponse,
   SqlState,
   StartUpParameters,
 } from '@apricotlock/wire';
-import {
-  CallerSession,
-  SessionObserver,
-  startUpSettings,
-} from './caller_session.js';
+import {CallerSession, SessionObserver} from './caller_session.js';
+import {CancelRouter} from './cancel_router.js';
+import {EntryGatekeeper} from './entry_gatekeeper.js';
 import {Router} from './router.js';
+import {DEFAULT_SETTINGS} from './session_settings.js';
+import {startUpSettings} from './start_up_settings.js';
 
 const MAXIMUM_MESSAGE_BYTES = 16 << 20;
 const SERVER_VERSION = '17.0';
 const MAXIMUM_SECRET = 2 ** 31;
 const DRAIN_POLL_MILLISECONDS = 20;
+const START_UP_LIMIT_MILLISECONDS = 10_000;
+/** Callers that are connected or connecting, at most. */
+const MAXIMUM_SESSIONS = 20_000;
 
 /** What the listener needs. */
 export interface CallerListenerOptions {
@@ -42,24 +42,29 @@
   readonly logger: Logger;
   readonly observer: SessionObserver;
   readonly secureContext: SecureContext | undefined;
+  readonly cancels: CancelRouter;
 }
 
 interface OpenSession {
+  readonly secret: number;
   readonly session: CallerSession;
   readonly socket: Socket;
 }
 
 /** Takes callers' connections; each has a task of its own. */
 export class CallerListener {
-  private readonly sessions = new Set<OpenSession>();
-  private nextProcessId = 1;
+  /** By process id. */
+  private readonly sessions = new Map<number, OpenSession>();
+  private connecting = 0;
   private draining = false;
 
   private constructor(
     private readonly options: CallerListenerOptions,
     private readonly classifier: StatementClassifier,
     private readonly server: Server,
+    private readonly gatekeeper: EntryGatekeeper,
   ) {
+    options.cancels.onRequest(request => this.cancel(request));
     server.on('connection', socket => {
       this.serve(socket).catch((failure: unknown) => {
         options.logger.error('a session failed', {failure: String(failure)});
@@ -72,7 +77,15 @@
   static async start(options: CallerListenerOptions): Promise<CallerListener> {
     const classifier = await StatementClassifier.create();
     const server = createServer({noDelay: true});
-    const listener = new CallerListener(options, classifier, server);
+    const gatekeeper = EntryGatekeeper.create(
+      () => options.view.current.catalogue,
+    );
+    const listener = new CallerListener(
+      options,
+      classifier,
+      server,
+      gatekeeper,
+    );
     const {host, port} = options.listen;
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
@@ -96,11 +109,11 @@
     const {timer} = this.options;
     const deadline = timer.now() + deadlineMilliseconds;
     while (this.sessions.size > 0 && timer.now() < deadline) {
-      for (const open of this.sessions) this.endIfIdle(open);
+      for (const open of this.sessions.values()) this.endIfIdle(open);
       await timer.sleep(DRAIN_POLL_MILLISECONDS);
     }
     const cut = this.sessions.size;
-    for (const {socket} of this.sessions) socket.destroy();
+    for (const {socket} of this.sessions.values()) socket.destroy();
     return cut;
   }
 
@@ -116,61 +129,100 @@
     );
   }
 
+  /** Cancels what a session runs; `false` if there is no such session here. */
+  private cancel({processId, secret}: CancelRequest): boolean {
+    const open = this.sessions.get(processId);
+    if (open?.secret !== secret) return false;
+    open.session.cancel();
+    return true;
+  }
+
   private async serve(socket: Socket): Promise<void> {
     socket.setNoDelay(true);
     socket.on('error', () => socket.destroy());
-    const processId = this.nextProcessId++;
+    const processId = this.options.cancels.nextProcessId();
+    const secret = randomInt(MAXIMUM_SECRET);
+    const accepted = await this.accept(socket, processId, secret);
+    if (accepted.isLeft()) {
+      const error = accepted.extract() as AcceptError;
+      if (error.kind === 'cancelRequest') {
+        await this.options.cancels.cancel(error.request);
+      }
+      socket.end();
+      return;
+    }
+    await this.serveCaller(accepted.unsafeCoerce(), processId, secret);
+  }
+
+  private async accept(
+    socket: Socket,
+    processId: number,
+    secret: number,
+  ): Promise<Either<AcceptError, AcceptedCaller>> {
+    const stopAlarm = this.options.timer.once(START_UP_LIMIT_MILLISECONDS, () =>
+      socket.destroy(),
+    );
+    this.connecting += 1;
     const accepted = await acceptCaller(socket, {
       maximumMessageBytes: MAXIMUM_MESSAGE_BYTES,
       serverVersion: SERVER_VERSION,
       secureContext: this.options.secureContext,
       processId,
-      secret: randomInt(MAXIMUM_SECRET),
+      secret,
       authenticate: parameters => this.authenticate(parameters),
+      authorize: parameters => this.authorize(parameters),
     });
-    if (accepted.isLeft()) {
-      socket.end();
-      return;
-    }
-    const caller = accepted.unsafeCoerce();
-    const name = caller.parameters.user;
-    const database = this.entry(name)?.database ?? name;
+    this.connecting -= 1;
+    stopAlarm();
+    return accepted;
+  }
+
+  private async serveCaller(
+    caller: AcceptedCaller,
+    processId: number,
+    secret: number,
+  ): Promise<void> {
+    const {parameters, stream} = caller;
+    const {user} = parameters;
+    const {self, router, observer} = this.options;
+    const database = this.gatekeeper.entryOf(user)?.database ?? user;
     const session = CallerSession.create({
-      id: `${this.options.self}/${processId}`,
+      id: `${self}/${processId}`,
       caller,
-      settings: startUpSettings(caller.parameters, database),
-      entry: () => this.entry(name),
-      router: this.options.router,
+      settings: startUpSettings(parameters, database).orDefault(
+        DEFAULT_SETTINGS,
+      ),
+      entry: () => this.gatekeeper.entryOf(user),
+      router,
       classifier: this.classifier,
-      observer: this.options.observer,
+      observer,
     });
-    const open = {session, socket};
-    this.sessions.add(open);
+    this.sessions.set(processId, {session, socket: stream.socket, secret});
     try {
       await session.run();
     } finally {
-      this.sessions.delete(open);
-      caller.stream.socket.end();
+      this.sessions.delete(processId);
+      stream.socket.end();
     }
   }
 
-  private entry(name: string): CatalogueEntry | undefined {
-    return findEntry(this.options.view.current.catalogue, name);
-  }
-
   private authenticate(
     parameters: StartUpParameters,
   ): Either<AcceptError, CallerAuthentication> {
     if (this.draining) return Left({kind: 'draining'});
+    if (this.sessions.size + this.connecting > MAXIMUM_SESSIONS) {
+      return Left({kind: 'tooManySessions'});
+    }
+    return this.gatekeeper.authenticate(parameters);
+  }
+
+  private authorize(
+    parameters: StartUpParameters,
+  ): Either<AcceptError, unknown> {
     const {user} = parameters;
-    const entry = this.entry(user);
-    if (entry === undefined) return Left({kind: 'unknownUser', user});
     const database = parameters['database'] ?? user;
-    if (database !== entry.database) {
-      return Left({kind: 'unknownDatabase', database});
-    }
-    const {verifier} = entry;
-    if (verifier === undefined) return Right({method: 'trust'});
-    return Right({method: 'scram', verifier});
+    return this.gatekeeper
+      .authorize(parameters)
+      .chain(() => startUpSettings(parameters, database));
   }
 }
--- a/packages/proxy/src/caller_session.ts
+++ b/packages/proxy/src/caller_session.ts
@@ -25,12 +25,7 @@
 import {Failure, failureFields} from './outcome.js';
 import {BatchError, BatchReader, RequestBatch} from './request_batch.js';
 import {Router} from './router.js';
-import {
-  DEFAULT_SETTINGS,
-  SessionSettings,
-  SettingName,
-  withSetting,
-} from './session_settings.js';
+import {SessionSettings, SettingName} from './session_settings.js';
 
 const SYNC_FRAME: Frame = {
   type: FrontendType.SYNC,
@@ -379,18 +374,6 @@
   }
 }
 
-/** The settings that a caller's start-up parameters ask for. */
-export function startUpSettings(
-  parameters: Readonly<Record<string, string>>,
-  database: string,
-): SessionSettings {
-  let settings = DEFAULT_SETTINGS;
-  for (const [name, value] of Object.entries(parameters)) {
-    settings = withSetting(settings, database, name, value).orDefault(settings);
-  }
-  return settings;
-}
-
 function runRequest(
   batch: RequestBatch,
   replay: Buffer | undefined,
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -5,6 +5,7 @@
  * @packageDocumentation
  */
 export {CallerListener, type CallerListenerOptions} from './caller_listener.js';
+export {CancelRouter, type CancelRouterOptions} from './cancel_router.js';
 export {type SessionObserver} from './caller_session.js';
 export {failureFields, type Failure} from './outcome.js';
 export {Router} from './router.js';
--- a/packages/sql/src/statement_classifier.ts
+++ b/packages/sql/src/statement_classifier.ts
@@ -57,6 +57,8 @@
 }
 
 function classifyText(text: string): ClassifiedQuery {
+  // The parser refuses a text without anything in it; PostgreSQL does not.
+  if (text.trim() === '') return {kind: 'parsed', statements: []};
   try {
     const tree = parseSync(text) as unknown as SyntaxNode;
     const statements = (tree['stmts'] as SyntaxNode[] | undefined) ?? [];
--- a/packages/sql/test/statement_classifier_test.ts
+++ b/packages/sql/test/statement_classifier_test.ts
@@ -74,10 +74,38 @@
     });
 
     it('refuses what needs a database session of its own', () => {
-      for (const text of ['SET search_path = a', 'COPY a FROM STDIN']) {
+      for (const text of [
+        'COPY a FROM STDIN',
+        'DISCARD PLANS',
+        'SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY',
+        "SET TIME ZONE INTERVAL '1' HOUR TO MINUTE",
+      ]) {
         expect(kindsOf(text)).to.deep.equal(['unsupported']);
       }
     });
+
+    it('reads the values of a setting of the database', () => {
+      expect(classifier.classify("SET search_path = a, 'B'")).to.deep.equal({
+        kind: 'parsed',
+        statements: [
+          {kind: 'setSession', name: 'search_path', values: ['a', 'B']},
+        ],
+      });
+      expect(
+        kindsOf('RESET search_path; RESET ALL; DISCARD ALL'),
+      ).to.deep.equal(['setSession', 'resetSession', 'discardAll']);
+    });
+
+    it('asks the primary whether a caller may write', () => {
+      expect(kindsOf('SHOW transaction_read_only')).to.deep.equal(['write']);
+      expect(kindsOf('SHOW server_version')).to.deep.equal(['read']);
+    });
+  });
+
+  it('takes a text without statements', () => {
+    for (const text of ['', ' ', ';', '-- nothing']) {
+      expect(kindsOf(text)).to.deep.equal([]);
+    }
   });
 
   it('leaves to the database what it cannot read', () => {
--- a/packages/standin/src/prepared_statement.ts
+++ b/packages/standin/src/prepared_statement.ts
@@ -50,6 +50,7 @@
 const PARAMETER_PATTERN = /"ParamRef":\{"number":([0-9]+)/g;
 
 function parseAnew(text: string): readonly SyntaxNode[] {
+  if (text.trim() === '') return [];
   try {
     const tree = parseSync(text) as unknown as SyntaxNode;
     const raw = (tree['stmts'] as readonly SyntaxNode[] | undefined) ?? [];
--- a/packages/wire/src/start_up.ts
+++ b/packages/wire/src/start_up.ts
@@ -47,6 +47,10 @@
   readonly authenticate: (
     parameters: StartUpParameters,
   ) => Either<AcceptError, CallerAuthentication>;
+  /** Whether a user who has proved who it is may go on. */
+  readonly authorize?: (
+    parameters: StartUpParameters,
+  ) => Either<AcceptError, unknown>;
 }
 
 /** A caller that has proved who it is and may now send statements. */
@@ -64,6 +68,8 @@
   | {readonly kind: 'authenticationFailed'}
   | {readonly kind: 'unknownDatabase'; readonly database: string}
   | {readonly kind: 'unknownUser'; readonly user: string}
+  | {readonly kind: 'unsupportedSetting'; readonly name: string}
+  | {readonly kind: 'tooManySessions'}
   | {readonly kind: 'draining'};
 
 /**
@@ -83,8 +89,7 @@
   }
   start.splitter.expect('regular');
   const proved = await authenticate(start, chosen.unsafeCoerce(), options);
-  if (!proved) return Left({kind: 'authenticationFailed'});
-  return Right(start);
+  return proved.map(() => start);
 }
 
 interface StartedCaller extends AcceptedCaller {
@@ -172,7 +177,7 @@
   start: StartedCaller,
   authentication: CallerAuthentication,
   options: AcceptOptions,
-): Promise<boolean> {
+): Promise<Either<AcceptError, unknown>> {
   const [ours, theirs] = createDuplexPair<Uint8Array>();
   const gateway = new PostgresConnection(theirs, {
     serverVersion: options.serverVersion,
@@ -180,7 +185,7 @@
   });
   const writer = ours.writable.getWriter();
   const reader = ours.readable.getReader();
-  const finished = relayAnswers(reader, start.stream, options);
+  const finished = relayAnswers(reader, start, options);
   void writer.write(start.startUpFrame.bytes);
   const relayed = relayMessages(start, writer, gateway);
   const proved = await finished;
@@ -206,21 +211,31 @@
   }
 }
 
-/** Passes the gateway's answers on; `true` once it has let the caller in. */
+/** Passes the gateway's answers on until it has let the caller in. */
 async function relayAnswers(
   reader: ReadableStreamDefaultReader<Uint8Array>,
-  stream: ByteStream,
+  {stream, parameters}: StartedCaller,
   options: AcceptOptions,
-): Promise<boolean> {
+): Promise<Either<AcceptError, unknown>> {
   const splitter = FrameSplitter.create(MAXIMUM_START_UP_BYTES, 'regular');
   for (;;) {
     const {value, done} = await reader.read().catch(() => END_OF_STREAM);
-    if (done || value === undefined) return false;
+    if (done || value === undefined) {
+      return Left({kind: 'authenticationFailed'});
+    }
     splitter.push(Buffer.from(value));
     for (const frame of splitter.drain().orDefault([])) {
       if (frame.type === BackendType.READY_FOR_QUERY) {
+        const authorized = options.authorize?.(parameters) ?? Right(undefined);
+        if (authorized.isLeft()) {
+          return refuse(stream, authorized.extract() as AcceptError);
+        }
         welcome(stream, frame, options);
-        return true;
+        return authorized;
+      }
+      if (frame.type === BackendType.ERROR_RESPONSE) {
+        // The library's own code is that of an unknown user.
+        return refuse(stream, {kind: 'authenticationFailed'});
       }
       stream.write(frame.bytes);
     }
@@ -294,6 +309,25 @@
         code: SqlState.INVALID_AUTHORIZATION,
         message: `no catalogue entry "${error.user}"`,
       };
+    case 'authenticationFailed':
+      return {
+        severity,
+        code: SqlState.INVALID_PASSWORD,
+        message: 'password authentication failed',
+      };
+    case 'unsupportedSetting':
+      return {
+        severity,
+        code: SqlState.FEATURE_NOT_SUPPORTED,
+        message: `the proxy cannot keep the setting "${error.name}"`,
+      };
+    case 'tooManySessions':
+      return {
+        severity,
+        code: SqlState.TOO_MANY_CONNECTIONS,
+        message: 'not run: this proxy has as many sessions as it may have',
+        hint: 'Try again in 1000 ms.',
+      };
     case 'draining':
       return {
         severity,
