Watch versions and end an entry VM under load in the demonstration

Cause: two of the promises that the demonstration reports on were not put to the test in it. Change: the catalogue's version is followed on every VM; an entry VM gets SIGTERM under load and its exit code says whether it cut a request. Conclusion: mixed transactions are still not put to the test here; the failure tests bring them.

--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -5,6 +5,7 @@
 import {TimerService} from '@apricotlock/timer';
 import {formatAddress} from '@apricotlock/topology';
 import {Caller} from './caller.js';
+import {CatalogueWatch} from './catalogue_watch.js';
 import {describeHeldSystem, HeldSystem} from './held_system.js';
 import {layOut, MemberLayout, Profile} from './layout.js';
 import {readCounts} from './read_counts.js';
@@ -81,6 +82,7 @@
   private async demonstrate(): Promise<DemoReport> {
     const {profile} = this.system.layout;
     const addedLatencyMicroseconds = await this.addedLatency();
+    const catalogue = CatalogueWatch.start(this.system, this.timer);
     const workloads = await Promise.all(
       profile.databases.map(database => this.startWorkload(database)),
     );
@@ -88,15 +90,23 @@
     const configurationInForceMilliseconds = await this.changeLimit();
     const workAfterDrain = await this.drainReplica();
     const failoverGapMilliseconds = await this.killPrimary(workloads);
+    const replicaReadShare = await this.replicaReadShare();
+    const requestsCutByShutdown = await this.shutDownMachine();
+    const catalogueReverted = await catalogue.finish();
     const reports = await Promise.all(workloads.map(load => load.finish()));
     const report: DemoReport = {
       statements: sum(reports.map(({statements}) => statements)),
       reads: sum(reports.map(({reads}) => reads)),
-      replicaReadShare: await this.replicaReadShare(),
+      replicaReadShare,
       failoverGapMilliseconds,
       configurationInForceMilliseconds,
       addedLatencyMicroseconds,
-      violations: {...addUp(reports), workAfterDrain},
+      violations: {
+        ...addUp(reports),
+        workAfterDrain,
+        requestsCutByShutdown,
+        catalogueReverted,
+      },
     };
     printTable(report);
     return report;
@@ -179,6 +189,15 @@
     return Math.round(workload?.longestWriteGapMilliseconds ?? 0);
   }
 
+  /** Ends an entry VM's process under load; 1 if it had to cut a request. */
+  private async shutDownMachine(): Promise<number> {
+    const [machine] = this.system.layout.machines.slice(-1);
+    const name = machine?.name ?? '';
+    this.system.processes.signal(name, 'SIGTERM');
+    const exitCode = await this.system.processes.ended(name);
+    return exitCode === 0 ? 0 : 1;
+  }
+
   private async replicaReadShare(): Promise<number> {
     const {byReplica, byPrimary} = await readCounts(
       this.system.layout.machines.map(machine =>
