--- a/packages/checks/src/index.ts
+++ b/packages/checks/src/index.ts
@@ -5,6 +5,7 @@
  */
 export {importCycle, importFaults} from './import_graph.js';
 export {readKnownRed, type KnownRed} from './known_red.js';
+export {promisesFaults} from './promises_page.js';
 export {referencePage} from './reference_page.js';
 export {judge, type TestReport, type TestVerdict} from './test_verdict.js';
 export {
--- /dev/null
+++ b/packages/checks/src/promises_page.ts
@@ -0,0 +1,29 @@
+import {existsSync, readFileSync} from 'node:fs';
+import {join} from 'node:path';
+
+const TEST_PATTERN = /`([a-z]+\/test\/[a-z_]+\.ts)`: ((?:“[^”]+”(?:, )?)+)/g;
+const TITLE_PATTERN = /“([^”]+)”/g;
+
+/** Tests that docs/PROMISES.md names and that are not in their file. */
+export function promisesFaults(root: string): readonly string[] {
+  const path = join(root, 'docs', 'PROMISES.md');
+  if (!existsSync(path)) return ['docs/PROMISES.md is missing'];
+  const page = readFileSync(path, 'utf8');
+  return [...page.matchAll(TEST_PATTERN)].flatMap(([, file, titles]) =>
+    missingTitles(root, file ?? '', titles ?? ''),
+  );
+}
+
+function missingTitles(
+  root: string,
+  file: string,
+  titles: string,
+): readonly string[] {
+  const path = join(root, 'packages', file);
+  if (!existsSync(path)) return [`docs/PROMISES.md names ${file}: no file`];
+  const text = readFileSync(path, 'utf8');
+  return [...titles.matchAll(TITLE_PATTERN)]
+    .map(([, title]) => title ?? '')
+    .filter(title => !text.includes(title))
+    .map(title => `docs/PROMISES.md names “${title}”: not in ${file}`);
+}
