Send the frames of one turn of the event loop as one message

Cause: a remote statement took seven WebSocket messages, each a system call at both ends; writeBuffer and writev led the processor profile (17 to 20 %).

--- a/packages/peer/src/peer_frame.ts
+++ b/packages/peer/src/peer_frame.ts
@@ -32,20 +32,20 @@
 
 const packr = new Packr({useRecords: false});
 
-/** Encodes a frame as MessagePack. */
+/** Encodes a frame as MessagePack; encoded frames may be joined. */
 export function encodeFrame(frame: PeerFrame): Buffer {
   return packr.pack(frame);
 }
 
-/** Decodes a frame; `undefined` for anything that is not one. */
-export function decodeFrame(bytes: Buffer): PeerFrame | undefined {
-  let value: unknown;
+/** Decodes frames; `undefined` if there is anything that is not one. */
+export function decodeFrames(bytes: Buffer): readonly PeerFrame[] | undefined {
+  let values: readonly unknown[];
   try {
-    value = packr.unpack(bytes);
+    values = packr.unpackMultiple(bytes) as readonly unknown[];
   } catch {
     return undefined;
   }
-  return isFrame(value) ? value : undefined;
+  return values.every(isFrame) ? values : undefined;
 }
 
 function isFrame(value: unknown): value is PeerFrame {
--- a/packages/peer/src/peer_link.ts
+++ b/packages/peer/src/peer_link.ts
@@ -6,12 +6,12 @@
 import {PeerCall, PeerConversation} from './peer_call.js';
 import {LinkChannel, PeerChannel} from './peer_channel.js';
 import {PeerError} from './peer_error.js';
-import {decodeFrame, encodeFrame, PeerFrame} from './peer_frame.js';
+import {decodeFrames, PeerFrame} from './peer_frame.js';
+import {sendFrame} from './frame_sender.js';
 
 const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
 const PING_PERIOD_MILLISECONDS = 400;
 const SILENCE_LIMIT_MILLISECONDS = 1_200;
-const MAXIMUM_UNSENT_BYTES = 64 << 20;
 
 /** How links are made. */
 export interface LinkOptions {
@@ -160,11 +160,12 @@
   }
 
   private received(data: Buffer): void {
-    const frame = decodeFrame(data);
-    if (frame === undefined) {
-      this.socket?.terminate();
-      return;
-    }
+    const frames = decodeFrames(data);
+    if (frames === undefined) this.socket?.terminate();
+    else for (const frame of frames) this.take(frame);
+  }
+
+  private take(frame: PeerFrame): void {
     if (frame.kind === 'answer' || frame.kind === 'refusal') {
       this.calls.get(frame.id)?.resolve(frame);
     } else if (frame.kind === 'down') {
@@ -191,20 +192,6 @@
   }
 }
 
-/** Sends a frame unless the socket is closed or holds too much already. */
-export function sendFrame(
-  socket: WebSocket | undefined,
-  frame: PeerFrame,
-): boolean {
-  if (socket?.readyState !== WebSocket.OPEN) return false;
-  if (socket.bufferedAmount > MAXIMUM_UNSENT_BYTES) {
-    socket.terminate();
-    return false;
-  }
-  socket.send(encodeFrame(frame));
-  return true;
-}
-
 /**
  * Ends a socket on which nothing has come for too long: something between the
  * two ends may have lost track of it while new connections work.
--- a/packages/peer/src/web_socket_peer_network.ts
+++ b/packages/peer/src/web_socket_peer_network.ts
@@ -7,13 +7,9 @@
 import {PeerCall, PeerConversation} from './peer_call.js';
 import {LinkChannel, PeerChannel} from './peer_channel.js';
 import {PeerError} from './peer_error.js';
-import {decodeFrame, PeerFrame} from './peer_frame.js';
-import {
-  LinkOptions,
-  PeerLink,
-  sendFrame,
-  watchForSilence,
-} from './peer_link.js';
+import {sendFrame} from './frame_sender.js';
+import {decodeFrames, PeerFrame} from './peer_frame.js';
+import {LinkOptions, PeerLink, watchForSilence} from './peer_link.js';
 import {CallHandler, ConversationHandler, PeerNetwork} from './peer_network.js';
 
 type AnyCall = (body: unknown) => Promise<Either<string, unknown>>;
@@ -147,9 +143,9 @@
       link.lost();
     });
     socket.on('message', (data: Buffer) => {
-      const frame = decodeFrame(data);
-      if (frame === undefined) socket.terminate();
-      else this.received(link, frame);
+      const frames = decodeFrames(data);
+      if (frames === undefined) socket.terminate();
+      else for (const frame of frames) this.received(link, frame);
     });
   }
 
