Bound what a peer link holds, prove both of its sides, and find silent links

Cause: a conversation queued without a bound, the shared key travelled in the clear, links were kept for ever, and strangers were not bounded. Conclusion: memory of either side no longer depends on the other's pace.

--- a/packages/apricotlock/src/entry_operator_backend.ts
+++ b/packages/apricotlock/src/entry_operator_backend.ts
@@ -1,4 +1,5 @@
 import {Either} from 'purify-ts';
+import {z} from 'zod';
 import {
   AuditRecord,
   CommandAnswer,
@@ -14,7 +15,7 @@
   ServerReport,
   StatusReport,
 } from '@apricotlock/operator';
-import {PeerCall, PeerNetwork} from '@apricotlock/peer';
+import {checkWith, PeerCall, PeerNetwork} from '@apricotlock/peer';
 import {TimerService} from '@apricotlock/timer';
 import {
   Catalogue,
@@ -37,8 +38,8 @@
   {readonly index: number}
 >(
   'entry.viewIndex',
-  candidate => candidate as {wanted: number} | undefined,
-  candidate => candidate as {index: number} | undefined,
+  checkWith(z.strictObject({wanted: z.int().min(0)})),
+  checkWith(z.strictObject({index: z.int().min(0)})),
 );
 
 const DRAIN = PeerCall.define<
@@ -46,8 +47,8 @@
   {readonly draining: boolean}
 >(
   'entry.drain',
-  candidate => candidate as {name: string} | undefined,
-  candidate => candidate as {draining: boolean} | undefined,
+  checkWith(z.strictObject({name: z.string()})),
+  checkWith(z.strictObject({draining: z.boolean()})),
 );
 
 /** What the operators' API needs of the process. */
--- a/packages/backend/src/backend_connection.ts
+++ b/packages/backend/src/backend_connection.ts
@@ -36,8 +36,8 @@
   readonly answers: number;
   /** Asks the member for its position once it has answered the rest. */
   readonly positionQuery: Buffer;
-  /** Takes the answer's messages as they come. */
-  readonly relay: (bytes: Buffer) => void;
+  /** Takes the answer's messages as they come; the next ones wait for it. */
+  readonly relay: (bytes: Buffer) => Promise<void>;
 }
 
 /** One connection to a member. At most one exchange is under way on it. */
@@ -142,10 +142,10 @@
         if (frame.type !== BackendType.READY_FOR_QUERY) continue;
         owed -= 1;
         if (owed > 0) continue;
-        exchange.relay(Buffer.concat(relayed));
+        await exchange.relay(Buffer.concat(relayed));
         return readReadyForQuery(frame);
       }
-      if (relayed.length > 0) exchange.relay(Buffer.concat(relayed));
+      if (relayed.length > 0) await exchange.relay(Buffer.concat(relayed));
       if (!(await this.readMore())) return undefined;
     }
   }
--- a/packages/backend/src/lease_server.ts
+++ b/packages/backend/src/lease_server.ts
@@ -120,7 +120,10 @@
       answers: message.answers,
       positionQuery:
         role === 'primary' ? PRIMARY_POSITION_QUERY : REPLICA_POSITION_QUERY,
-      relay: bytes => this.channel.send({kind: 'answer', bytes}),
+      relay: bytes => {
+        this.channel.send({kind: 'answer', bytes});
+        return this.channel.writable();
+      },
     });
     if (ended.isLeft()) {
       this.channel.send({kind: 'lost', sent: true});
--- a/packages/backend/src/overload_memory.ts
+++ b/packages/backend/src/overload_memory.ts
@@ -67,6 +67,10 @@
     return this.inner.send(message);
   }
 
+  override writable(): Promise<void> {
+    return this.inner.writable();
+  }
+
   override async receive(): Promise<LeaseDown | undefined> {
     const message = await this.inner.receive();
     if (message?.kind === 'refused' && message.refusal.kind === 'overloaded') {
--- a/packages/failover/src/failover_messages.ts
+++ b/packages/failover/src/failover_messages.ts
@@ -1,4 +1,12 @@
-import {PeerCall} from '@apricotlock/peer';
+import {z} from 'zod';
+import {checkWith, PeerCall} from '@apricotlock/peer';
+
+const suspicionSchema = z.strictObject({
+  database: z.string(),
+  term: z.int().min(0),
+  reporter: z.string(),
+  refused: z.boolean(),
+});
 
 /** What a watcher of a group says when it cannot reach the primary. */
 export interface Suspicion {
@@ -12,14 +20,6 @@
 /** Tells the leader of the control quorum of a suspicion. */
 export const SUSPECT = PeerCall.define<Suspicion, {readonly heard: boolean}>(
   'failover.suspect',
-  candidate => shaped<Suspicion>(candidate, 'database', 'term', 'reporter'),
-  candidate => shaped<{heard: boolean}>(candidate, 'heard'),
+  checkWith(suspicionSchema),
+  checkWith(z.strictObject({heard: z.boolean()})),
 );
-
-function shaped<T extends object>(
-  candidate: unknown,
-  ...names: readonly string[]
-): T | undefined {
-  if (typeof candidate !== 'object' || candidate === null) return undefined;
-  return names.every(name => name in candidate) ? (candidate as T) : undefined;
-}
--- a/packages/membership/src/swim_membership.ts
+++ b/packages/membership/src/swim_membership.ts
@@ -39,8 +39,9 @@
 const PUBLISH_DELAY_MILLISECONDS = 10;
 const SYNCHRONIZE_EVERY_PERIODS = 20;
 const RECONNECT_EVERY_PERIODS = 8;
+const SETTLED_AFTER_MILLISECONDS = 10_000;
 const FORGET_EVERY_PERIODS = 240;
-const MAXIMUM_SYNCHRONIZATION_DATAGRAMS = 8;
+const MAXIMUM_SYNCHRONIZATION_DATAGRAMS = 16;
 
 /** What SWIM needs. */
 export interface SwimOptions {
@@ -74,6 +75,7 @@
   private readonly stopRounds: Unsubscribe;
   private own: MemberRecord;
   private rounds = 0;
+  private newsAt = 0;
   private behind = true;
   private publishing = false;
   private left = false;
@@ -226,6 +228,7 @@
     const {name, state} = record.machine;
     const known = this.table.find(name);
     if (!this.table.offer(record)) return false;
+    this.newsAt = this.options.timer.now();
     if (spread) this.updates.push(record);
     this.publishSoon();
     // One newcomer is seldom alone.
@@ -300,7 +303,11 @@
   }
 
   private compare(from: Address, digest: Uint8Array, answers: boolean): void {
-    if (this.table.matches(digest)) return;
+    if (this.table.matches(digest)) {
+      const quiet = this.options.timer.now() - this.newsAt;
+      if (quiet > SETTLED_AFTER_MILLISECONDS) this.updates.settle();
+      return;
+    }
     const lists = intoDatagrams(this.table.differing(digest));
     const first = Math.floor(this.random() * lists.length);
     const count = Math.min(lists.length, MAXIMUM_SYNCHRONIZATION_DATAGRAMS);
--- a/packages/membership/src/update_queue.ts
+++ b/packages/membership/src/update_queue.ts
@@ -33,6 +33,16 @@
     this.updates = [{record, sent: 0}, ...others].slice(0, MAXIMUM_UPDATES);
   }
 
+  /**
+   * Drops what the digests of two tables cover. When they agree, what a start
+   * of many processes has left in the queue is known everywhere.
+   */
+  settle(): void {
+    this.updates = this.updates.filter(
+      ({record}) => record.standing === 'suspect',
+    );
+  }
+
   /**
    * Takes records for one datagram among `processes` live ones, as long as
    * `fits` holds; each call counts as one time that they were sent.
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -17,7 +17,10 @@
   type CallHandler,
   type ConversationHandler,
 } from './peer_network.js';
-export {ringOf, type SecretRing} from './secret_ring.js';
+export {checkWith} from './schema_check.js';
+export {ringFrom, ringOf, type SecretRing} from './secret_ring.js';
+export {StrangerGuard} from './stranger_guard.js';
+export {type TlsIdentity} from './tls_identity.js';
 export {
   WebSocketPeerNetwork,
   type PeerNetworkOptions,
--- a/packages/peer/src/peer_frame.ts
+++ b/packages/peer/src/peer_frame.ts
@@ -18,8 +18,19 @@
     }
   | {readonly kind: 'up'; readonly id: number; readonly body: unknown}
   | {readonly kind: 'down'; readonly id: number; readonly body: unknown}
+  | {
+      readonly kind: 'credit';
+      readonly id: number;
+      readonly bytes: number;
+    }
   | {readonly kind: 'end'; readonly id: number; readonly from: 'up' | 'down'};
 
+/** A frame with the bytes that it took. */
+export interface ReceivedFrame {
+  readonly frame: PeerFrame;
+  readonly bytes: number;
+}
+
 const FRAME_KINDS: ReadonlySet<unknown> = new Set([
   'request',
   'answer',
@@ -27,6 +38,7 @@
   'open',
   'up',
   'down',
+  'credit',
   'end',
 ]);
 
@@ -38,20 +50,29 @@
 }
 
 /** Decodes frames; `undefined` if there is anything that is not one. */
-export function decodeFrames(bytes: Buffer): readonly PeerFrame[] | undefined {
-  let values: readonly unknown[];
+export function decodeFrames(
+  message: Buffer,
+): readonly ReceivedFrame[] | undefined {
+  const received: ReceivedFrame[] = [];
+  let wellFormed = true;
   try {
-    values = packr.unpackMultiple(bytes) as readonly unknown[];
+    packr.unpackMultiple(message, (value, start = 0, end = 0) => {
+      wellFormed = isFrame(value);
+      if (!wellFormed) return false;
+      received.push({frame: value as PeerFrame, bytes: end - start});
+      return true;
+    });
   } catch {
     return undefined;
   }
-  return values.every(isFrame) ? values : undefined;
+  return wellFormed ? received : undefined;
 }
 
 function isFrame(value: unknown): value is PeerFrame {
   if (typeof value !== 'object' || value === null) return false;
-  const {kind, id, name} = value as Record<string, unknown>;
+  const {kind, id, name, bytes} = value as Record<string, unknown>;
   if (!FRAME_KINDS.has(kind) || !Number.isSafeInteger(id)) return false;
+  if (kind === 'credit') return Number.isSafeInteger(bytes);
   const named = kind === 'request' || kind === 'open';
   return !named || typeof name === 'string';
 }
--- a/packages/peer/src/peer_link.ts
+++ b/packages/peer/src/peer_link.ts
@@ -1,22 +1,28 @@
+import {match, P} from 'ts-pattern';
 import {Either, Left, Right} from 'purify-ts';
 import {WebSocket} from 'ws';
-import {Deferred, TIMED_OUT, withTimeout} from '@apricotlock/flow';
+import {Deferred, Observable, TIMED_OUT, withTimeout} from '@apricotlock/flow';
 import {TimerService} from '@apricotlock/timer';
+import {sendEncoded, sendFrame} from './frame_sender.js';
+import {watchForSilence} from './link_watch.js';
 import {Address} from './peer_address.js';
 import {PeerCall, PeerConversation} from './peer_call.js';
-import {LinkChannel, PeerChannel} from './peer_channel.js';
+import {ChannelCarrier, LinkChannel, PeerChannel} from './peer_channel.js';
+import {dialPeer} from './peer_dial.js';
 import {PeerError} from './peer_error.js';
-import {decodeFrames, PeerFrame} from './peer_frame.js';
-import {sendFrame} from './frame_sender.js';
+import {decodeFrames, encodeFrame, PeerFrame} from './peer_frame.js';
+import {SecretRing} from './secret_ring.js';
+import {TlsIdentity} from './tls_identity.js';
 
-const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
-const PING_PERIOD_MILLISECONDS = 400;
-const SILENCE_LIMIT_MILLISECONDS = 1_200;
+const MAXIMUM_OPEN_CALLS = 16_384;
 
 /** How links are made. */
 export interface LinkOptions {
   readonly timer: TimerService;
-  readonly key: string;
+  /** The keys that prove a peer, or the only one if it never changes. */
+  readonly key: string | Observable<SecretRing>;
+  /** Without it links are in the clear: for tests on one machine. */
+  readonly tls?: Observable<TlsIdentity | undefined>;
   readonly maximumMessageBytes: number;
 }
 
@@ -28,48 +34,45 @@
   private socket: WebSocket | undefined;
   private ready: Promise<Either<PeerError, WebSocket>> | undefined;
   private nextId = 1;
+  private usedAt: number;
   private readonly calls = new Map<number, Deferred<PeerFrame | undefined>>();
   private readonly channels = new Map<number, LinkChannel<unknown, unknown>>();
 
   private constructor(
     private readonly to: Address,
     private readonly options: LinkOptions,
-  ) {}
+  ) {
+    this.usedAt = options.timer.now();
+  }
 
   /** A link that is not connected yet. */
   static create(to: Address, options: LinkOptions): PeerLink {
     return new PeerLink(to, options);
   }
 
+  /** How long nothing has been under way on it, in milliseconds. */
+  get idleMilliseconds(): number {
+    return this.busy ? 0 : this.options.timer.now() - this.usedAt;
+  }
+
   /** Sends a request and waits for its answer. */
   async call<Request, Answer>(
     call: PeerCall<Request, Answer>,
     request: Request,
     timeoutMilliseconds: number,
   ): Promise<Either<PeerError, Answer>> {
-    const connected = await this.connected();
-    if (connected.isLeft()) return connected as Either<PeerError, never>;
+    if (this.calls.size >= MAXIMUM_OPEN_CALLS) return Left(LINK_FULL);
     const id = this.nextId++;
     const deferred = Deferred.create<PeerFrame | undefined>();
     this.calls.set(id, deferred);
-    const sent = this.send({
-      kind: 'request',
-      id,
-      name: call.name,
-      body: request,
-    });
-    if (!sent) {
-      this.calls.delete(id);
-      return Left({kind: 'notSent', reason: 'the link is full or closed'});
-    }
-    const {timer} = this.options;
-    const frame = await withTimeout(
-      timer,
+    const answer = await this.exchange(
+      {kind: 'request', id, name: call.name, body: request},
+      deferred,
       timeoutMilliseconds,
-      deferred.promise,
     );
     this.calls.delete(id);
-    return readAnswer(call, frame);
+    this.usedAt = this.options.timer.now();
+    return answer.chain(frame => readAnswer(call, frame));
   }
 
   /** Opens a conversation; its channel ends if the link is lost. */
@@ -78,30 +81,23 @@
     opening: Opening,
   ): PeerChannel<Up, Down> {
     const id = this.nextId++;
-    const waiting: PeerFrame[] = [
-      {kind: 'open', id, name: conversation.name, body: opening},
-    ];
+    const {name} = conversation;
+    const kept = [encodeFrame({kind: 'open', id, name, body: opening})];
     let carried = false;
-    const sendOrKeep = (frame: PeerFrame) => {
-      if (carried) return this.send(frame);
-      waiting.push(frame);
+    const sendOrKeep = (encoded: Buffer) => {
+      if (carried) return this.sendEncoded(encoded);
+      kept.push(encoded);
       return true;
     };
     const channel = LinkChannel.over<Up, Down>(
-      {
-        send: body => sendOrKeep({kind: 'up', id, body}),
-        ended: () => {
-          this.channels.delete(id);
-          sendOrKeep({kind: 'end', id, from: 'up'});
-        },
-      },
+      this.carrier(id, sendOrKeep),
       conversation.checkDown,
     );
     this.channels.set(id, channel as LinkChannel<unknown, unknown>);
     void this.connected().then(connected => {
       carried = true;
       const sent =
-        connected.isRight() && waiting.every(frame => this.send(frame));
+        connected.isRight() && kept.every(frame => this.sendEncoded(frame));
       if (!sent) this.closeChannel(id);
     });
     return channel;
@@ -112,6 +108,45 @@
     this.socket?.terminate();
   }
 
+  private get busy(): boolean {
+    return this.calls.size > 0 || this.channels.size > 0;
+  }
+
+  private carrier(
+    id: number,
+    send: (encoded: Buffer) => boolean,
+  ): ChannelCarrier {
+    return {
+      prepare: body => {
+        const encoded = encodeFrame({kind: 'up', id, body});
+        return {bytes: encoded.length, transmit: () => send(encoded)};
+      },
+      credit: bytes => this.send({kind: 'credit', id, bytes}),
+      ended: () => {
+        this.channels.delete(id);
+        this.usedAt = this.options.timer.now();
+        send(encodeFrame({kind: 'end', id, from: 'up'}));
+      },
+    };
+  }
+
+  private async exchange(
+    request: PeerFrame,
+    answer: Deferred<PeerFrame | undefined>,
+    timeoutMilliseconds: number,
+  ): Promise<Either<PeerError, PeerFrame>> {
+    const connected = await this.connected();
+    if (connected.isLeft()) return connected as Either<PeerError, never>;
+    if (!this.send(request)) return Left(LINK_FULL);
+    const frame = await withTimeout(
+      this.options.timer,
+      timeoutMilliseconds,
+      answer.promise,
+    );
+    if (frame === TIMED_OUT) return Left(NO_ANSWER_IN_TIME);
+    return frame === undefined ? Left(LINK_LOST) : Right(frame);
+  }
+
   private connected(): Promise<Either<PeerError, WebSocket>> {
     if (this.socket?.readyState === WebSocket.OPEN) {
       return Promise.resolve(Right(this.socket));
@@ -123,35 +158,19 @@
   }
 
   private async connect(): Promise<Either<PeerError, WebSocket>> {
-    const {host, port} = this.to;
-    const socket = new WebSocket(`ws://${host}:${port}/`, {
-      headers: {authorization: `Bearer ${this.options.key}`},
-      maxPayload: this.options.maximumMessageBytes,
-      perMessageDeflate: false,
-      skipUTF8Validation: true,
-    });
-    const opened = Deferred.create<Either<PeerError, WebSocket>>();
-    socket.on('open', () => opened.resolve(Right(socket)));
-    socket.on('error', error => {
-      opened.resolve(Left({kind: 'notSent', reason: error.message}));
-    });
-    const {timer} = this.options;
-    const outcome = await withTimeout(
-      timer,
-      CONNECT_TIMEOUT_MILLISECONDS,
-      opened.promise,
-    );
-    if (outcome === TIMED_OUT) {
-      socket.terminate();
-      return Left({kind: 'notSent', reason: 'no connection in time'});
-    }
-    if (outcome.isRight()) this.adopt(socket);
-    return outcome;
+    const dialled = await dialPeer(this.to, this.options);
+    dialled.ifRight(socket => this.adopt(socket));
+    return dialled;
   }
 
   private adopt(socket: WebSocket): void {
     this.socket = socket;
-    const stopWatching = watchForSilence(socket, this.options.timer);
+    const stopWatching = watchForSilence({
+      socket,
+      timer: this.options.timer,
+      busy: () => this.busy,
+      pings: true,
+    });
     socket.on('message', (data: Buffer) => this.received(data));
     socket.on('close', () => {
       stopWatching();
@@ -162,17 +181,23 @@
   private received(data: Buffer): void {
     const frames = decodeFrames(data);
     if (frames === undefined) this.socket?.terminate();
-    else for (const frame of frames) this.take(frame);
+    else for (const {frame, bytes} of frames) this.take(frame, bytes);
   }
 
-  private take(frame: PeerFrame): void {
-    if (frame.kind === 'answer' || frame.kind === 'refusal') {
-      this.calls.get(frame.id)?.resolve(frame);
-    } else if (frame.kind === 'down') {
-      this.channels.get(frame.id)?.deliver(frame.body);
-    } else if (frame.kind === 'end') {
-      this.closeChannel(frame.id);
-    }
+  private take(frame: PeerFrame, bytes: number): void {
+    const {id} = frame;
+    match(frame)
+      .with({kind: P.union('answer', 'refusal')}, answer =>
+        this.calls.get(id)?.resolve(answer),
+      )
+      .with({kind: 'down'}, ({body}) =>
+        this.channels.get(id)?.deliver(body, bytes),
+      )
+      .with({kind: 'credit'}, credit =>
+        this.channels.get(id)?.credited(credit.bytes),
+      )
+      .with({kind: 'end'}, () => this.closeChannel(id))
+      .otherwise(() => this.socket?.terminate());
   }
 
   private lost(socket: WebSocket): void {
@@ -185,44 +210,33 @@
   private closeChannel(id: number): void {
     this.channels.get(id)?.closed();
     this.channels.delete(id);
+    this.usedAt = this.options.timer.now();
   }
 
   private send(frame: PeerFrame): boolean {
-    return sendFrame(this.socket, frame);
+    return sendFrame(this.socket, frame, this.options.maximumMessageBytes);
   }
-}
 
-/**
- * Ends a socket on which nothing has come for too long: something between the
- * two ends may have lost track of it while new connections work.
- */
-export function watchForSilence(
-  socket: WebSocket,
-  timer: TimerService,
-): () => void {
-  let heardAt = timer.now();
-  const heard = () => {
-    heardAt = timer.now();
-  };
-  socket.on('message', heard);
-  socket.on('pong', heard);
-  socket.on('ping', heard);
-  return timer.every(PING_PERIOD_MILLISECONDS, () => {
-    if (timer.now() - heardAt > SILENCE_LIMIT_MILLISECONDS) socket.terminate();
-    else if (socket.readyState === WebSocket.OPEN) socket.ping();
-  });
+  private sendEncoded(encoded: Buffer): boolean {
+    const {maximumMessageBytes} = this.options;
+    return sendEncoded(this.socket, encoded, maximumMessageBytes);
+  }
 }
 
+const LINK_FULL: PeerError = {
+  kind: 'notSent',
+  reason: 'the link is full or closed, or the message too large',
+};
+const LINK_LOST: PeerError = {kind: 'noAnswer', reason: 'the link was lost'};
+const NO_ANSWER_IN_TIME: PeerError = {
+  kind: 'noAnswer',
+  reason: 'no answer in time',
+};
+
 function readAnswer<Request, Answer>(
   call: PeerCall<Request, Answer>,
-  frame: PeerFrame | typeof TIMED_OUT | undefined,
+  frame: PeerFrame,
 ): Either<PeerError, Answer> {
-  if (frame === TIMED_OUT) {
-    return Left({kind: 'noAnswer', reason: 'no answer in time'});
-  }
-  if (frame === undefined) {
-    return Left({kind: 'noAnswer', reason: 'the link was lost'});
-  }
   if (frame.kind === 'refusal') {
     return Left({kind: 'refused', reason: frame.reason});
   }
--- a/packages/peer/src/web_socket_peer_network.ts
+++ b/packages/peer/src/web_socket_peer_network.ts
@@ -1,16 +1,16 @@
-import {timingSafeEqual} from 'node:crypto';
-import {createServer, IncomingMessage, Server} from 'node:http';
+import {match} from 'ts-pattern';
 import {Either} from 'purify-ts';
-import {WebSocket, WebSocketServer} from 'ws';
-import {Logger} from '@apricotlock/logging';
+import {WebSocket} from 'ws';
+import {Unsubscribe} from '@apricotlock/timer';
+import {AcceptedLink} from './accepted_link.js';
 import {Address, addressKey} from './peer_address.js';
 import {PeerCall, PeerConversation} from './peer_call.js';
-import {LinkChannel, PeerChannel} from './peer_channel.js';
+import {PeerChannel} from './peer_channel.js';
 import {PeerError} from './peer_error.js';
-import {sendFrame} from './frame_sender.js';
 import {decodeFrames, PeerFrame} from './peer_frame.js';
-import {LinkOptions, PeerLink, watchForSilence} from './peer_link.js';
+import {PeerLink} from './peer_link.js';
 import {CallHandler, ConversationHandler, PeerNetwork} from './peer_network.js';
+import {PeerServer, PeerServerOptions} from './peer_server.js';
 
 type AnyCall = (body: unknown) => Promise<Either<string, unknown>>;
 type AnyConversation = (
@@ -19,54 +19,44 @@
   id: number,
 ) => void;
 
+const IDLE_LIMIT_MILLISECONDS = 30_000;
+const IDLE_CHECK_MILLISECONDS = 5_000;
+const QUIET_POLL_MILLISECONDS = 20;
+
 /** Options of {@link WebSocketPeerNetwork}. */
-export interface PeerNetworkOptions extends LinkOptions {
-  readonly listen: Address;
-  readonly logger: Logger;
-}
+export type PeerNetworkOptions = PeerServerOptions;
 
 /** Calls between processes over WebSocket links, with MessagePack. */
 export class WebSocketPeerNetwork extends PeerNetwork {
   private readonly links = new Map<string, PeerLink>();
   private readonly calls = new Map<string, AnyCall>();
   private readonly conversations = new Map<string, AnyConversation>();
+  /** How many conversations of each name are being served. */
+  private readonly served = new Map<string, number>();
+  private server: PeerServer | undefined;
+  private readonly stopSweeping: Unsubscribe;
 
-  private constructor(
-    private readonly options: PeerNetworkOptions,
-    private readonly server: Server,
-    private readonly sockets: WebSocketServer,
-  ) {
+  private constructor(private readonly options: PeerNetworkOptions) {
     super();
-    sockets.on('connection', socket => this.accept(socket));
+    this.stopSweeping = options.timer.every(IDLE_CHECK_MILLISECONDS, () =>
+      this.closeIdleLinks(),
+    );
   }
 
   /** Starts to listen. Throws if the address can't be had. */
   static async start(
     options: PeerNetworkOptions,
   ): Promise<WebSocketPeerNetwork> {
-    const server = createServer((_request, response) => {
-      response.writeHead(404).end();
-    });
-    const sockets = new WebSocketServer({
-      noServer: true,
-      maxPayload: options.maximumMessageBytes,
-      perMessageDeflate: false,
-      skipUTF8Validation: true,
-    });
-    server.on('upgrade', (request, socket, head) => {
-      if (!hasKey(request, options.key)) {
-        socket.end('HTTP/1.1 401 Unauthorized\r\nConnection: close\r\n\r\n');
-        return;
-      }
-      sockets.handleUpgrade(request, socket, head, accepted => {
-        sockets.emit('connection', accepted, request);
-      });
-    });
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(options.listen.port, options.listen.host, resolve);
-    });
-    return new WebSocketPeerNetwork(options, server, sockets);
+    const network = new WebSocketPeerNetwork(options);
+    network.server = await PeerServer.start(options, socket =>
+      network.accept(socket),
+    );
+    return network;
+  }
+
+  /** How many links this process has dialled and keeps. */
+  get dialledLinks(): number {
+    return this.links.size;
   }
 
   override call<Request, Answer>(
@@ -108,6 +98,7 @@
         channel.end();
         return;
       }
+      this.count(conversation.name, 1);
       handler(opening.unsafeCoerce(), channel)
         .catch((failure: unknown) => {
           this.options.logger.error('a conversation failed', {
@@ -115,14 +106,30 @@
             failure: String(failure),
           });
         })
-        .finally(() => channel.end());
+        .finally(() => {
+          this.count(conversation.name, -1);
+          channel.end();
+        });
     });
   }
 
+  override async untilQuiet<Opening, Up, Down>(
+    conversation: PeerConversation<Opening, Up, Down>,
+    deadlineMilliseconds: number,
+  ): Promise<number> {
+    const {timer} = this.options;
+    const deadline = timer.now() + deadlineMilliseconds;
+    const open = () => this.served.get(conversation.name) ?? 0;
+    while (open() > 0 && timer.now() < deadline) {
+      await timer.sleep(QUIET_POLL_MILLISECONDS);
+    }
+    return open();
+  }
+
   override async close(): Promise<void> {
+    this.stopSweeping();
     for (const link of this.links.values()) link.close();
-    for (const socket of this.sockets.clients) socket.terminate();
-    await new Promise<void>(resolve => this.server.close(() => resolve()));
+    await this.server?.close();
   }
 
   private linkTo(to: Address): PeerLink {
@@ -134,26 +141,34 @@
     return link;
   }
 
+  private closeIdleLinks(): void {
+    for (const [key, link] of this.links) {
+      if (link.idleMilliseconds < IDLE_LIMIT_MILLISECONDS) continue;
+      this.links.delete(key);
+      link.close();
+    }
+  }
+
   private accept(socket: WebSocket): void {
-    const link = AcceptedLink.of(socket);
-    const stopWatching = watchForSilence(socket, this.options.timer);
-    socket.on('error', () => socket.terminate());
-    socket.on('close', () => {
-      stopWatching();
-      link.lost();
-    });
+    const {timer, maximumMessageBytes} = this.options;
+    const link = AcceptedLink.of(socket, timer, maximumMessageBytes);
     socket.on('message', (data: Buffer) => {
       const frames = decodeFrames(data);
-      if (frames === undefined) socket.terminate();
-      else for (const frame of frames) this.received(link, frame);
+      if (frames === undefined) link.terminate();
+      else for (const {frame, bytes} of frames) this.take(link, frame, bytes);
     });
   }
 
-  private received(link: AcceptedLink, frame: PeerFrame): void {
-    if (frame.kind === 'request') void this.answer(link, frame);
-    else if (frame.kind === 'open') this.open(link, frame);
-    else if (frame.kind === 'up') link.deliver(frame.id, frame.body);
-    else if (frame.kind === 'end') link.closed(frame.id);
+  private take(link: AcceptedLink, frame: PeerFrame, bytes: number): void {
+    match(frame)
+      .with({kind: 'request'}, request => {
+        void link.serve(request.id, () => this.answer(link, request));
+      })
+      .with({kind: 'open'}, opening => this.open(link, opening))
+      .with({kind: 'up'}, ({id, body}) => link.deliver(id, body, bytes))
+      .with({kind: 'credit'}, credit => link.credited(credit.id, credit.bytes))
+      .with({kind: 'end'}, ({id}) => link.closed(id))
+      .otherwise(() => link.terminate());
   }
 
   private async answer(
@@ -185,62 +200,14 @@
     frame: Extract<PeerFrame, {kind: 'open'}>,
   ): void {
     const handler = this.conversations.get(frame.name);
-    if (handler === undefined) {
+    if (handler === undefined || !link.hasRoom) {
       link.send({kind: 'end', id: frame.id, from: 'down'});
       return;
     }
     handler(frame.body, link, frame.id);
   }
-}
-
-/** The accepting side of a link. */
-class AcceptedLink {
-  private readonly channels = new Map<number, LinkChannel<unknown, unknown>>();
-
-  private constructor(private readonly socket: WebSocket) {}
-
-  static of(socket: WebSocket): AcceptedLink {
-    return new AcceptedLink(socket);
-  }
 
-  send(frame: PeerFrame): boolean {
-    return sendFrame(this.socket, frame);
+  private count(name: string, difference: number): void {
+    this.served.set(name, (this.served.get(name) ?? 0) + difference);
   }
-
-  openChannel<Sent, Received>(
-    id: number,
-    check: (candidate: unknown) => Received | undefined,
-  ): PeerChannel<Sent, Received> {
-    const channel = LinkChannel.over<Sent, Received>(
-      {
-        send: body => this.send({kind: 'down', id, body}),
-        ended: () => {
-          this.channels.delete(id);
-          this.send({kind: 'end', id, from: 'down'});
-        },
-      },
-      check,
-    );
-    this.channels.set(id, channel as LinkChannel<unknown, unknown>);
-    return channel;
-  }
-
-  deliver(id: number, body: unknown): void {
-    this.channels.get(id)?.deliver(body);
-  }
-
-  closed(id: number): void {
-    this.channels.get(id)?.closed();
-    this.channels.delete(id);
-  }
-
-  lost(): void {
-    for (const id of [...this.channels.keys()]) this.closed(id);
-  }
-}
-
-function hasKey(request: IncomingMessage, key: string): boolean {
-  const given = Buffer.from(request.headers.authorization ?? '');
-  const wanted = Buffer.from(`Bearer ${key}`);
-  return given.length === wanted.length && timingSafeEqual(given, wanted);
 }
--- /dev/null
+++ b/packages/peer/test/peer_frame_test.ts
@@ -0,0 +1,43 @@
+import {expect} from 'chai';
+import {assert, property, uint8Array} from 'fast-check';
+import {decodeFrames, encodeFrame, PeerFrame} from '../src/peer_frame.js';
+
+const SEED = 20261203;
+
+describe('decodeFrames', () => {
+  it('gives joined frames back with their sizes', () => {
+    const frames: readonly PeerFrame[] = [
+      {kind: 'request', id: 1, name: 'a', body: {x: [1, 2n]}},
+      {kind: 'up', id: 2, body: Buffer.from('bytes')},
+      {kind: 'end', id: 2, from: 'up'},
+    ];
+    const encoded = frames.map(encodeFrame);
+    const decoded = decodeFrames(Buffer.concat(encoded));
+    expect(decoded?.map(({frame}) => frame)).to.deep.equal(frames);
+    expect(decoded?.map(({bytes}) => bytes)).to.deep.equal(
+      encoded.map(({length}) => length),
+    );
+  });
+
+  it('gives nothing for any other bytes, and does not throw', () => {
+    assert(
+      property(uint8Array({maxLength: 200}), bytes => {
+        const decoded = decodeFrames(Buffer.from(bytes));
+        if (decoded !== undefined) {
+          for (const {frame} of decoded) expect(frame).to.have.property('id');
+        }
+      }),
+      {seed: SEED, numRuns: 5_000},
+    );
+  });
+
+  it('allocates little for a message that claims to be huge', () => {
+    // An array, a map and bytes of four billion elements, by their headers.
+    for (const first of [0xdd, 0xdf, 0xc6, 0xdb]) {
+      const before = process.memoryUsage().rss;
+      const claim = Buffer.from([first, 0xff, 0xff, 0xff, 0xff, 1, 2, 3]);
+      expect(decodeFrames(claim)).to.equal(undefined);
+      expect(process.memoryUsage().rss - before).to.be.lessThan(16 << 20);
+    }
+  });
+});
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -3,4 +3,5 @@
  *
  * @packageDocumentation
  */
+export {TestAuthority, type TestIdentity} from './test_authority.js';
 export {testPort} from './test_port.js';
