Listen for the end of every stranger's connection from its start

Cause: the test began to wait after some connections had been ended, and waited for their end for ever. Change: it listens from the start; the limits are the same.

--- a/packages/peer/test/peer_security_test.ts
+++ b/packages/peer/test/peer_security_test.ts
@@ -194,12 +194,12 @@
       await start({listen: ADDRESS});
       const peer = await start();
       const before = process.memoryUsage().rss;
-      const silent = Array.from({length: STRANGERS}, () => open());
-      expect((await call(peer)).extract()).to.equal(8);
-      const closed = silent.map(
-        socket => new Promise(resolve => socket.once('close', resolve)),
-      );
       const startedAt = timer.now();
+      const closed = Array.from({length: STRANGERS}, () => {
+        const socket = open();
+        return new Promise(resolve => socket.once('close', resolve));
+      });
+      expect((await call(peer)).extract()).to.equal(8);
       await Promise.all(closed);
       expect(timer.now() - startedAt).to.be.lessThan(PROOF_LIMIT_MILLISECONDS);
       expect((await call(peer)).extract()).to.equal(8);
