--- a/packages/peer/src/peer_network.ts
+++ b/packages/peer/src/peer_network.ts
@@ -44,15 +44,6 @@
     handler: ConversationHandler<Opening, Up, Down>,
   ): void;
 
-  /**
-   * Waits until no conversation of this kind is being served for another
-   * process, at most until the deadline; gives how many are left.
-   */
-  abstract untilQuiet<Opening, Up, Down>(
-    conversation: PeerConversation<Opening, Up, Down>,
-    deadlineMilliseconds: number,
-  ): Promise<number>;
-
   /** Ends every link and listens no more. */
   abstract close(): Promise<void>;
 }
--- a/packages/peer/src/web_socket_peer_network.ts
+++ b/packages/peer/src/web_socket_peer_network.ts
@@ -113,7 +113,11 @@
     });
   }
 
-  override async untilQuiet<Opening, Up, Down>(
+  /**
+   * Waits until no conversation of this kind is being served for another
+   * process, at most until the deadline; gives how many are left.
+   */
+  async untilQuiet<Opening, Up, Down>(
     conversation: PeerConversation<Opening, Up, Down>,
     deadlineMilliseconds: number,
   ): Promise<number> {
