Make room for a stranger at once, and read in the test until the end

Cause: an ended connection counted until its close event, so that one flood in one turn of the event loop dropped the same oldest again; and the test's sockets, read by nobody, never noticed their end. Change: the oldest is forgotten when it is dropped; the test reads. Its limits are the same.

--- a/packages/peer/src/stranger_guard.ts
+++ b/packages/peer/src/stranger_guard.ts
@@ -40,8 +40,7 @@
 
   private admit(socket: Socket): void {
     const key = keyOf(socket);
-    const [oldest] = this.strangers.values();
-    if (this.strangers.size >= this.maximumStrangers) oldest?.destroy();
+    if (this.strangers.size >= this.maximumStrangers) this.dropOldest();
     this.strangers.set(key, socket);
     const stop = this.timer.once(PROOF_DEADLINE_MILLISECONDS, () => {
       if (this.strangers.get(key) === socket) socket.destroy();
@@ -52,6 +51,14 @@
       if (this.strangers.get(key) === socket) this.strangers.delete(key);
     });
   }
+
+  private dropOldest(): void {
+    const [oldest] = this.strangers;
+    if (oldest === undefined) return;
+    const [key, socket] = oldest;
+    this.strangers.delete(key);
+    socket.destroy();
+  }
 }
 
 /** The same for a connection and for the TLS layer above it. */
--- a/packages/peer/test/peer_security_test.ts
+++ b/packages/peer/test/peer_security_test.ts
@@ -185,6 +185,8 @@
     const open = (send?: Buffer) => {
       const socket = connect(ADDRESS.port, ADDRESS.host);
       socket.on('error', () => socket.destroy());
+      // A socket that nobody reads does not notice its end.
+      socket.resume();
       socket.on('connect', () => send && socket.write(send));
       flood.push(socket);
       return socket;
