Spread views down a tree as what changed, and drive the catalogue from the command line

Cause: the leader sent every view whole to every VM, a VM did not know how old its view was and forgot it at a restart, and an operator could only put a whole file. Change: views go down a tree of 8 children a VM as deltas, children of lost VMs are taken over, and each VM asks its parent and three neighbours for what it missed; a view is synced before it counts and only ever goes up; its age is told without comparing clocks. catalogue edit, diff and history, audit by index or time, and the margin in vm list.

--- a/packages/apricotctl/src/main.ts
+++ b/packages/apricotctl/src/main.ts
@@ -1,7 +1,13 @@
 #!/usr/bin/env node
 import yargs, {Argv} from 'yargs';
 import {hideBin} from 'yargs/helpers';
-import {getCatalogue, putCatalogue} from './catalogue_commands.js';
+import {
+  diffCatalogue,
+  editCatalogue,
+  getCatalogue,
+  putCatalogue,
+  showHistory,
+} from './catalogue_commands.js';
 import {CommonFlags} from './command_context.js';
 import {
   changeServer,
@@ -44,6 +50,20 @@
   },
 } as const;
 
+const editOptions = {
+  set: {
+    type: 'string',
+    array: true,
+    describe: 'PATH=VALUE, such as limits.slots=3; may be repeated',
+    default: [] as readonly string[],
+  },
+  delete: {
+    type: 'boolean',
+    describe: 'delete the entry',
+    default: false,
+  },
+} as const;
+
 await yargs(hideBin(process.argv))
   .scriptName('apricotctl')
   .version(VERSION)
@@ -58,7 +78,14 @@
     'audit',
     'show the audit trail',
     builder =>
-      builder.options({...commonOptions, since: {type: 'number', default: 0}}),
+      builder.options({
+        ...commonOptions,
+        since: {
+          type: 'string',
+          describe: 'an index of the log, or a time such as 2026-12-03T20:00Z',
+          default: '0',
+        },
+      }),
     flags => showAudit(flags),
   )
   .demandCommand(1)
@@ -89,6 +116,28 @@
           .positional('file', {type: 'string', demandOption: true}),
       flags => putCatalogue(flags),
     )
+    .command(
+      'edit <name>',
+      'change, add or delete one entry',
+      edit =>
+        edit
+          .options({...commonOptions, ...changeOptions})
+          .options(editOptions)
+          .positional('name', {type: 'string', demandOption: true}),
+      flags => editCatalogue(flags),
+    )
+    .command(
+      'diff <file>',
+      'show what putting a file would change',
+      diff =>
+        diff
+          .options(commonOptions)
+          .positional('file', {type: 'string', demandOption: true}),
+      flags => diffCatalogue(flags),
+    )
+    .command('history', 'show who changed the catalogue', noOptions, flags =>
+      showHistory(flags as unknown as CommonFlags),
+    )
     .demandCommand(1);
 }
 
--- /dev/null
+++ b/packages/apricotctl/test/catalogue_edit_test.ts
@@ -0,0 +1,56 @@
+import {expect} from 'chai';
+import {CatalogueEntry} from '@apricotlock/topology';
+import {catalogueChanges, readSince, withAssignments} from '../src/index.js';
+
+const BOOKING: CatalogueEntry = {
+  name: 'booking',
+  owner: 'counter',
+  class: 'critical',
+  database: 'booking-ledger-1',
+  members: 3,
+  limits: {connections: 16, slots: 2, queueLength: 9, queueMilliseconds: 9},
+};
+
+describe('the catalogue commands', () => {
+  describe('withAssignments', () => {
+    it('sets values inside an entry', () => {
+      const edited = withAssignments([BOOKING], 'booking', [
+        'limits.slots=3',
+        'owner=desk',
+      ]).unsafeCoerce();
+      expect(edited).to.deep.equal([
+        {...BOOKING, owner: 'desk', limits: {...BOOKING.limits, slots: 3}},
+      ]);
+    });
+
+    it('refuses what is no assignment', () => {
+      for (const text of ['limits.slots', '=3', 'a..b=1', '__proto__.x=1']) {
+        expect(withAssignments([BOOKING], 'booking', [text]).isLeft()).to.equal(
+          true,
+        );
+      }
+    });
+  });
+
+  describe('catalogueChanges', () => {
+    it('names what is added, deleted and changed', () => {
+      const changed = {...BOOKING, limits: {...BOOKING.limits, slots: 3}};
+      const other = {...BOOKING, name: 'other'};
+      expect(catalogueChanges([BOOKING, other], [changed])).to.deep.equal([
+        {kind: 'delete', path: 'other'},
+        {kind: 'change', path: 'booking.limits.slots', now: 2, wanted: 3},
+      ]);
+    });
+  });
+
+  describe('readSince', () => {
+    it('takes an index or a time', () => {
+      expect(readSince('12')).to.deep.equal({afterIndex: 12, from: 0});
+      expect(readSince('1970-01-01T00:00:01Z')).to.deep.equal({
+        afterIndex: 0,
+        from: 1_000,
+      });
+      expect(readSince('yesterday')).to.equal(undefined);
+    });
+  });
+});
--- a/packages/apricotlock/src/control_node.ts
+++ b/packages/apricotlock/src/control_node.ts
@@ -6,6 +6,7 @@
   RandomSource,
   ReplicatedControlLog,
   StorageError,
+  StorageFolder,
 } from '@apricotlock/control';
 import {Observable} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
@@ -56,6 +57,13 @@
   });
 }
 
+/** The folder for what must survive, if the VM has one. */
+export async function openDataFolder({
+  dataFolder,
+}: Settings): Promise<StorageFolder | undefined> {
+  return dataFolder === undefined ? undefined : DiskFolder.open(dataFolder);
+}
+
 /** Without a disk it can rely on, a voter must not answer any more. */
 function endProcess(logger: Logger, error: StorageError): void {
   logger.error('the disk failed', {failure: describeStorageError(error)});
--- a/packages/apricotlock/src/entry_operator_backend.ts
+++ b/packages/apricotlock/src/entry_operator_backend.ts
@@ -1,12 +1,15 @@
 import {Either} from 'purify-ts';
 import {
-  AuditRecord,
+  AuditRange,
+  AuditTrail,
   CommandAnswer,
   ControlClient,
   ControlCommand,
   ControlError,
   ControlLog,
+  ControlReport,
 } from '@apricotlock/control';
+import {withTimeout} from '@apricotlock/flow';
 import {Announcement} from '@apricotlock/member';
 import {Membership} from '@apricotlock/membership';
 import {
@@ -29,7 +32,8 @@
 import {Settings} from './settings.js';
 
 const IN_FORCE_DEADLINE_MILLISECONDS = 3_000;
-const IN_FORCE_POLL_MILLISECONDS = 10;
+const IN_FORCE_POLL_MILLISECONDS = 250;
+const PAUSE_MILLISECONDS = 50;
 const CALL_TIMEOUT_MILLISECONDS = 500;
 
 const VIEW_INDEX = PeerCall.define<
@@ -74,9 +78,10 @@
   static create(options: EntryOperatorBackendOptions): EntryOperatorBackend {
     const backend = new EntryOperatorBackend(options);
     const {network, control} = options;
-    network.handle(VIEW_INDEX, async () =>
-      Either.of({index: control.view.current.index}),
-    );
+    network.handle(VIEW_INDEX, async ({wanted}) => {
+      await backend.untilInForce(wanted, IN_FORCE_POLL_MILLISECONDS);
+      return Either.of({index: control.view.current.index});
+    });
     network.handle(DRAIN, async () => {
       backend.drainSelf();
       return Either.of({draining: true});
@@ -92,6 +97,7 @@
       dataCentre: settings.dataCentre,
       leader: log?.leader.current ?? null,
       viewIndex: view.index,
+      viewAgeMilliseconds: finiteOrNull(control.viewAgeMilliseconds),
       catalogueVersion: view.catalogue.version,
       machines: membership.machines.current.map(machine => ({
         name: machine.name,
@@ -129,10 +135,12 @@
     return this.options.metrics.render();
   }
 
-  override audit(
-    since: number,
-  ): Promise<Either<ControlError, readonly AuditRecord[]>> {
-    return this.options.control.audit(since);
+  override audit(range: AuditRange): Promise<Either<ControlError, AuditTrail>> {
+    return this.options.control.audit(range);
+  }
+
+  override controlReport(): Promise<Either<ControlError, ControlReport>> {
+    return this.options.control.report();
   }
 
   override propose(
@@ -183,7 +191,7 @@
       );
       open = open.filter((_machine, position) => !reached[position]);
       if (open.length === 0 || timer.now() >= deadline) break;
-      await timer.sleep(IN_FORCE_POLL_MILLISECONDS);
+      await timer.sleep(PAUSE_MILLISECONDS);
     }
     return open.map(machine => machine.name);
   }
@@ -194,7 +202,10 @@
 
   private async hasReached(name: string, index: number): Promise<boolean> {
     const {settings, membership, network, control} = this.options;
-    if (name === settings.name) return control.view.current.index >= index;
+    if (name === settings.name) {
+      await this.untilInForce(index, IN_FORCE_POLL_MILLISECONDS);
+      return control.view.current.index >= index;
+    }
     const machine = membership.machines.current.find(
       other => other.name === name,
     );
@@ -208,6 +219,15 @@
     return answer.map(heard => heard.index >= index).orDefault(false);
   }
 
+  private async untilInForce(index: number, milliseconds: number) {
+    const {control, timer} = this.options;
+    await withTimeout(
+      timer,
+      milliseconds,
+      control.view.until(view => view.index >= index),
+    );
+  }
+
   private drainSelf(): void {
     this.draining = true;
     this.options.requestShutdown();
@@ -226,3 +246,8 @@
     };
   }
 }
+
+/** JSON has no infinity: an age that is not known is `null`. */
+function finiteOrNull(value: number): number | null {
+  return Number.isFinite(value) ? Math.round(value) : null;
+}
--- a/packages/apricotlock/src/entry_process.ts
+++ b/packages/apricotlock/src/entry_process.ts
@@ -18,7 +18,7 @@
 import {PeerNetwork, ringOf, WebSocketPeerNetwork} from '@apricotlock/peer';
 import {CallerListener, Router, SessionObserver} from '@apricotlock/proxy';
 import {SystemTimerService, TimerService} from '@apricotlock/timer';
-import {startControlLog} from './control_node.js';
+import {openDataFolder, startControlLog} from './control_node.js';
 import {EntryOperatorBackend} from './entry_operator_backend.js';
 import {Metrics} from './metrics.js';
 import {Settings} from './settings.js';
@@ -107,7 +107,9 @@
   const membership = joinMembership(base);
   const {machines} = membership;
   const log = await startControlLog({...base, machines});
-  const control = ControlClient.start({self, network, timer, machines, log});
+  const folder = await openDataFolder(settings);
+  const parts = {self, network, timer, logger, machines, log, folder};
+  const control = await ControlClient.start(parts);
   const client = HttpMemberClient.create(settings.memberKey, timer);
   const registry = OwnerRegistry.start({
     self,
--- a/packages/control/src/apply_command.ts
+++ b/packages/control/src/apply_command.ts
@@ -20,6 +20,7 @@
 const DAY_MILLISECONDS = 86_400_000;
 const MAXIMUM_AUDIT_AGE_MILLISECONDS = 30 * DAY_MILLISECONDS;
 const MAXIMUM_ANSWER_AGE_MILLISECONDS = 7 * DAY_MILLISECONDS;
+const MAXIMUM_NAMES_TOLD = 10;
 const SYSTEM_ACTOR = 'apricotlock';
 
 /** The state after a command, and the command's answer. */
@@ -286,7 +287,7 @@
     at: originOf(command)?.at ?? ('at' in command ? command.at : 0),
     actor: originOf(command)?.actor ?? SYSTEM_ACTOR,
     action: command.kind,
-    subject: subjectOf(command),
+    subject: subjectOf(command, state.view, change),
     fromVersion: state.view.catalogue.version,
     result: answer.kind === 'refused' ? answer.reason : answer.kind,
   };
@@ -304,9 +305,17 @@
   return [...kept, record].slice(-MAXIMUM_AUDIT_RECORDS);
 }
 
-function subjectOf(command: ControlCommand): string {
+function subjectOf(
+  command: ControlCommand,
+  before: ClusterView,
+  change: Change,
+): string {
   return match(command)
-    .with({kind: 'putCatalogue'}, put => `catalogue ${put.baseVersion}`)
+    .with({kind: 'putCatalogue'}, put =>
+      change.kind === 'changed'
+        ? describeCatalogueChange(before, change.view)
+        : `catalogue ${put.baseVersion}`,
+    )
     .with({kind: 'registerMember'}, ({announcement}) => announcement.name)
     .with({kind: 'setMemberState'}, set => `${set.member} ${set.state}`)
     .with(
@@ -319,3 +328,23 @@
     )
     .exhaustive();
 }
+
+/** Names of entries that were added (+), changed (~) and deleted (-). */
+function describeCatalogueChange(from: ClusterView, to: ClusterView): string {
+  const before = new Map(
+    from.catalogue.entries.map(entry => [entry.name, entry]),
+  );
+  const after = new Map(to.catalogue.entries.map(entry => [entry.name, entry]));
+  const marks = [
+    ...[...after]
+      .filter(([name, entry]) => before.get(name) !== entry)
+      .map(([name]) => `${before.has(name) ? '~' : '+'}${name}`),
+    ...[...before.keys()]
+      .filter(name => !after.has(name))
+      .map(name => `-${name}`),
+  ];
+  if (marks.length === 0) return 'no entry';
+  const more = marks.length - MAXIMUM_NAMES_TOLD;
+  const told = marks.slice(0, MAXIMUM_NAMES_TOLD).join(' ');
+  return more > 0 ? `${told} and ${more} more` : told;
+}
--- a/packages/control/src/control_client.ts
+++ b/packages/control/src/control_client.ts
@@ -1,23 +1,24 @@
-import {Either, Left} from 'purify-ts';
+import {Either, Left, Right} from 'purify-ts';
 import {Observable} from '@apricotlock/flow';
-import {PeerNetwork} from '@apricotlock/peer';
+import {Logger} from '@apricotlock/logging';
+import {describePeerError, PeerNetwork} from '@apricotlock/peer';
 import {TimerService} from '@apricotlock/timer';
-import {ClusterView, EMPTY_VIEW, VirtualMachine} from '@apricotlock/topology';
+import {ClusterView, VirtualMachine} from '@apricotlock/topology';
 import {CommandAnswer, ControlCommand} from './control_command.js';
 import {ControlError, ControlLog} from './control_log.js';
+import {AuditRange, FETCH_AUDIT, PROPOSE} from './control_messages.js';
+import {ControlReport, FETCH_REPORT} from './control_report.js';
+import {AuditTrail} from './control_state.js';
 import {packOutcome, unpackOutcome} from './propose_outcome.js';
-import {AuditRecord} from './control_state.js';
-import {
-  FETCH_AUDIT,
-  FETCH_VIEW,
-  PROPOSE,
-  PUSH_VIEW,
-} from './control_messages.js';
+import {StorageFolder} from './storage_folder.js';
+import {ViewDistributor} from './view_distributor.js';
+import {ViewStore} from './view_store.js';
 
 const PROPOSE_TIMEOUT_MILLISECONDS = 4_000;
 const PROPOSE_LIMIT_MILLISECONDS = 6_000;
 const FETCH_TIMEOUT_MILLISECONDS = 1_000;
-const ANTI_ENTROPY_PERIOD_MILLISECONDS = 500;
+/** A log that was in touch with a quorum within this answers for itself. */
+const FRESH_MILLISECONDS = 500;
 
 const NOBODY_KNOWN: Either<ControlError, CommandAnswer> = Left({
   kind: 'unavailable',
@@ -29,9 +30,12 @@
   readonly self: string;
   readonly network: PeerNetwork;
   readonly timer: TimerService;
+  readonly logger: Logger;
   readonly machines: Observable<readonly VirtualMachine[]>;
   /** The log, on a control VM. */
   readonly log: ControlLog | undefined;
+  /** Where the newest view is kept, on a VM with a disk. */
+  readonly folder: StorageFolder | undefined;
 }
 
 /**
@@ -39,42 +43,45 @@
  * view, which only ever goes up.
  */
 export class ControlClient {
-  readonly view = Observable.of<ClusterView>(EMPTY_VIEW);
+  private constructor(
+    private readonly options: ControlClientOptions,
+    private readonly distributor: ViewDistributor,
+  ) {}
 
-  private constructor(private readonly options: ControlClientOptions) {}
-
-  /** Starts to take views, and to pass them on where this process leads. */
-  static start(options: ControlClientOptions): ControlClient {
-    const client = new ControlClient(options);
-    const {network, timer, log} = options;
-    network.handle(PUSH_VIEW, async ({view}) => {
-      client.take(view);
-      return Either.of({index: client.view.current.index});
-    });
-    network.handle(FETCH_VIEW, async ({index}) => {
-      const view = client.view.current;
-      return Either.of({view: view.index > index ? view : undefined});
-    });
-    network.handle(FETCH_AUDIT, async ({since}) =>
-      log === undefined
-        ? Left('not a control VM')
-        : Either.of({records: auditSince(log, since)}),
+  /** Starts to take views and to pass them on. */
+  static async start(options: ControlClientOptions): Promise<ControlClient> {
+    const {network, log, folder, logger} = options;
+    const store =
+      folder === undefined ? undefined : ViewStore.of(folder, logger);
+    const distributor = await ViewDistributor.start({...options, store});
+    const client = new ControlClient(options, distributor);
+    network.handle(FETCH_AUDIT, async range =>
+      log === undefined ? Left('not a control VM') : Right(auditOf(log, range)),
     );
     network.handle(PROPOSE, async command =>
       log === undefined
         ? Left('not a control VM')
-        : Either.of(packOutcome(await log.propose(command))),
+        : Right(packOutcome(await log.propose(command))),
+    );
+    network.handle(FETCH_REPORT, async () =>
+      log === undefined ? Left('not a control VM') : Right(log.report()),
     );
-    log?.state.subscribe(state => {
-      client.take(state.view);
-      if (log.leading.current) client.pushToAll(state.view);
-    });
-    timer.every(ANTI_ENTROPY_PERIOD_MILLISECONDS, () => {
-      void client.fetchFromSomebody();
-    });
     return client;
   }
 
+  /** The view in force in this process. */
+  get view(): Observable<ClusterView> {
+    return this.distributor.view;
+  }
+
+  /**
+   * How long ago the view was surely the newest one, as far as this process
+   * can tell; `Infinity` if it never could.
+   */
+  get viewAgeMilliseconds(): number {
+    return this.distributor.ageMilliseconds;
+  }
+
   /** Puts a command into the log, wherever its leader is. */
   async propose(
     command: ControlCommand,
@@ -92,40 +99,60 @@
     return log.propose(command);
   }
 
-  private async proposeAt(
-    voter: VirtualMachine,
-    command: ControlCommand,
-  ): Promise<Either<ControlError, CommandAnswer>> {
-    const answer = await this.options.network.call(
-      voter.peerAddress,
-      PROPOSE,
-      command,
-      PROPOSE_TIMEOUT_MILLISECONDS,
-    );
-    return unpackOutcome(answer);
-  }
-
-  /** The audit trail after an index of the log. */
-  async audit(
-    since: number,
-  ): Promise<Either<ControlError, readonly AuditRecord[]>> {
+  /** A part of the audit trail; it says up to which index it goes. */
+  async audit(range: AuditRange): Promise<Either<ControlError, AuditTrail>> {
     const {log, network} = this.options;
-    if (log !== undefined) return Either.of(auditSince(log, since));
+    if (log !== undefined && log.ageMilliseconds < FRESH_MILLISECONDS) {
+      return Right(auditOf(log, range));
+    }
+    let newest: AuditTrail | undefined = log && auditOf(log, range);
     for (const voter of this.otherVoters()) {
       const answer = await network.call(
         voter.peerAddress,
         FETCH_AUDIT,
-        {since},
+        range,
         FETCH_TIMEOUT_MILLISECONDS,
       );
-      if (answer.isRight()) return answer.map(({records}) => records) as never;
+      answer.ifRight(trail => {
+        if (trail.index > (newest?.index ?? -1)) newest = trail;
+      });
     }
+    if (newest !== undefined) return Right(newest);
     return Left({kind: 'unavailable', reason: 'no control VM answered'});
   }
 
-  /** Takes a view if it is newer. */
-  private take(view: ClusterView): void {
-    if (view.index > this.view.current.index) this.view.set(view);
+  /** How the log is doing, from its leader, or from nobody. */
+  async report(): Promise<Either<ControlError, ControlReport>> {
+    const {log, network, self} = this.options;
+    if (log?.leading.current) return Right(log.report());
+    let reason = 'no control VM leads';
+    for (const voter of this.otherVoters()) {
+      const answer = await network.call(
+        voter.peerAddress,
+        FETCH_REPORT,
+        {from: self},
+        FETCH_TIMEOUT_MILLISECONDS,
+      );
+      const report = answer.toMaybe().extract();
+      if (report?.leading) return Right(report);
+      answer.ifLeft(error => {
+        reason = describePeerError(error);
+      });
+    }
+    return Left({kind: 'unavailable', reason});
+  }
+
+  private async proposeAt(
+    voter: VirtualMachine,
+    command: ControlCommand,
+  ): Promise<Either<ControlError, CommandAnswer>> {
+    const answer = await this.options.network.call(
+      voter.peerAddress,
+      PROPOSE,
+      command,
+      PROPOSE_TIMEOUT_MILLISECONDS,
+    );
+    return unpackOutcome(answer);
   }
 
   private otherVoters(): readonly VirtualMachine[] {
@@ -134,39 +161,15 @@
       machine => machine.controlVoter && machine.name !== self,
     );
   }
-
-  private pushToAll(view: ClusterView): void {
-    const {network, machines, self} = this.options;
-    for (const machine of machines.current) {
-      if (machine.name === self) continue;
-      void network.call(
-        machine.peerAddress,
-        PUSH_VIEW,
-        {view},
-        FETCH_TIMEOUT_MILLISECONDS,
-      );
-    }
-  }
-
-  private async fetchFromSomebody(): Promise<void> {
-    const {machines, self, network} = this.options;
-    const others = machines.current.filter(machine => machine.name !== self);
-    const other = others[Math.floor(Math.random() * others.length)];
-    if (other === undefined) return;
-    const answer = await network.call(
-      other.peerAddress,
-      FETCH_VIEW,
-      {index: this.view.current.index},
-      FETCH_TIMEOUT_MILLISECONDS,
-    );
-    answer.ifRight(({view}) => {
-      if (view !== undefined && view !== null) this.take(view);
-    });
-  }
 }
 
-function auditSince(log: ControlLog, since: number): readonly AuditRecord[] {
-  return log.state.current.audit.filter(record => record.index > since);
+function auditOf(log: ControlLog, range: AuditRange): AuditTrail {
+  const {view, audit} = log.state.current;
+  const {afterIndex, from} = range;
+  const records = audit.filter(
+    ({index, at}) => index > afterIndex && at >= from,
+  );
+  return {index: Math.max(view.index, audit.at(-1)?.index ?? 0), records};
 }
 
 /** Only what was certainly not taken may be asked of another VM. */
--- a/packages/control/src/control_log.ts
+++ b/packages/control/src/control_log.ts
@@ -1,6 +1,7 @@
 import {Either} from 'purify-ts';
 import {Observable} from '@apricotlock/flow';
 import {CommandAnswer, ControlCommand} from './control_command.js';
+import {ControlReport} from './control_report.js';
 import {ControlState} from './control_state.js';
 
 /** Why a command has no answer. */
@@ -24,6 +25,9 @@
   /** How long ago this process was last known to be in touch with a quorum. */
   abstract readonly ageMilliseconds: number;
 
+  /** How the log is doing; complete only where this process leads. */
+  abstract report(): ControlReport;
+
   /** Puts a command into the log and waits until it has been carried out. */
   abstract propose(
     command: ControlCommand,
--- a/packages/control/src/control_messages.ts
+++ b/packages/control/src/control_messages.ts
@@ -1,8 +1,38 @@
+import {z} from 'zod';
 import {PeerCall} from '@apricotlock/peer';
-import {ClusterView} from '@apricotlock/topology';
-import {AuditRecord} from './control_state.js';
 import {checkOf} from './consensus_messages.js';
-import {commandSchema, proposeOutcomeSchema} from './control_schemas.js';
+import {
+  auditSchema,
+  commandSchema,
+  proposeOutcomeSchema,
+  viewUpdateSchema,
+} from './control_schemas.js';
+import {ViewUpdate} from './view_history.js';
+
+const MAXIMUM_NAME_CHARACTERS = 100;
+
+const index = z.int().min(0);
+const name = z.string().max(MAXIMUM_NAME_CHARACTERS);
+
+/** The answer of a VM that was asked for a newer view. */
+export interface FetchedView {
+  /** Of the newest view there. */
+  readonly index: number;
+  /** How long ago that was surely the newest of all. */
+  readonly ageMilliseconds: number;
+  /** Where the tree of views begins; `null` if that is not known there. */
+  readonly root: string | null;
+  /** `null` if there is nothing newer. */
+  readonly update: ViewUpdate | null;
+}
+
+/** Which part of the audit trail is wanted: both bounds hold. */
+export interface AuditRange {
+  /** Records after this index of the log. */
+  readonly afterIndex: number;
+  /** Records of this time and later, in milliseconds since the Unix epoch. */
+  readonly from: number;
+}
 
 /** Carries a command to a control VM, which finds the leader. */
 export const PROPOSE = PeerCall.define(
@@ -14,37 +44,33 @@
 /** Asks for the newest view, if it is newer than `index`. */
 export const FETCH_VIEW = PeerCall.define<
   {readonly index: number},
-  {readonly view: ClusterView | undefined}
+  FetchedView
 >(
   'control.fetchView',
-  candidate => fields(candidate, 'index'),
-  candidate => fields(candidate),
+  checkOf(z.object({index})),
+  checkOf(
+    z.object({
+      index,
+      ageMilliseconds: z.number().min(0),
+      root: name.nullable(),
+      update: viewUpdateSchema.nullable(),
+    }),
+  ),
 );
 
-/** Tells of a new view. */
+/** Tells of a new view; the answer says which one the VM has now. */
 export const PUSH_VIEW = PeerCall.define<
-  {readonly view: ClusterView},
+  {readonly root: string; readonly update: ViewUpdate},
   {readonly index: number}
 >(
   'control.pushView',
-  candidate => fields(candidate, 'view'),
-  candidate => fields(candidate, 'index'),
+  checkOf(z.object({root: name, update: viewUpdateSchema})),
+  checkOf(z.object({index})),
 );
 
-/** Asks a control VM for the audit trail after an index. */
-export const FETCH_AUDIT = PeerCall.define<
-  {readonly since: number},
-  {readonly records: readonly AuditRecord[]}
->(
+/** Asks a control VM for a part of the audit trail. */
+export const FETCH_AUDIT = PeerCall.define(
   'control.fetchAudit',
-  candidate => fields(candidate, 'since'),
-  candidate => fields(candidate, 'records'),
+  checkOf<AuditRange>(z.object({afterIndex: z.int(), from: z.number()})),
+  checkOf(auditSchema),
 );
-
-function fields<T extends object>(
-  candidate: unknown,
-  ...names: readonly string[]
-): T | undefined {
-  if (typeof candidate !== 'object' || candidate === null) return undefined;
-  return names.every(name => name in candidate) ? (candidate as T) : undefined;
-}
--- a/packages/control/src/control_schemas.ts
+++ b/packages/control/src/control_schemas.ts
@@ -1,8 +1,9 @@
 import {z} from 'zod';
 import {catalogueEntrySchema} from '@apricotlock/topology';
 import {ControlCommand} from './control_command.js';
-import {ControlState} from './control_state.js';
+import {AuditTrail, ControlState} from './control_state.js';
 import {LogEntry, Snapshot} from './log_entry.js';
+import {ViewUpdate} from './view_history.js';
 
 const MAXIMUM_TEXT_CHARACTERS = 1_000;
 const MAXIMUM_PORT = 65_535;
@@ -110,10 +111,51 @@
   ]),
 });
 
+// Outlines: the parts were checked when they came as commands.
+const entryOutline = z.looseObject({name: text, database: text});
+const groupOutline = z.looseObject({
+  database: text,
+  size: count,
+  term: count,
+  members: z.array(z.looseObject({name: text, address, apiAddress: address})),
+});
+
 const view = z.looseObject({
   index: count,
-  catalogue: z.looseObject({version: count, entries: z.array(z.unknown())}),
-  groups: z.array(z.looseObject({database: text})),
+  catalogue: z.looseObject({version: count, entries: z.array(entryOutline)}),
+  groups: z.array(groupOutline),
+});
+
+/** Checks the outline of a new view, whole or as what changed. */
+export const viewUpdateSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('delta'),
+    delta: z.object({
+      fromIndex: count,
+      index: count,
+      catalogueVersion: count,
+      entries: z.array(entryOutline),
+      removedEntries: z.array(text),
+      groups: z.array(groupOutline),
+    }),
+  }),
+  z.object({kind: z.literal('full'), view}),
+]) as unknown as z.ZodType<ViewUpdate>;
+
+/** Checks a part of the audit trail. */
+export const auditSchema: z.ZodType<AuditTrail> = z.object({
+  index: count,
+  records: z.array(
+    z.object({
+      index: count,
+      at: time,
+      actor: z.string(),
+      action: z.string(),
+      subject: z.string(),
+      fromVersion: count,
+      result: z.string(),
+    }),
+  ),
 });
 
 /** Checks the outline of a state: its parts were checked as commands. */
--- a/packages/control/src/control_state.ts
+++ b/packages/control/src/control_state.ts
@@ -13,6 +13,13 @@
   readonly result: string;
 }
 
+/** A part of the audit trail, as of one index of the log. */
+export interface AuditTrail {
+  /** The newest place of the log that was carried out where this was read. */
+  readonly index: number;
+  readonly records: readonly AuditRecord[];
+}
+
 /** The answer that a change got, for those who ask again. */
 export interface RememberedAnswer {
   readonly changeId: string;
--- a/packages/control/src/durable_log.ts
+++ b/packages/control/src/durable_log.ts
@@ -14,6 +14,7 @@
 const GENERATION_DIGITS = 8;
 /** Entries kept behind a snapshot, for voters that are a little behind. */
 const ENTRIES_KEPT_BEHIND = 200;
+const SLOW_WRITE_MILLISECONDS = 300;
 const BEFORE_ALL: LogPosition = {index: 0, term: 0};
 const EMPTY_SNAPSHOT: Snapshot = {
   ...BEFORE_ALL,
@@ -21,6 +22,14 @@
   state: EMPTY_CONTROL_STATE,
 };
 
+/** What a log tells of its disk. */
+export interface DurableLogEvents {
+  /** A write failed: nothing can be promised from then on. */
+  readonly failed: (error: StorageError) => void;
+  /** A write and its sync took long. */
+  readonly slow: (milliseconds: number) => void;
+}
+
 type LogItem =
   | {readonly kind: 'vote'; readonly vote: VoteState}
   /** An entry replaces those of its index and after. */
@@ -56,27 +65,26 @@
     private voteHeld: VoteState,
     private generation: number,
     private file: StorageFile,
-    private readonly failed: (error: StorageError) => void,
+    private readonly events: DurableLogEvents,
   ) {}
 
   /**
    * Reads the folder, or begins a log under a new disk identity in an empty
-   * one. `failed` is called if a later write fails: nothing can be promised
-   * from then on.
+   * one.
    */
   static async open(
     folder: StorageFolder,
     newDiskId: () => string,
-    failed: (error: StorageError) => void,
+    events: DurableLogEvents,
   ): Promise<Either<StorageError, DurableLog>> {
     try {
       const generations = await generationsIn(folder);
       const newest = generations.at(-1);
       if (newest === undefined) {
-        const begun = await begin(folder, newDiskId(), failed);
+        const begun = await begin(folder, newDiskId(), events);
         return Right(begun);
       }
-      const read = await DurableLog.read(folder, newest, failed);
+      const read = await DurableLog.read(folder, newest, events);
       for (const old of read.isRight() ? generations.slice(0, -1) : []) {
         await folder.remove(fileName(old));
       }
@@ -89,7 +97,7 @@
   private static async read(
     folder: StorageFolder,
     generation: number,
-    failed: (error: StorageError) => void,
+    events: DurableLogEvents,
   ): Promise<Either<StorageError, DurableLog>> {
     const name = fileName(generation);
     const path = folder.pathOf(name);
@@ -107,7 +115,7 @@
       return Left({kind: 'corrupt', file: path, offsetBytes: 0});
     }
     const file = await folder.openAt(name, lengthBytes);
-    const log = new DurableLog(folder, vote, generation, file, failed);
+    const log = new DurableLog(folder, vote, generation, file, events);
     for (const item of items) log.take(item);
     log.flushedTo = log.last.index;
     return Right(log);
@@ -118,9 +126,9 @@
     folder: StorageFolder,
     vote: VoteState,
     file: StorageFile,
-    failed: (error: StorageError) => void,
+    events: DurableLogEvents,
   ): DurableLog {
-    return new DurableLog(folder, vote, 1, file, failed);
+    return new DurableLog(folder, vote, 1, file, events);
   }
 
   /** Term, vote and the identity of the disk. */
@@ -269,13 +277,16 @@
       while (this.tasks.length > 0) {
         // Whatever is added in the same turn goes into the same record.
         await Promise.resolve();
+        const startedAt = performance.now();
         await this.writeSome();
+        const took = performance.now() - startedAt;
+        if (took > SLOW_WRITE_MILLISECONDS) this.events.slow(took);
       }
       this.writing = false;
       this.resolveWaiting(this.waiting);
     } catch (failure) {
       // Still `writing`: nobody is told that anything more was synced.
-      this.failed(diskError(this.folder, failure));
+      this.events.failed(diskError(this.folder, failure));
     }
   }
 
@@ -325,13 +336,13 @@
 async function begin(
   folder: StorageFolder,
   diskId: string,
-  failed: (error: StorageError) => void,
+  events: DurableLogEvents,
 ): Promise<DurableLog> {
   const vote = {diskId, cluster: undefined, term: 0, vote: undefined};
   const bytes = encodeRecord([{kind: 'vote', vote}]);
   await folder.replace(fileName(1), bytes);
   const file = await folder.openAt(fileName(1), bytes.length);
-  return DurableLog.fresh(folder, vote, file, failed);
+  return DurableLog.fresh(folder, vote, file, events);
 }
 
 async function generationsIn(
--- a/packages/control/src/election.ts
+++ b/packages/control/src/election.ts
@@ -1,3 +1,4 @@
+import {Logger} from '@apricotlock/logging';
 import {TimerService} from '@apricotlock/timer';
 import {VOTE, VoteRequest} from './consensus_messages.js';
 import {ConsensusTimings} from './consensus_timings.js';
@@ -13,6 +14,7 @@
 /** What an election needs of its control VM. */
 export interface ElectionContext {
   readonly log: DurableLog;
+  readonly logger: Logger;
   readonly peers: ControlPeers;
   readonly timer: TimerService;
   readonly random: RandomSource;
@@ -45,12 +47,15 @@
 
   /** Asks for votes; a trial first, which disturbs no leader. */
   async stand(handOver: boolean): Promise<void> {
-    const {log, isLeading, won} = this.context;
+    const {log, isLeading, won, logger} = this.context;
     if (!this.isVoter() || isLeading()) return;
     const term = log.vote.term + 1;
     if (!handOver) {
       const wouldWin = await this.collect(term, {trial: true, handOver});
-      if (!wouldWin || log.vote.term + 1 !== term || this.stopped) return;
+      if (!wouldWin || log.vote.term + 1 !== term || this.stopped) {
+        logger.debug('no quorum would elect this VM', {term});
+        return;
+      }
     }
     log.saveVote({term, vote: log.vote.diskId});
     await log.flushed();
@@ -58,6 +63,7 @@
     const {vote} = log;
     const standing = vote.term === term && vote.vote === vote.diskId;
     if (elected && standing && !this.stopped) won(term);
+    else logger.info('not elected', {term, elected});
   }
 
   private async watch(): Promise<void> {
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -13,6 +13,7 @@
   type CommandAnswer,
   type ControlCommand,
 } from './control_command.js';
+export {type AuditRange} from './control_messages.js';
 export {ControlLog, type ControlError} from './control_log.js';
 export {
   type ControlMemberReport,
@@ -21,10 +22,13 @@
 export {
   EMPTY_CONTROL_STATE,
   type AuditRecord,
+  type AuditTrail,
   type ControlState,
   type RememberedAnswer,
 } from './control_state.js';
 export {MAXIMUM_VOTERS} from './control_configuration.js';
+export {FanOut} from './fan_out.js';
+export {applyDelta, deltaBetween, type ViewDelta} from './view_delta.js';
 export {DurableLog} from './durable_log.js';
 export {
   type EntryBody,
@@ -39,5 +43,10 @@
   type ReplicatedControlLogOptions,
 } from './replicated_control_log.js';
 export {SoleControlLog} from './sole_control_log.js';
+export {
+  ViewDistributor,
+  type ViewDistributorOptions,
+} from './view_distributor.js';
+export {ViewStore} from './view_store.js';
 export {describeStorageError, type StorageError} from './storage_error.js';
 export {DiskFolder, StorageFile, StorageFolder} from './storage_folder.js';
--- a/packages/control/src/replicated_control_log.ts
+++ b/packages/control/src/replicated_control_log.ts
@@ -91,8 +91,14 @@
   static async start(
     options: ReplicatedControlLogOptions,
   ): Promise<Either<StorageError, ReplicatedControlLog>> {
-    const {folder, newDiskId, failed} = options;
-    const opened = await DurableLog.open(folder, newDiskId, failed);
+    const {folder, newDiskId, failed, logger} = options;
+    const opened = await DurableLog.open(folder, newDiskId, {
+      failed,
+      slow: milliseconds =>
+        logger.warn('the disk is slow', {
+          milliseconds: Math.round(milliseconds),
+        }),
+    });
     return opened.map(log => new ReplicatedControlLog(options, log));
   }
 
@@ -116,7 +122,7 @@
   }
 
   /** How the log is doing; complete only where this VM leads. */
-  report(): ControlReport {
+  override report(): ControlReport {
     const {log, options, consensus} = this;
     const {leadership} = consensus;
     const {configuration} = log;
--- a/packages/control/src/sole_control_log.ts
+++ b/packages/control/src/sole_control_log.ts
@@ -3,6 +3,7 @@
 import {applyCommand} from './apply_command.js';
 import {CommandAnswer, ControlCommand} from './control_command.js';
 import {ControlError, ControlLog} from './control_log.js';
+import {ControlReport} from './control_report.js';
 import {ControlState, EMPTY_CONTROL_STATE} from './control_state.js';
 
 /** A log that one process keeps in its memory: for tests of other parts. */
@@ -22,6 +23,18 @@
     return new SoleControlLog(self);
   }
 
+  override report(): ControlReport {
+    return {
+      leading: true,
+      leader: this.leader.current ?? null,
+      term: 1,
+      index: this.state.current.view.index,
+      quorum: 1,
+      margin: 0,
+      members: [],
+    };
+  }
+
   override async propose(
     command: ControlCommand,
   ): Promise<Either<ControlError, CommandAnswer>> {
--- a/packages/control/test/durable_log_test.ts
+++ b/packages/control/test/durable_log_test.ts
@@ -16,7 +16,8 @@
 }
 
 async function open(folder: MemoryFolder, failed = () => undefined) {
-  return DurableLog.open(folder, () => 'disk', failed);
+  const slow = () => undefined;
+  return DurableLog.open(folder, () => 'disk', {failed, slow});
 }
 
 async function reopen(folder: MemoryFolder): Promise<DurableLog> {
--- a/packages/operator/src/operator_client.ts
+++ b/packages/operator/src/operator_client.ts
@@ -1,5 +1,5 @@
 import {Either, Left, Right} from 'purify-ts';
-import {AuditRecord} from '@apricotlock/control';
+import {AuditRange, AuditTrail, ControlReport} from '@apricotlock/control';
 import {
   Address,
   Catalogue,
@@ -80,15 +80,15 @@
     return this.send('POST', `/v1/vms/${encodeURIComponent(name)}/drain`, {});
   }
 
-  /** The audit trail after an index. */
-  async audit(
-    since: number,
-  ): Promise<Either<OperatorError, readonly AuditRecord[]>> {
-    const answer = await this.send<{records: readonly AuditRecord[]}>(
-      'GET',
-      `/v1/audit?since=${since}`,
-    );
-    return answer.map(({records}) => records);
+  /** A part of the audit trail. */
+  audit(range: AuditRange): Promise<Either<OperatorError, AuditTrail>> {
+    const {afterIndex, from} = range;
+    return this.send('GET', `/v1/audit?since=${afterIndex}&from=${from}`);
+  }
+
+  /** How the replicated log is doing, from its leader. */
+  control(): Promise<Either<OperatorError, ControlReport>> {
+    return this.send('GET', '/v1/control');
   }
 
   private async send<T>(
@@ -127,6 +127,9 @@
   if (Array.isArray(answer['faults'])) {
     return {kind: 'faults', faults: answer['faults'] as CatalogueFault[]};
   }
+  if (answer['error'] === 'unknown') {
+    return {kind: 'unreachable', reason: String(answer['reason'])};
+  }
   const reason = String(answer['reason'] ?? answer['error'] ?? status);
   return {kind: 'refused', reason};
 }
--- a/packages/operator/src/operator_messages.ts
+++ b/packages/operator/src/operator_messages.ts
@@ -35,6 +35,8 @@
   readonly dataCentre: string;
   readonly leader: string | null;
   readonly viewIndex: number;
+  /** How old that view may be at most; `null` if the VM cannot tell. */
+  readonly viewAgeMilliseconds: number | null;
   readonly catalogueVersion: number;
   readonly machines: readonly MachineReport[];
   readonly databases: readonly DatabaseReport[];
@@ -57,6 +59,14 @@
   entries: z.array(z.unknown()),
 });
 
+/** Checks the query of `GET /v1/audit`. */
+export const auditQuerySchema = z.object({
+  /** Records after this index of the log. */
+  since: z.coerce.number().int().min(0).default(0),
+  /** Records from this time on, in milliseconds since the Unix epoch. */
+  from: z.coerce.number().min(0).default(0),
+});
+
 /** Checks the body of `POST /v1/servers/NAME/STATE`. */
 export const serverChangeSchema = z.strictObject({
   changeId: z.string().min(1).max(200),
--- a/packages/operator/src/operator_server.ts
+++ b/packages/operator/src/operator_server.ts
@@ -2,11 +2,13 @@
 import fastify, {FastifyInstance, FastifyReply, FastifyRequest} from 'fastify';
 import {Either} from 'purify-ts';
 import {
-  AuditRecord,
+  AuditRange,
+  AuditTrail,
   ChangeOrigin,
   CommandAnswer,
   ControlCommand,
   ControlError,
+  ControlReport,
 } from '@apricotlock/control';
 import {Announcement, readAnnouncement} from '@apricotlock/member';
 import {
@@ -16,6 +18,7 @@
   MemberState,
 } from '@apricotlock/topology';
 import {
+  auditQuerySchema,
   ChangeReport,
   putCatalogueSchema,
   serverChangeSchema,
@@ -39,9 +42,9 @@
   abstract catalogue(): Catalogue;
   abstract ready(): boolean;
   abstract metrics(): Promise<string>;
-  abstract audit(
-    since: number,
-  ): Promise<Either<ControlError, readonly AuditRecord[]>>;
+  abstract audit(range: AuditRange): Promise<Either<ControlError, AuditTrail>>;
+  /** How the replicated log is doing, from its leader. */
+  abstract controlReport(): Promise<Either<ControlError, ControlReport>>;
   abstract propose(
     command: ControlCommand,
   ): Promise<Either<ControlError, CommandAnswer>>;
@@ -126,13 +129,17 @@
     this.get('/v1/servers', async () => ({servers: backend.servers()}));
     this.get('/v1/catalogue', async () => backend.catalogue());
     this.get('/v1/audit', async (request, reply) => {
-      const {since} = request.query as {readonly since?: string};
-      const records = await backend.audit(Number(since ?? 0));
-      return records.caseOf<unknown>({
-        Left: error => reply.code(HTTP_UNAVAILABLE).send({error: error.reason}),
-        Right: found => ({records: found}),
-      });
+      const range = auditQuerySchema.safeParse(request.query);
+      if (!range.success) {
+        return reply.code(HTTP_BAD_REQUEST).send({error: range.error.message});
+      }
+      const {since: afterIndex, from} = range.data;
+      const trail = await backend.audit({afterIndex, from});
+      return orUnavailable(trail, reply);
     });
+    this.get('/v1/control', async (_request, reply) =>
+      orUnavailable(await backend.controlReport(), reply),
+    );
   }
 
   private addChangeRoutes(): void {
@@ -256,6 +263,16 @@
   ['activate', 'active'],
 ]);
 
+function orUnavailable<T>(
+  answer: Either<ControlError, T>,
+  reply: FastifyReply,
+): unknown {
+  return answer.caseOf<unknown>({
+    Left: error => reply.code(HTTP_UNAVAILABLE).send({error: error.reason}),
+    Right: found => found,
+  });
+}
+
 function hasToken(request: FastifyRequest, token: string): boolean {
   const given = Buffer.from(request.headers.authorization ?? '');
   const wanted = Buffer.from(`Bearer ${token}`);
