--- a/packages/control/src/durable_log.ts
+++ b/packages/control/src/durable_log.ts
@@ -1,5 +1,6 @@
 import {Either, Left, Right} from 'purify-ts';
 import {Deferred} from '@apricotlock/flow';
+import {TimerService} from '@apricotlock/timer';
 import {
   ControlConfiguration,
   EMPTY_CONFIGURATION,
@@ -22,8 +23,9 @@
   state: EMPTY_CONTROL_STATE,
 };
 
-/** What a log tells of its disk. */
-export interface DurableLogEvents {
+/** What a log needs, and what it tells of its disk. */
+export interface DurableLogContext {
+  readonly timer: TimerService;
   /** A write failed: nothing can be promised from then on. */
   readonly failed: (error: StorageError) => void;
   /** A write and its sync took long. */
@@ -65,7 +67,7 @@
     private voteHeld: VoteState,
     private generation: number,
     private file: StorageFile,
-    private readonly events: DurableLogEvents,
+    private readonly context: DurableLogContext,
   ) {}
 
   /**
@@ -75,16 +77,16 @@
   static async open(
     folder: StorageFolder,
     newDiskId: () => string,
-    events: DurableLogEvents,
+    context: DurableLogContext,
   ): Promise<Either<StorageError, DurableLog>> {
     try {
       const generations = await generationsIn(folder);
       const newest = generations.at(-1);
       if (newest === undefined) {
-        const begun = await begin(folder, newDiskId(), events);
+        const begun = await begin(folder, newDiskId(), context);
         return Right(begun);
       }
-      const read = await DurableLog.read(folder, newest, events);
+      const read = await DurableLog.read(folder, newest, context);
       for (const old of read.isRight() ? generations.slice(0, -1) : []) {
         await folder.remove(fileName(old));
       }
@@ -97,7 +99,7 @@
   private static async read(
     folder: StorageFolder,
     generation: number,
-    events: DurableLogEvents,
+    context: DurableLogContext,
   ): Promise<Either<StorageError, DurableLog>> {
     const name = fileName(generation);
     const path = folder.pathOf(name);
@@ -115,7 +117,7 @@
       return Left({kind: 'corrupt', file: path, offsetBytes: 0});
     }
     const file = await folder.openAt(name, lengthBytes);
-    const log = new DurableLog(folder, vote, generation, file, events);
+    const log = new DurableLog(folder, vote, generation, file, context);
     for (const item of items) log.take(item);
     log.flushedTo = log.last.index;
     return Right(log);
@@ -126,9 +128,9 @@
     folder: StorageFolder,
     vote: VoteState,
     file: StorageFile,
-    events: DurableLogEvents,
+    context: DurableLogContext,
   ): DurableLog {
-    return new DurableLog(folder, vote, 1, file, events);
+    return new DurableLog(folder, vote, 1, file, context);
   }
 
   /** Term, vote and the identity of the disk. */
@@ -277,16 +279,16 @@
       while (this.tasks.length > 0) {
         // Whatever is added in the same turn goes into the same record.
         await Promise.resolve();
-        const startedAt = performance.now();
+        const startedAt = this.context.timer.now();
         await this.writeSome();
-        const took = performance.now() - startedAt;
-        if (took > SLOW_WRITE_MILLISECONDS) this.events.slow(took);
+        const took = this.context.timer.now() - startedAt;
+        if (took > SLOW_WRITE_MILLISECONDS) this.context.slow(took);
       }
       this.writing = false;
       this.resolveWaiting(this.waiting);
     } catch (failure) {
       // Still `writing`: nobody is told that anything more was synced.
-      this.events.failed(diskError(this.folder, failure));
+      this.context.failed(diskError(this.folder, failure));
     }
   }
 
@@ -336,13 +338,13 @@
 async function begin(
   folder: StorageFolder,
   diskId: string,
-  events: DurableLogEvents,
+  context: DurableLogContext,
 ): Promise<DurableLog> {
   const vote = {diskId, cluster: undefined, term: 0, vote: undefined};
   const bytes = encodeRecord([{kind: 'vote', vote}]);
   await folder.replace(fileName(1), bytes);
   const file = await folder.openAt(fileName(1), bytes.length);
-  return DurableLog.fresh(folder, vote, file, events);
+  return DurableLog.fresh(folder, vote, file, context);
 }
 
 async function generationsIn(
--- a/packages/control/src/replicated_control_log.ts
+++ b/packages/control/src/replicated_control_log.ts
@@ -91,8 +91,9 @@
   static async start(
     options: ReplicatedControlLogOptions,
   ): Promise<Either<StorageError, ReplicatedControlLog>> {
-    const {folder, newDiskId, failed, logger} = options;
+    const {folder, newDiskId, timer, failed, logger} = options;
     const opened = await DurableLog.open(folder, newDiskId, {
+      timer,
       failed,
       slow: milliseconds =>
         logger.warn('the disk is slow', {
