--- a/packages/apricotlock/src/entry_process.ts
+++ b/packages/apricotlock/src/entry_process.ts
@@ -16,7 +16,12 @@
 } from '@apricotlock/membership';
 import {OperatorServer} from '@apricotlock/operator';
 import {PeerNetwork, ringOf, WebSocketPeerNetwork} from '@apricotlock/peer';
-import {CallerListener, Router, SessionObserver} from '@apricotlock/proxy';
+import {
+  CallerListener,
+  CancelRouter,
+  Router,
+  SessionObserver,
+} from '@apricotlock/proxy';
 import {SystemTimerService, TimerService} from '@apricotlock/timer';
 import {openDataFolder, startControlLog} from './control_node.js';
 import {EntryOperatorBackend} from './entry_operator_backend.js';
@@ -153,6 +158,11 @@
     logger,
     observer,
     secureContext: undefined,
+    cancels: CancelRouter.start({
+      self,
+      machines: membership.machines,
+      network,
+    }),
   });
 }
 
