--- /dev/null
+++ b/spec/check_model.sh
@@ -0,0 +1,52 @@
+#!/usr/bin/env bash
+# Checks the model of a database group exhaustively at the bounds below, and
+# that each broken variant is found faulty. Prints the states of each run.
+set -euo pipefail
+model="$(cd "$(dirname "$0")" && pwd)/group.pml"
+memory_megabytes=3500
+time_limit_seconds=60
+depth=100000
+folder="$(mktemp -d)"
+trap 'rm -rf "$folder"' EXIT
+cd "$folder"
+
+for tool in spin gcc timeout; do
+  command -v "$tool" > /dev/null || { echo "$tool is not installed"; exit 1; }
+done
+
+# explore DEFINITIONS...: prints states, seconds and errors of one run.
+explore() {
+  spin -a "$@" "$model" > /dev/null
+  gcc -w -O2 -DSAFETY -DCOLLAPSE -DMEMLIM="$memory_megabytes" -o pan pan.c
+  timeout "$time_limit_seconds" ./pan -E "-m$depth" > report.txt 2>&1 || true
+  # A search that was cut short has shown nothing.
+  if grep -qE 'max search depth|out of memory|Search not completed' report.txt
+  then
+    grep -q 'errors: 1' report.txt || { echo 'not exhaustive'; return; }
+  fi
+  local errors states seconds
+  errors="$(sed -nE 's/.*errors: ([0-9]+).*/\1/p' report.txt)"
+  states="$(sed -nE 's/^ *([0-9.e+]+) states, stored.*/\1/p' report.txt)"
+  seconds="$(sed -nE 's/.*elapsed time ([0-9.]+).*/\1/p' report.txt)"
+  echo "${errors:-no end:} errors, ${states:-?} states, ${seconds:-?} s"
+}
+
+status=0
+
+# expect ERRORS DEFINITIONS...
+expect() {
+  local wanted="$1" found
+  shift
+  found="$(explore "$@")"
+  echo "$*: $found"
+  [[ "$found" == "$wanted errors,"* ]] || { echo '  NOT AS EXPECTED'; status=1; }
+}
+
+expect 0 -DTERMS=3 -DWRITES=1
+expect 0 -DTERMS=2 -DWRITES=3
+expect 1 -DTERMS=3 -DWRITES=1 -DNO_FENCE
+expect 1 -DTERMS=3 -DWRITES=1 -DNO_TERM_CHECK
+expect 1 -DTERMS=3 -DWRITES=2 -DNO_FENCED_CHECK
+expect 1 -DTERMS=3 -DWRITES=1 -DANY_FENCED
+expect 1 -DTERMS=3 -DWRITES=1 -DEARLY_ADOPTION
+exit "$status"
