Mend two faults of the protocol, and take rounds apart

Cause: the model check showed that (1) a replica that took over a term before it held what the term's primary held is promoted before one with confirmed records of the term before, and (2) a member fenced at a later term must not count for a confirmation. Besides, a member with an empty disk counted for the fence of a majority, a replica read in a large group was not confirmed, waiting confirmations were never unsubscribed, and a caller waited for ever for a frozen primary. Change: late adoption; the fenced term is compared; members of no term count for no majority; replicaConfirmed; waitFor unsubscribes; a lease on a replaced primary ends; a round is a class of its own, tells replicas to follow at once, and its failure is taken up after 50 ms instead of 200; the reconciler acts on each observation; detection waits 300 + 200 ms instead of 400 + 250. Conclusion: the model now stands for what the code does, but for an empty disk.

--- a/packages/backend/src/lease_admission.ts
+++ b/packages/backend/src/lease_admission.ts
@@ -1,7 +1,5 @@
 import {Either, Left, Right} from 'purify-ts';
-import {TIMED_OUT, withTimeout} from '@apricotlock/flow';
 import {GroupWatch} from '@apricotlock/group';
-import {TimerService} from '@apricotlock/timer';
 import {findMember} from '@apricotlock/topology';
 import {LeaseRefusal, LeaseRequest} from './lease_messages.js';
 
@@ -10,16 +8,11 @@
   private constructor(
     private readonly member: string,
     private readonly watch: GroupWatch,
-    private readonly timer: TimerService,
   ) {}
 
   /** The admission to one member. */
-  static of(
-    member: string,
-    watch: GroupWatch,
-    timer: TimerService,
-  ): LeaseAdmission {
-    return new LeaseAdmission(member, watch, timer);
+  static of(member: string, watch: GroupWatch): LeaseAdmission {
+    return new LeaseAdmission(member, watch);
   }
 
   /** Waits, as long as the request allows, for a replica to catch up. */
@@ -29,14 +22,11 @@
     const mayWait =
       refusal.kind === 'behind' && request.floorWaitMilliseconds > 0;
     if (!mayWait) return Left(refusal);
-    const reached = await withTimeout(
-      this.timer,
+    const reached = await this.watch.waitFor(
+      () => this.refusalFor(request)?.kind !== 'behind',
       request.floorWaitMilliseconds,
-      this.watch.changes.until(
-        () => this.refusalFor(request)?.kind !== 'behind',
-      ),
     );
-    if (reached === TIMED_OUT) return Left({kind: 'behind'});
+    if (!reached) return Left({kind: 'behind'});
     const later = this.refusalFor(request);
     return later === undefined ? Right(undefined) : Left(later);
   }
--- a/packages/backend/src/lease_server.ts
+++ b/packages/backend/src/lease_server.ts
@@ -115,6 +115,8 @@
     const {term, role} = this.options.admission.standing();
     const {connection} = turn;
     if (message.reset) connection.markForReset();
+    // A member that was replaced may never answer: the caller must not wait.
+    const stopWatching = this.whenReplaced(() => connection.close());
     const ended = await connection.exchange({
       bytes: message.bytes,
       answers: message.answers,
@@ -122,6 +124,7 @@
         role === 'primary' ? PRIMARY_POSITION_QUERY : REPLICA_POSITION_QUERY,
       relay: bytes => this.channel.send({kind: 'answer', bytes}),
     });
+    stopWatching();
     if (ended.isLeft()) {
       this.channel.send({kind: 'lost', sent: true});
       turn.discard();
@@ -137,16 +140,31 @@
     return idle ? 'over' : 'goOn';
   }
 
+  /** Calls `action` once the member is no longer its group's primary. */
+  private whenReplaced(action: () => void): () => void {
+    const {watch} = this.options;
+    const {term, purpose} = this.request;
+    if (purpose === 'read') return () => undefined;
+    return watch.changes.subscribe(() => {
+      if (watch.isReplaced(term)) action();
+    });
+  }
+
   private async confirm(
     term: number,
     role: string,
     end: ExchangeEnd,
   ): Promise<boolean> {
     const {purpose, term: requestedTerm} = this.request;
-    if (role !== 'primary') return purpose === 'read';
+    const {watch} = this.options;
+    if (role !== 'primary') {
+      if (purpose === 'write') return false;
+      if (end.position === undefined) return true;
+      const limit = CONFIRM_TIMEOUT_MILLISECONDS;
+      return watch.replicaConfirmed(term, end.position, limit);
+    }
     if (purpose === 'write' && term !== requestedTerm) return false;
     if (end.position === undefined) return true;
-    const {watch} = this.options;
     return watch.confirmed(term, end.position, CONFIRM_TIMEOUT_MILLISECONDS);
   }
 
--- a/packages/backend/src/member_owner.ts
+++ b/packages/backend/src/member_owner.ts
@@ -29,7 +29,7 @@
     this.pool = ConnectionPool.create(open, timer);
     const {pool} = this;
     this.scheduler = WorkScheduler.create({pool, limits, timer});
-    this.admission = LeaseAdmission.of(member.name, watch, timer);
+    this.admission = LeaseAdmission.of(member.name, watch);
   }
 
   /** Begins to own a member. */
--- a/packages/failover/src/failover_coordinator.ts
+++ b/packages/failover/src/failover_coordinator.ts
@@ -12,13 +12,14 @@
   Member,
   votingMembers,
 } from '@apricotlock/topology';
+import {askMembers} from './ask_members.js';
 import {SUSPECT, Suspicion} from './failover_messages.js';
+import {FailoverRound} from './failover_round.js';
 
 const SUSPICION_LIFETIME_MILLISECONDS = 1_000;
-const REPORTERS_NEEDED = 2;
-const PROBE_TIMEOUT_MILLISECONDS = 250;
-const COMMAND_TIMEOUT_MILLISECONDS = 500;
-const SWEEP_PERIOD_MILLISECONDS = 200;
+const OBSERVERS_NEEDED = 2;
+const PROBE_TIMEOUT_MILLISECONDS = 200;
+const SWEEP_PERIOD_MILLISECONDS = 50;
 
 /** What a coordinator needs. */
 export interface FailoverOptions {
@@ -34,10 +35,9 @@
 }
 
 /**
- * Replaces lost primaries, on the control VM that leads. A round opens a term
- * in the replicated log, fences a majority of the group at it, and promotes
- * the fenced member with the longest log of the latest term. Any later round
- * can finish what an earlier one left, since each has a term of its own.
+ * Replaces lost primaries, on the control VM that leads. It believes no single
+ * observer: a primary is replaced when a watcher of its group and this
+ * process, each on a connection made for that, cannot reach it.
  */
 export class FailoverCoordinator {
   private suspicions: readonly HeardSuspicion[] = [];
@@ -60,167 +60,89 @@
   suspect(suspicion: Suspicion): void {
     if (!this.options.log.leading.current) return;
     const now = this.options.timer.now();
-    const fresh = this.suspicions.filter(
+    const others = this.suspicions.filter(
       known =>
         now - known.heardAt < SUSPICION_LIFETIME_MILLISECONDS &&
         !isSameReport(known, suspicion),
     );
-    this.suspicions = [...fresh, {...suspicion, heardAt: now}];
+    this.suspicions = [...others, {...suspicion, heardAt: now}];
     const group = this.groupOf(suspicion.database);
     if (group === undefined || group.term !== suspicion.term) return;
-    void this.exclusively(group.database, () => this.examine(group));
+    this.exclusively(group.database, () => this.examine(group));
   }
 
-  /** Takes up groups that have no primary. */
+  /** Takes up groups that have no primary, such as after a broken round. */
   private sweep(): void {
     if (!this.options.log.leading.current) return;
     for (const group of this.options.log.state.current.view.groups) {
       if (group.primary !== undefined) continue;
-      void this.exclusively(group.database, () => this.appoint(group));
+      this.exclusively(group.database, () => this.appoint(group));
     }
   }
 
-  /** One round at a time for each group. */
-  private async exclusively(
-    database: string,
-    work: () => Promise<void>,
-  ): Promise<void> {
+  /** One piece of work at a time for each group. */
+  private exclusively(database: string, work: () => Promise<unknown>): void {
     if (this.busy.has(database)) return;
     this.busy.add(database);
-    try {
-      await work();
-    } finally {
-      this.busy.delete(database);
-    }
+    void work().finally(() => this.busy.delete(database));
   }
 
   private async examine(group: DatabaseGroup): Promise<void> {
     const primary = findMember(group, group.primary ?? '');
     if (primary === undefined) return;
-    const reporters = this.suspicions.filter(
-      known => known.database === group.database && known.term === group.term,
-    );
-    const answer = await this.options.client.status(primary.apiAddress, {
-      holdMilliseconds: 0,
-      timeoutMilliseconds: PROBE_TIMEOUT_MILLISECONDS,
-      freshConnection: true,
-    });
+    const answer = await this.probe(primary);
     const status = answer.toMaybe().extract();
     const leads = status?.role === 'primary' && status.term === group.term;
-    const enough = reporters.length >= REPORTERS_NEEDED;
-    // The leader's own failed probe is an observation too.
-    if (leads || (!enough && reporters.length + 1 < REPORTERS_NEEDED)) return;
-    await this.round(group, 'the primary cannot be reached');
+    if (leads) return;
+    // This process's own failed probe is an observation too.
+    if (this.reporters(group) + 1 < OBSERVERS_NEEDED) return;
+    const text =
+      status === undefined
+        ? 'the primary cannot be reached'
+        : 'the primary leads no more';
+    await FailoverRound.run(
+      group,
+      {text, highestTerm: status?.fencedTerm ?? 0},
+      this.options,
+    );
+  }
+
+  private reporters(group: DatabaseGroup): number {
+    const oldest = this.options.timer.now() - SUSPICION_LIFETIME_MILLISECONDS;
+    return this.suspicions.filter(
+      known =>
+        known.database === group.database &&
+        known.term === group.term &&
+        known.heardAt >= oldest,
+    ).length;
   }
 
   /** Finds the primary of a group that has none. */
   private async appoint(group: DatabaseGroup): Promise<void> {
     const members = votingMembers(group);
     if (members.length < majorityOf(group)) return;
-    const statuses = await this.ask(members, member =>
-      this.options.client.status(member.apiAddress, {
-        holdMilliseconds: 0,
-        timeoutMilliseconds: PROBE_TIMEOUT_MILLISECONDS,
-        freshConnection: true,
-      }),
-    );
+    const first = group.term === 0;
+    const statuses = await askMembers(members, member => this.probe(member), {
+      // A group that is new here may have a primary, which must be found.
+      enough: first ? members.length : majorityOf(group),
+      counts: () => true,
+    });
     if (statuses.length < majorityOf(group)) return;
-    const highest = Math.max(...statuses.map(status => status.fencedTerm));
-    const leading = statuses.find(
-      status => status.role === 'primary' && status.term === highest,
-    );
-    if (group.term === 0 && leading !== undefined) {
-      await this.adopt(group, leading);
+    const highestTerm = Math.max(...statuses.map(known => known.fencedTerm));
+    const leading = first ? leaderOf(statuses, highestTerm) : undefined;
+    if (leading !== undefined) {
+      await FailoverRound.adopt(group, leading, this.options);
       return;
     }
-    await this.round(
-      {...group, term: group.term},
-      'there is no primary',
-      highest,
-    );
-  }
-
-  /** Takes over a primary that led its group before the system knew of it. */
-  private async adopt(
-    group: DatabaseGroup,
-    leading: MemberStatus,
-  ): Promise<void> {
-    const opened = await this.openTerm(group, leading.term, 'first seen');
-    if (opened) await this.appointed(group, leading.term, leading.name);
-  }
-
-  private async round(
-    group: DatabaseGroup,
-    reason: string,
-    highestTerm = 0,
-  ): Promise<void> {
-    const {logger, client} = this.options;
-    const term = Math.max(group.term, highestTerm) + 1;
-    if (!(await this.openTerm(group, term, reason))) return;
-    logger.warn('failing over', {database: group.database, term, reason});
-    const members = votingMembers(group);
-    const fenced = await this.ask(
-      members,
-      member =>
-        client.fence(member.apiAddress, term, COMMAND_TIMEOUT_MILLISECONDS),
-      majorityOf(group),
-    );
-    if (fenced.length < majorityOf(group)) return;
-    const chosen = findMember(group, longestLog(fenced).name);
-    if (chosen === undefined) return;
-    const promoted = await client.promote(
-      chosen.apiAddress,
-      term,
-      COMMAND_TIMEOUT_MILLISECONDS,
-    );
-    const leads = promoted.toMaybe().extract()?.role === 'primary';
-    if (leads) await this.appointed(group, term, chosen.name);
+    const reason = {text: 'there is no primary', highestTerm};
+    await FailoverRound.run(group, reason, this.options);
   }
 
-  private async openTerm(
-    group: DatabaseGroup,
-    term: number,
-    reason: string,
-  ): Promise<boolean> {
-    const answer = await this.options.log.propose({
-      kind: 'beginTerm',
-      database: group.database,
-      expectedTerm: group.term,
-      term,
-      reason,
-      at: this.options.timer.wallClock(),
-    });
-    return answer.toMaybe().extract()?.kind === 'accepted';
-  }
-
-  private async appointed(
-    group: DatabaseGroup,
-    term: number,
-    primary: string,
-  ): Promise<void> {
-    const {log, logger, timer} = this.options;
-    const {database} = group;
-    const at = timer.wallClock();
-    await log.propose({kind: 'setPrimary', database, term, primary, at});
-    logger.info('a primary was appointed', {database, term, primary});
-  }
-
-  /** Asks members at once; gives the answers once `enough` have come. */
-  private ask(
-    members: readonly Member[],
-    call: (member: Member) => ReturnType<MemberClient['status']>,
-    enough = members.length,
-  ): Promise<readonly MemberStatus[]> {
-    return new Promise(resolve => {
-      const statuses: MemberStatus[] = [];
-      let open = members.length;
-      for (const member of members) {
-        void call(member).then(answer => {
-          open -= 1;
-          answer.ifRight(status => statuses.push(status));
-          if (open === 0 || statuses.length >= enough) resolve([...statuses]);
-        });
-      }
+  private probe(member: Member) {
+    return this.options.client.status(member.apiAddress, {
+      holdMilliseconds: 0,
+      timeoutMilliseconds: PROBE_TIMEOUT_MILLISECONDS,
+      freshConnection: true,
     });
   }
 
@@ -229,14 +151,13 @@
   }
 }
 
-/** The member whose log is the longest of those of the latest term. */
-function longestLog(statuses: readonly MemberStatus[]): MemberStatus {
-  return statuses.reduce((best, status) => {
-    if (status.term !== best.term) {
-      return status.term > best.term ? status : best;
-    }
-    return status.received > best.received ? status : best;
-  });
+function leaderOf(
+  statuses: readonly MemberStatus[],
+  term: number,
+): MemberStatus | undefined {
+  return statuses.find(
+    status => status.role === 'primary' && status.term === term,
+  );
 }
 
 function isSameReport(left: Suspicion, right: Suspicion): boolean {
--- a/packages/failover/src/replica_reconciler.ts
+++ b/packages/failover/src/replica_reconciler.ts
@@ -4,17 +4,26 @@
 import {TimerService} from '@apricotlock/timer';
 import {findMember, Member, votingMembers} from '@apricotlock/topology';
 
-const SWEEP_PERIOD_MILLISECONDS = 50;
+const SWEEP_PERIOD_MILLISECONDS = 500;
 const REPEAT_MILLISECONDS = 500;
-const COMMAND_TIMEOUT_MILLISECONDS = 500;
+const COMMAND_TIMEOUT_MILLISECONDS = 400;
+
+interface Order {
+  readonly term: number;
+  readonly primary: string;
+  readonly at: number;
+}
 
 /**
- * Makes every member of the watched groups follow the group's primary. Several
- * entry VMs may do so for one group: a member refuses the order of a term that
- * is older than the one it is fenced at, and repeating an order is harmless.
+ * Makes every member of the watched groups follow the group's primary, as soon
+ * as something is heard of a member or of the group. Several entry VMs may do
+ * so for one group: a member refuses the order of a term that is older than
+ * the one it is fenced at, and repeating an order is harmless.
  */
 export class ReplicaReconciler {
-  private readonly orderedAt = new Map<string, number>();
+  /** The last order of each member. */
+  private readonly orders = new Map<string, Order>();
+  private readonly subscriptions = new Map<GroupWatch, () => void>();
 
   private constructor(
     private readonly client: MemberClient,
@@ -28,38 +37,46 @@
     timer: TimerService,
   ): ReplicaReconciler {
     const reconciler = new ReplicaReconciler(client, timer);
+    groups.subscribe(watches => reconciler.listenTo(watches));
+    reconciler.listenTo(groups.current);
+    // An order may be lost without anything being heard afterwards.
     timer.every(SWEEP_PERIOD_MILLISECONDS, () => {
-      for (const watch of groups.current) reconciler.sweep(watch);
+      for (const watch of groups.current) reconciler.putRight(watch);
     });
     return reconciler;
   }
 
-  private sweep(watch: GroupWatch): void {
+  private listenTo(watches: readonly GroupWatch[]): void {
+    for (const [watch, stop] of this.subscriptions) {
+      if (watches.includes(watch)) continue;
+      stop();
+      this.subscriptions.delete(watch);
+    }
+    for (const watch of watches) {
+      if (this.subscriptions.has(watch)) continue;
+      const stop = watch.changes.subscribe(() => this.putRight(watch));
+      this.subscriptions.set(watch, stop);
+      this.putRight(watch);
+    }
+  }
+
+  private putRight(watch: GroupWatch): void {
     const {group} = watch;
     const primary = findMember(group, group.primary ?? '');
     if (primary === undefined) return;
     for (const member of votingMembers(group)) {
       if (member.name === primary.name) continue;
-      if (this.mustBeTold(watch, member)) {
-        this.order(member, primary, group.term);
-      }
+      if (mustBeTold(watch, member)) this.order(member, primary, group.term);
     }
   }
 
-  private mustBeTold(watch: GroupWatch, member: Member): boolean {
-    const status = watch.observation(member.name)?.status;
-    if (status === undefined) return false;
-    const {term} = watch.group;
-    if (status.fencedTerm > term) return false;
-    return status.term < term || status.role === 'primary' || !status.following;
-  }
-
   private order(member: Member, primary: Member, term: number): void {
-    const key = `${member.name} ${term} ${primary.name}`;
-    const last = this.orderedAt.get(key) ?? -Infinity;
-    if (this.timer.now() - last < REPEAT_MILLISECONDS) return;
-    this.orderedAt.set(key, this.timer.now());
     const {name, apiAddress} = primary;
+    const at = this.timer.now();
+    const last = this.orders.get(member.name);
+    const repeated = last?.term === term && last.primary === name;
+    if (repeated && at - last.at < REPEAT_MILLISECONDS) return;
+    this.orders.set(member.name, {term, primary: name, at});
     void this.client.follow(
       member.apiAddress,
       term,
@@ -68,3 +85,13 @@
     );
   }
 }
+
+function mustBeTold(watch: GroupWatch, member: Member): boolean {
+  const status = watch.observation(member.name)?.status;
+  if (status === undefined) return false;
+  const {term} = watch.group;
+  if (status.fencedTerm > term) return false;
+  return (
+    status.fencedTerm < term || status.role === 'primary' || !status.following
+  );
+}
--- a/packages/group/src/group_watch.ts
+++ b/packages/group/src/group_watch.ts
@@ -1,4 +1,4 @@
-import {Observable, TIMED_OUT, withTimeout} from '@apricotlock/flow';
+import {Observable} from '@apricotlock/flow';
 import {MemberClient} from '@apricotlock/member';
 import {Position} from '@apricotlock/session';
 import {TimerService} from '@apricotlock/timer';
@@ -6,6 +6,7 @@
 import {MemberObservation, StatusWatch} from './status_watch.js';
 
 const FRESH_TIMEOUT_MILLISECONDS = 500;
+const MEMBERS_THAT_HOLD_A_REPLICATED_RECORD = 2;
 
 /** Follows all members of a database group. */
 export class GroupWatch {
@@ -63,30 +64,76 @@
   /**
    * Whether a majority of the group holds `position` in the history of
    * `term`. A member of another term counts for nothing: what it holds at
-   * this position may be something else.
+   * this position may be something else. Nor does one that is fenced at a
+   * later term: the round of that term may have been told of a shorter log.
    */
   isConfirmed(term: number, position: Position): boolean {
     let count = 0;
     for (const member of votingMembers(this.current)) {
       const status = this.observation(member.name)?.status;
-      if (status?.term === term && status.received >= position) count += 1;
+      if (status === undefined) continue;
+      const counts = status.term === term && status.fencedTerm === term;
+      if (counts && status.received >= position) count += 1;
     }
     return count >= majorityOf(this.current);
   }
 
-  /** Waits for {@link GroupWatch.isConfirmed}; `false` when time is up. */
+  /**
+   * Waits for {@link GroupWatch.isConfirmed}; `false` when time is up, or
+   * once another primary has been appointed.
+   */
   async confirmed(
     term: number,
     position: Position,
     timeoutMilliseconds: number,
   ): Promise<boolean> {
-    if (this.isConfirmed(term, position)) return true;
-    const outcome = await withTimeout(
-      this.timer,
+    await this.waitFor(
+      () => this.isConfirmed(term, position) || this.isReplaced(term),
       timeoutMilliseconds,
-      this.changes.until(() => this.isConfirmed(term, position)),
     );
-    return outcome !== TIMED_OUT;
+    return this.isConfirmed(term, position);
+  }
+
+  /**
+   * Whether what a replica of `term` shows up to `position` can no longer be
+   * lost. The primary that sent it holds it too, so in a group whose majority
+   * is two members that is always so.
+   */
+  async replicaConfirmed(
+    term: number,
+    position: Position,
+    timeoutMilliseconds: number,
+  ): Promise<boolean> {
+    if (majorityOf(this.current) <= MEMBERS_THAT_HOLD_A_REPLICATED_RECORD) {
+      return true;
+    }
+    return this.confirmed(term, position, timeoutMilliseconds);
+  }
+
+  /** Whether a primary of a term after `term` has been appointed. */
+  isReplaced(term: number): boolean {
+    return this.current.term > term && this.current.primary !== undefined;
+  }
+
+  /** Waits until `test` holds; `false` when time is up. */
+  async waitFor(
+    test: () => boolean,
+    timeoutMilliseconds: number,
+  ): Promise<boolean> {
+    if (test()) return true;
+    return new Promise(resolve => {
+      const finish = (held: boolean) => {
+        stopListening();
+        stopAlarm();
+        resolve(held);
+      };
+      const stopListening = this.changes.subscribe(() => {
+        if (test()) finish(true);
+      });
+      const stopAlarm = this.timer.once(timeoutMilliseconds, () =>
+        finish(false),
+      );
+    });
   }
 
   /** Where the primary of `term` stands now, asked afresh. */
--- a/packages/group/src/status_watch.ts
+++ b/packages/group/src/status_watch.ts
@@ -3,9 +3,9 @@
 import {TimerService} from '@apricotlock/timer';
 import {Member} from '@apricotlock/topology';
 
-const HOLD_MILLISECONDS = 150;
-const ANSWER_TIMEOUT_MILLISECONDS = 400;
-const FRESH_TIMEOUT_MILLISECONDS = 250;
+const HOLD_MILLISECONDS = 100;
+const ANSWER_TIMEOUT_MILLISECONDS = 300;
+const FRESH_TIMEOUT_MILLISECONDS = 200;
 const PAUSE_AFTER_FAILURE_MILLISECONDS = 25;
 
 /** What is known of a member. */
--- a/packages/member/src/member_status.ts
+++ b/packages/member/src/member_status.ts
@@ -15,7 +15,11 @@
   readonly database: string;
   /** The highest term it was fenced at: it refuses anything older. */
   readonly fencedTerm: number;
-  /** The term whose history its log is a part of. */
+  /**
+   * The term whose history its log is a part of, and of which it holds at
+   * least what the term's primary held when this member began to follow it;
+   * 0 for a member that has never held anything.
+   */
   readonly term: number;
   readonly role: MemberRole;
   /** For a replica: whether it takes the log from a primary. */
--- a/packages/standin/src/member_api_server.ts
+++ b/packages/standin/src/member_api_server.ts
@@ -111,7 +111,8 @@
     const shared = boundaries.find(boundary =>
       log.holds(boundary.term, parsePosition(boundary.position).unsafeCoerce()),
     );
-    return ok({common: shared?.position ?? null});
+    const end = formatPosition(log.end);
+    return ok({common: shared?.position ?? null, end});
   }
 
   private async records(body: unknown): Promise<ApiAnswer> {
--- a/packages/standin/src/member_runtime.ts
+++ b/packages/standin/src/member_runtime.ts
@@ -22,6 +22,13 @@
   readonly statement: number;
 }
 
+/** A history that a replica has begun to take over. */
+interface Adoption {
+  readonly source: LogSource;
+  /** How far the primary held it when the replica began to follow. */
+  readonly completeAt: Position;
+}
+
 /** Who a member is. */
 export interface MemberIdentity {
   readonly name: string;
@@ -36,6 +43,7 @@
   /** Told whenever sessions must end because the member changes its role. */
   readonly sessionsEnded = Observable.of(0);
   delays: MemberDelays = {receive: 0, apply: 0, statement: 0};
+  private adopting: Adoption | undefined;
   private terms: StoredTerms;
   private role: MemberRole;
 
@@ -44,7 +52,7 @@
     private readonly store: MemberStore,
     startAsPrimary: boolean,
   ) {
-    this.terms = store.loadTerms() ?? {term: 1, fencedTerm: 1};
+    this.terms = store.loadTerms() ?? firstTerms(startAsPrimary);
     const records = store.loadRecords();
     for (const record of records) this.database.log.receive(record);
     this.database.applyAll();
@@ -119,14 +127,25 @@
     return true;
   }
 
-  /** The log is now a part of the history of `term`, up to `common`. */
-  adopt(term: number, common: Position): void {
+  /** Whether the log is known to be a part of what `source` sends. */
+  matches(source: LogSource): boolean {
+    return this.terms.term === source.term || this.adopting?.source === source;
+  }
+
+  /**
+   * The log is now a part of the history of `source`, up to `common`. The
+   * member counts as one of that term only once it holds all that the primary
+   * held then: with the later term and a shorter log it would be promoted
+   * before a member that holds confirmed records of the term before.
+   */
+  adopt(source: LogSource, common: Position, completeAt: Position): void {
     if (this.database.log.end > common) {
       this.endSessions();
       this.database.truncate(common);
       this.store.rewrite(this.database.log.all);
     }
-    this.setTerms({...this.terms, term});
+    this.adopting = {source, completeAt};
+    this.adoptIfComplete();
     this.publish();
   }
 
@@ -136,9 +155,20 @@
       this.database.log.receive(record);
       this.store.append(record);
     }
+    this.adoptIfComplete();
     this.publish();
   }
 
+  private adoptIfComplete(): void {
+    const {adopting} = this;
+    if (adopting === undefined || adopting.source !== this.source.current) {
+      return;
+    }
+    if (this.database.log.end < adopting.completeAt) return;
+    this.adopting = undefined;
+    this.setTerms({...this.terms, term: adopting.source.term});
+  }
+
   /** Shows a held record to readers. */
   apply(record: LogRecord): void {
     this.database.apply(record);
@@ -170,6 +200,11 @@
   }
 }
 
+/** Without a history a member is of no term: it counts for no majority. */
+function firstTerms(startAsPrimary: boolean): StoredTerms {
+  return startAsPrimary ? {term: 1, fencedTerm: 1} : {term: 0, fencedTerm: 0};
+}
+
 function sameSource(left: LogSource | undefined, right: LogSource): boolean {
   return (
     left?.term === right.term &&
--- a/packages/standin/src/replication.ts
+++ b/packages/standin/src/replication.ts
@@ -69,10 +69,10 @@
   options: ReplicationOptions,
 ): Promise<boolean> {
   const {runtime} = options;
-  if (runtime.term !== source.term) {
-    const common = await commonPosition(source, options);
-    if (common === undefined || runtime.source.current !== source) return false;
-    runtime.adopt(source.term, common);
+  if (!runtime.matches(source)) {
+    const match = await matchLogs(source, options);
+    if (match === undefined || runtime.source.current !== source) return false;
+    runtime.adopt(source, match.common, match.end);
   }
   const after = runtime.database.log.end;
   const records = await fetchRecords(source, after, options);
@@ -87,10 +87,16 @@
   return true;
 }
 
-async function commonPosition(
+/** How far two logs are the same, and how far the primary's goes. */
+interface LogMatch {
+  readonly common: Position;
+  readonly end: Position;
+}
+
+async function matchLogs(
   source: LogSource,
   options: ReplicationOptions,
-): Promise<Position | undefined> {
+): Promise<LogMatch | undefined> {
   const boundaries = [...options.runtime.database.log.all]
     .reverse()
     .map(record => ({
@@ -99,12 +105,19 @@
     }));
   for (let start = 0; ; start += BOUNDARIES_A_REQUEST) {
     const part = boundaries.slice(start, start + BOUNDARIES_A_REQUEST);
-    if (part.length === 0) return POSITION_ZERO;
     const body = {term: source.term, boundaries: part};
     const answer = await post(source, '/v1/log/common', body, options);
     if (answer === undefined) return undefined;
-    const {common} = answer as {readonly common: string | null};
-    if (common !== null) return parsePosition(common).unsafeCoerce();
+    const {common, end} = answer as {
+      readonly common: string | null;
+      readonly end: string;
+    };
+    if (common === null && part.length > 0) continue;
+    return {
+      common:
+        common === null ? POSITION_ZERO : parsePosition(common).unsafeCoerce(),
+      end: parsePosition(end).unsafeCoerce(),
+    };
   }
 }
 
