Run real processes behind faulty links, and check transactions

Cause: the workload had only single writes, and its processes met directly. Change: FaultFabric puts a relay before each member of a layout; the workload can send transactions of three rows, and the ledger finds a part of one.

--- a/packages/bench/src/caller.ts
+++ b/packages/bench/src/caller.ts
@@ -66,6 +66,40 @@
     }
   }
 
+  /** Runs statements as one transaction and says what became of it. */
+  async transaction(
+    statements: ReadonlyArray<readonly [string, readonly unknown[]]>,
+  ): Promise<Outcome> {
+    const begun = await this.run('BEGIN');
+    if (begun.kind !== 'done') return {kind: 'notRun', code: begun.code};
+    const {client} = this;
+    for (const [text, values] of statements) {
+      const outcome = await this.run(text, values);
+      if (outcome.kind !== 'done') return this.abandon(outcome.code);
+      // Another connection would know nothing of the transaction.
+      if (this.client !== client) return this.abandon('connection lost');
+    }
+    return this.run('COMMIT');
+  }
+
+  /** Runs a statement under an idempotency key. */
+  async runKeyed(
+    key: string,
+    [text, values]: readonly [string, readonly unknown[]],
+  ): Promise<Outcome> {
+    const set = await this.run(`SET apricotlock.idempotency_key = '${key}'`);
+    // On another connection the statement would run without the key.
+    const lost = set.kind !== 'done' || this.client === undefined;
+    if (lost) return {kind: 'notRun', code: 'the key was not taken'};
+    return this.run(text, values);
+  }
+
+  /** COMMIT was never sent, so nothing of the transaction can stay. */
+  private async abandon(code: string): Promise<Outcome> {
+    await this.close();
+    return {kind: 'notRun', code};
+  }
+
   /** How long a statement took, in milliseconds. */
   async timed(text: string, values: readonly unknown[] = []): Promise<number> {
     const start = this.timer.now();
--- a/packages/bench/src/ledger.ts
+++ b/packages/bench/src/ledger.ts
@@ -26,18 +26,27 @@
     return this.unknown.size;
   }
 
-  /** Compares with what a database holds in the end. */
+  /**
+   * Compares with what a database holds in the end. A row's `id` names the
+   * write; the rows of one transaction have the same id, and `parts` in each
+   * says how many there are.
+   */
   check(rows: readonly Row[]): Violations {
     const found = new Map<string, number>();
+    const wanted = new Map<string, number>();
     for (const row of rows) {
       const id = String(row['id']);
       found.set(id, (found.get(id) ?? 0) + 1);
+      wanted.set(id, Number(row['parts'] ?? 1));
     }
+    const foundOf = (id: string) => found.get(id) ?? 0;
+    const wantedOf = (id: string) => wanted.get(id) ?? 1;
     return {
       ...NO_VIOLATIONS,
       acknowledgedLost: count(this.acknowledged, id => !found.has(id)),
       falseNotRun: count(this.refused, id => found.has(id)),
-      runTwice: count(found.keys(), id => (found.get(id) ?? 0) > 1),
+      runTwice: count(found.keys(), id => foundOf(id) > wantedOf(id)),
+      transactionsMixed: count(found.keys(), id => foundOf(id) < wantedOf(id)),
     };
   }
 }
--- a/packages/bench/src/process_group.ts
+++ b/packages/bench/src/process_group.ts
@@ -40,6 +40,14 @@
     return this.children.get(name)?.pid;
   }
 
+  /** The names of the processes by their ids. */
+  get byProcessId(): ReadonlyMap<number, string> {
+    const named = [...this.children].map(
+      ([name, {pid}]) => [pid ?? 0, name] as const,
+    );
+    return new Map(named);
+  }
+
   /** Sends a signal to one process. */
   signal(name: string, signal: NodeJS.Signals): void {
     this.children.get(name)?.kill(signal);
--- a/packages/bench/src/system_under_test.ts
+++ b/packages/bench/src/system_under_test.ts
@@ -5,6 +5,7 @@
 import {OperatorClient} from '@apricotlock/operator';
 import {TimerService} from '@apricotlock/timer';
 import {CatalogueEntry, formatAddress} from '@apricotlock/topology';
+import {FaultFabric, relayAddress} from './fault_fabric.js';
 import {Layout, MachineLayout, MemberLayout} from './layout.js';
 import {ProcessGroup} from './process_group.js';
 
@@ -28,6 +29,7 @@
   readonly folder = mkdtempSync(join(tmpdir(), 'apricotlock-'));
   readonly tokenFile = join(this.folder, 'operator-token');
   readonly processes = ProcessGroup.create();
+  private fabric: FaultFabric | undefined;
 
   private constructor(
     readonly layout: Layout,
@@ -45,16 +47,39 @@
     timer: TimerService,
   ): Promise<SystemUnderTest> {
     const system = new SystemUnderTest(layout, timer);
-    for (const member of layout.members) system.startMember(member);
-    for (const machine of layout.machines) system.startMachine(machine);
-    await system.until('the VMs', async () => {
-      const status = await system.operator().status();
+    await system.startProcesses();
+    return system;
+  }
+
+  /** As {@link SystemUnderTest.start}, with relays before every member. */
+  static async startWithFaults(
+    layout: Layout,
+    timer: TimerService,
+  ): Promise<SystemUnderTest> {
+    const system = new SystemUnderTest(layout, timer);
+    const {processes} = system;
+    system.fabric = await FaultFabric.start(layout, processes, timer);
+    await system.startProcesses();
+    return system;
+  }
+
+  /** The relays before the members. Throws if there are none. */
+  get faults(): FaultFabric {
+    if (this.fabric === undefined) throw new Error('started without faults');
+    return this.fabric;
+  }
+
+  private async startProcesses(): Promise<void> {
+    const {layout} = this;
+    for (const member of layout.members) this.startMember(member);
+    for (const machine of layout.machines) this.startMachine(machine);
+    await this.until('the VMs', async () => {
+      const status = await this.operator().status();
       const machines = status
         .map(report => report.machines.length)
         .orDefault(0);
       return machines === layout.machines.length;
     });
-    return system;
   }
 
   /** The path of the operators' command line. */
@@ -110,6 +135,7 @@
         ...flag('address', formatAddress(member.address)),
         ...flag('api-address', formatAddress(member.apiAddress)),
         ...flag('command-address', formatAddress(member.commandAddress)),
+        ...this.announcedFlags(member),
         ...balancer.flatMap(address => flag('announce-to', address)),
         ...flag('connections', String(profile.connections)),
         ...flag('slots', String(profile.slots)),
@@ -122,6 +148,16 @@
     });
   }
 
+  private announcedFlags({address, apiAddress}: MemberLayout) {
+    if (this.fabric === undefined) return [];
+    const announced = formatAddress(relayAddress(address));
+    const announcedApi = formatAddress(relayAddress(apiAddress));
+    return [
+      ...flag('announced-address', announced),
+      ...flag('announced-api-address', announcedApi),
+    ];
+  }
+
   /** A client of one VM's operators' API, the first one's by default. */
   operator(machine: MachineLayout = this.machine(0)): OperatorClient {
     const token = `${KEY_BYTES} operator-token`;
@@ -199,6 +235,7 @@
   /** Ends all processes. */
   async stop(): Promise<void> {
     await this.processes.stopAll();
+    await this.fabric?.close();
   }
 
   private initialVoters(): string {
--- a/packages/bench/src/workload.ts
+++ b/packages/bench/src/workload.ts
@@ -7,6 +7,11 @@
 
 const MICROSECONDS_A_MILLISECOND = 1_000;
 const PAUSE_AFTER_REFUSAL_MILLISECONDS = 10;
+const PARTS_A_TRANSACTION = 3;
+/** One write in so many is a transaction, and one is keyed. */
+const TURNS_A_ROUND = 4;
+const TRANSACTION_TURN = 1;
+const KEYED_TURN = 2;
 
 /** What a workload does. */
 export interface WorkloadOptions {
@@ -18,6 +23,10 @@
   readonly readsAWrite: number;
   /** A pause of each caller after each statement, in milliseconds. */
   readonly thinkMilliseconds: number;
+  /** Whether some writes are transactions of several rows. */
+  readonly transactions?: boolean;
+  /** Whether some writes are keyed, and sent until they are known to be done. */
+  readonly keyed?: boolean;
   readonly timer: TimerService;
 }
 
@@ -96,12 +105,14 @@
 
   private async createTable(): Promise<void> {
     const caller = this.caller(0);
-    await untilDone(this.options.timer, () =>
-      caller.run(
-        `CREATE TABLE IF NOT EXISTS ${this.table} ` +
-          '(id text PRIMARY KEY, holder text)',
-      ),
-    );
+    for (const text of [
+      `CREATE TABLE IF NOT EXISTS ${this.table} ` +
+        '(id text PRIMARY KEY, holder text)',
+      `CREATE TABLE IF NOT EXISTS ${this.table}_parts ` +
+        '(id text, part integer, parts integer)',
+    ]) {
+      await untilDone(this.options.timer, () => caller.run(text));
+    }
     await caller.close();
   }
 
@@ -110,15 +121,20 @@
     const rows = await untilDone(this.options.timer, () =>
       caller.run(`SELECT id FROM ${this.table} FOR UPDATE`),
     );
+    const parts = await untilDone(this.options.timer, () =>
+      caller.run(`SELECT id, parts FROM ${this.table}_parts FOR UPDATE`),
+    );
     await caller.close();
-    return rows;
+    return [...rows, ...parts];
   }
 
   private async runCaller(index: number): Promise<void> {
     const caller = this.caller(index);
     for (let turn = 0; !this.stopped; turn++) {
       const id = `${index}-${turn}`;
-      const outcome = await this.write(caller, id);
+      const kind = this.kindOf(turn);
+      const outcome = await this.write(caller, id, kind);
+      if (kind === TRANSACTION_TURN || kind === KEYED_TURN) continue;
       if (outcome === 'done') {
         await caller.roam(this.proxy(index + turn + 1));
         await this.readBack(caller, id);
@@ -129,13 +145,14 @@
     await caller.close();
   }
 
-  private async write(caller: Caller, id: string): Promise<Outcome['kind']> {
+  private async write(
+    caller: Caller,
+    id: string,
+    kind: number,
+  ): Promise<Outcome['kind']> {
     const {timer} = this.options;
     const start = timer.now();
-    const outcome = await caller.run(
-      `INSERT INTO ${this.table} (id, holder) VALUES ($1, $2)`,
-      [id, 'a family'],
-    );
+    const outcome = await this.send(caller, id, kind);
     this.ledger.note(id, outcome.kind);
     if (outcome.kind !== 'done') return outcome.kind;
     this.writes += 1;
@@ -147,6 +164,49 @@
     return outcome.kind;
   }
 
+  private kindOf(turn: number): number {
+    const kind = turn % TURNS_A_ROUND;
+    const {transactions = false, keyed = false} = this.options;
+    if (kind === TRANSACTION_TURN && transactions) return kind;
+    if (kind === KEYED_TURN && keyed) return kind;
+    return 0;
+  }
+
+  private send(caller: Caller, id: string, kind: number): Promise<Outcome> {
+    if (kind === TRANSACTION_TURN) return this.sendTransaction(caller, id);
+    if (kind === KEYED_TURN) return this.sendKeyed(caller, id);
+    return caller.run(
+      `INSERT INTO ${this.table} (id, holder) VALUES ($1, $2)`,
+      [id, 'a family'],
+    );
+  }
+
+  private sendTransaction(caller: Caller, id: string): Promise<Outcome> {
+    const parts = Array.from(
+      {length: PARTS_A_TRANSACTION},
+      (_, part) => [this.partText, [id, part, PARTS_A_TRANSACTION]] as const,
+    );
+    return caller.transaction(parts);
+  }
+
+  /** Sends a write with a key until its outcome is known to be done. */
+  private async sendKeyed(caller: Caller, id: string): Promise<Outcome> {
+    const {timer} = this.options;
+    for (let attempt = 0; ; attempt++) {
+      const outcome = await caller.runKeyed(`${this.table}-${id}`, [
+        this.partText,
+        [id, 0, 1],
+      ]);
+      if (outcome.kind === 'done') return outcome;
+      await timer.sleep(PAUSE_AFTER_REFUSAL_MILLISECONDS);
+      await caller.roam(this.proxy(attempt));
+    }
+  }
+
+  private get partText(): string {
+    return `INSERT INTO ${this.table}_parts (id, part, parts) VALUES ($1, $2, $3)`;
+  }
+
   private async readBack(caller: Caller, id: string): Promise<void> {
     const {timer, readsAWrite} = this.options;
     for (let count = 0; count < readsAWrite && !this.stopped; count++) {
--- a/packages/standin/src/main.ts
+++ b/packages/standin/src/main.ts
@@ -3,7 +3,7 @@
 import {hideBin} from 'yargs/helpers';
 import {Logger} from '@apricotlock/logging';
 import {SystemTimerService} from '@apricotlock/timer';
-import {Address, formatAddress, parseAddress} from '@apricotlock/topology';
+import {Address, parseAddress} from '@apricotlock/topology';
 import {StatementClassifier} from '@apricotlock/sql';
 import {announce} from './announcer.js';
 import {serveCommands} from './command_server.js';
@@ -22,6 +22,8 @@
   .option('address', {type: 'string', demandOption: true})
   .option('api-address', {type: 'string', demandOption: true})
   .option('command-address', {type: 'string', demandOption: true})
+  .option('announced-address', {type: 'string'})
+  .option('announced-api-address', {type: 'string'})
   .option('announce-to', {type: 'string', array: true, default: []})
   .option('primary', {type: 'boolean', default: false})
   .option('connections', {type: 'number', default: 16})
@@ -82,8 +84,8 @@
     name: options.name,
     database: options.database,
     dataCentre: options.dataCentre,
-    address: formatAddress(address),
-    apiAddress: formatAddress(apiAddress),
+    address: options.announcedAddress ?? options.address,
+    apiAddress: options.announcedApiAddress ?? options.apiAddress,
     incarnation: timer.wallClock(),
     capacity: {connections: options.connections, slots: options.slots},
   },
