--- a/packages/bench/src/workload.ts
+++ b/packages/bench/src/workload.ts
@@ -10,6 +10,7 @@
 const PARTS_A_TRANSACTION = 3;
 /** One write in so many is a transaction, and one is keyed. */
 const TURNS_A_ROUND = 4;
+const SINGLE_TURN = 0;
 const TRANSACTION_TURN = 1;
 const KEYED_TURN = 2;
 
@@ -134,11 +135,10 @@
       const id = `${index}-${turn}`;
       const kind = this.kindOf(turn);
       const outcome = await this.write(caller, id, kind);
-      if (kind === TRANSACTION_TURN || kind === KEYED_TURN) continue;
-      if (outcome === 'done') {
+      if (outcome === 'done' && kind === SINGLE_TURN) {
         await caller.roam(this.proxy(index + turn + 1));
         await this.readBack(caller, id);
-      } else {
+      } else if (outcome !== 'done') {
         await this.options.timer.sleep(PAUSE_AFTER_REFUSAL_MILLISECONDS);
       }
     }
@@ -169,7 +169,7 @@
     const {transactions = false, keyed = false} = this.options;
     if (kind === TRANSACTION_TURN && transactions) return kind;
     if (kind === KEYED_TURN && keyed) return kind;
-    return 0;
+    return SINGLE_TURN;
   }
 
   private send(caller: Caller, id: string, kind: number): Promise<Outcome> {
--- a/packages/faults/src/fault_plan.ts
+++ b/packages/faults/src/fault_plan.ts
@@ -8,7 +8,8 @@
   readonly delayMilliseconds: number;
 }
 
-const SOUND: LaneFault = {held: false, delayMilliseconds: 0};
+/** What happens to bytes where there is no fault. */
+export const SOUND: LaneFault = {held: false, delayMilliseconds: 0};
 
 /** The faults of a network, by the names of the processes at its ends. */
 export class FaultPlan {
@@ -23,6 +24,11 @@
     return new FaultPlan();
   }
 
+  /** Whether there is no fault at all. */
+  get sound(): boolean {
+    return this.faults.size === 0;
+  }
+
   /** What happens to bytes from `source` to `target`. */
   faultOf(source: string, target: string): LaneFault {
     return this.faults.get(laneOf(source, target)) ?? SOUND;
--- a/packages/faults/src/fault_relay.ts
+++ b/packages/faults/src/fault_relay.ts
@@ -1,7 +1,7 @@
 import {connect, createServer, Server, Socket} from 'node:net';
 import {TimerService} from '@apricotlock/timer';
 import {Address} from '@apricotlock/topology';
-import {FaultPlan} from './fault_plan.js';
+import {FaultPlan, LaneFault, SOUND} from './fault_plan.js';
 import {Lane} from './lane.js';
 
 /** What a relay needs. */
@@ -71,10 +71,11 @@
 
   private accept(inbound: Socket): void {
     const {target, targetName, plan, timer} = this.options;
-    const source = this.options.sourceOf(inbound);
+    const source = this.sourceLater(inbound);
     const outbound = connect({...target, noDelay: true, allowHalfOpen: true});
-    const forth = () => plan.faultOf(source, targetName);
-    const back = () => plan.faultOf(targetName, source);
+    const faultOf = (find: () => LaneFault) => (plan.sound ? SOUND : find());
+    const forth = () => faultOf(() => plan.faultOf(source(), targetName));
+    const back = () => faultOf(() => plan.faultOf(targetName, source()));
     const relayed: Relayed = {
       sockets: [inbound, outbound],
       lanes: [
@@ -91,6 +92,15 @@
     inbound.once('close', () => this.forget(relayed));
   }
 
+  /** Finding the process takes a while; without a fault it is not needed. */
+  private sourceLater(socket: Socket): () => string {
+    let name: string | undefined;
+    return () => {
+      name ??= this.options.sourceOf(socket);
+      return name;
+    };
+  }
+
   private forget(relayed: Relayed): void {
     if (relayed.sockets.every(socket => socket.destroyed)) {
       this.relayed.delete(relayed);
--- a/packages/group/src/group_watch.ts
+++ b/packages/group/src/group_watch.ts
@@ -3,22 +3,23 @@
 import {Position} from '@apricotlock/session';
 import {TimerService} from '@apricotlock/timer';
 import {DatabaseGroup, majorityOf, votingMembers} from '@apricotlock/topology';
+import {CurrentPosition} from './current_position.js';
 import {MemberObservation, StatusWatch} from './status_watch.js';
 
-const FRESH_TIMEOUT_MILLISECONDS = 500;
-const MEMBERS_THAT_HOLD_A_REPLICATED_RECORD = 2;
-
 /** Follows all members of a database group. */
 export class GroupWatch {
   /** Counts changes of what is known; its value has no other meaning. */
   readonly changes = Observable.of(0);
+  private readonly currentPosition: CurrentPosition;
   private watches = new Map<string, StatusWatch>();
 
   private constructor(
     private current: DatabaseGroup,
     private readonly client: MemberClient,
     private readonly timer: TimerService,
-  ) {}
+  ) {
+    this.currentPosition = CurrentPosition.of(client, () => this.current);
+  }
 
   /** Starts to follow the members of `group`. */
   static start(
@@ -94,22 +95,6 @@
     return this.isConfirmed(term, position);
   }
 
-  /**
-   * Whether what a replica of `term` shows up to `position` can no longer be
-   * lost. The primary that sent it holds it too, so in a group whose majority
-   * is two members that is always so.
-   */
-  async replicaConfirmed(
-    term: number,
-    position: Position,
-    timeoutMilliseconds: number,
-  ): Promise<boolean> {
-    if (majorityOf(this.current) <= MEMBERS_THAT_HOLD_A_REPLICATED_RECORD) {
-      return true;
-    }
-    return this.confirmed(term, position, timeoutMilliseconds);
-  }
-
   /** Whether a primary of a term after `term` has been appointed. */
   isReplaced(term: number): boolean {
     return this.current.term > term && this.current.primary !== undefined;
@@ -136,18 +121,9 @@
     });
   }
 
-  /** Where the primary of `term` stands now, asked afresh. */
-  async primaryPosition(term: number): Promise<Position | undefined> {
-    const {primary, members} = this.current;
-    const member = members.find(other => other.name === primary);
-    if (member === undefined || this.current.term !== term) return undefined;
-    const status = await this.client.status(member.apiAddress, {
-      holdMilliseconds: 0,
-      timeoutMilliseconds: FRESH_TIMEOUT_MILLISECONDS,
-    });
-    const answer = status.toMaybe().extract();
-    const leads = answer?.role === 'primary' && answer.term === term;
-    return leads ? answer.received : undefined;
+  /** Where the primary of `term` stands now, borne out by a majority. */
+  primaryPosition(term: number): Promise<Position | undefined> {
+    return this.currentPosition.read(term);
   }
 
   /** Ends all tasks. */
