--- a/packages/backend/src/lease_server.ts
+++ b/packages/backend/src/lease_server.ts
@@ -119,6 +119,8 @@
     const {term, role} = this.options.admission.standing();
     const {connection} = turn;
     if (message.reset) connection.markForReset();
+    // A member that was replaced may never answer: the caller must not wait.
+    const stopWatching = this.whenReplaced(() => connection.close());
     const relay = AnswerRelay.create({
       channel: this.channel,
       inbox: this.inbox,
@@ -136,6 +138,7 @@
         role === 'primary' ? PRIMARY_POSITION_QUERY : REPLICA_POSITION_QUERY,
       relay: bytes => relay.take(bytes),
     });
+    stopWatching();
     answered = true;
     if (ended.isLeft()) {
       this.channel.send({kind: 'lost', sent: true});
@@ -153,6 +156,16 @@
     return idle ? 'over' : 'goOn';
   }
 
+  /** Calls `action` once the member is no longer its group's primary. */
+  private whenReplaced(action: () => void): () => void {
+    const {watch} = this.options;
+    const {term, purpose} = this.request;
+    if (purpose === 'read') return () => undefined;
+    return watch.changes.subscribe(() => {
+      if (watch.isReplaced(term)) action();
+    });
+  }
+
   private async confirm(
     term: number,
     role: string,
