Poll a member's status as often as somebody waits for it

Cause: each owner of a group's member asked all members again after every commit, and each idle member ten times a second. A member that moves to another host is followed there too.

--- a/packages/group/src/group_watch.ts
+++ b/packages/group/src/group_watch.ts
@@ -2,7 +2,13 @@
 import {MemberClient} from '@apricotlock/member';
 import {Position} from '@apricotlock/session';
 import {TimerService} from '@apricotlock/timer';
-import {DatabaseGroup, majorityOf, votingMembers} from '@apricotlock/topology';
+import {
+  DatabaseGroup,
+  formatAddress,
+  majorityOf,
+  Member,
+  votingMembers,
+} from '@apricotlock/topology';
 import {CurrentPosition} from './current_position.js';
 import {MemberObservation, StatusWatch} from './status_watch.js';
 
@@ -43,16 +49,13 @@
     const members = votingMembers(group);
     for (const [name, watch] of this.watches) {
       const member = members.find(other => other.name === name);
-      const moved = member?.apiAddress.port !== watch.member.apiAddress.port;
-      if (member !== undefined && !moved) continue;
+      if (member !== undefined && isSamePlace(member, watch.member)) continue;
       watch.stop();
       this.watches.delete(name);
     }
     for (const member of members) {
-      if (this.watches.has(member.name)) continue;
-      const watch = StatusWatch.start(member, this.client, this.timer);
-      watch.observation.subscribe(() => this.changed());
-      this.watches.set(member.name, watch);
+      const watch = this.watches.get(member.name) ?? this.follow(member);
+      watch.regardAsPrimary(member.name === group.primary);
     }
     this.changed();
   }
@@ -106,8 +109,10 @@
     timeoutMilliseconds: number,
   ): Promise<boolean> {
     if (test()) return true;
+    const waits = [...this.watches.values()].map(watch => watch.await());
     return new Promise(resolve => {
       const finish = (held: boolean) => {
+        for (const endWait of waits) endWait();
         stopListening();
         stopAlarm();
         resolve(held);
@@ -132,7 +137,18 @@
     this.watches.clear();
   }
 
+  private follow(member: Member): StatusWatch {
+    const watch = StatusWatch.start(member, this.client, this.timer);
+    watch.observation.subscribe(() => this.changed());
+    this.watches.set(member.name, watch);
+    return watch;
+  }
+
   private changed(): void {
     this.changes.set(this.changes.current + 1);
   }
 }
+
+function isSamePlace(left: Member, right: Member): boolean {
+  return formatAddress(left.apiAddress) === formatAddress(right.apiAddress);
+}
