Serve reads of a stated age from replicas that are young enough

Cause: apricotlock.max_staleness relaxed nothing: a data centre that was cut off refused every read of a session that had seen nothing. Change: a group's watch keeps where the primary stood when it was asked; what a member shows is no older than the last time at which its position was the newest, and no younger than the time up to which a majority was not fenced at a later term. A read of a stated age needs that and the session's own floor; where no replica is young enough it needs the primary's current position. Conclusion: the age is judged on one process's clock only.

--- a/packages/backend/src/lease_admission.ts
+++ b/packages/backend/src/lease_admission.ts
@@ -1,7 +1,8 @@
 import {Either, Left, Right} from 'purify-ts';
 import {GroupWatch} from '@apricotlock/group';
+import {MemberStatus} from '@apricotlock/member';
 import {findMember} from '@apricotlock/topology';
-import {LeaseRefusal, LeaseRequest} from './lease_messages.js';
+import {LeaseRefusal, LeaseRequest, ReadFloor} from './lease_messages.js';
 
 /** Decides whether a member may serve a request, by its role and position. */
 export class LeaseAdmission {
@@ -48,11 +49,10 @@
     if (observation?.failure !== undefined) return {kind: 'unreachable'};
     // A member outside the current history may show what was never confirmed.
     if (status.term < watch.group.term) return {kind: 'behind'};
-    const {floor} = request;
-    if (floor === undefined) return undefined;
-    const reached =
-      status.term >= floor.term && status.applied >= floor.position;
-    return reached ? undefined : {kind: 'behind'};
+    const isFresh =
+      hasReached(status, request.floor) &&
+      isYoung(watch.ageOf(member.name), request.maximumAgeMilliseconds);
+    return isFresh ? undefined : {kind: 'behind'};
   }
 
   /** The member's term and role, as last heard. */
@@ -61,3 +61,21 @@
     return {term: status?.term ?? 0, role: status?.role ?? 'replica'};
   }
 }
+
+function hasReached(
+  status: MemberStatus,
+  floor: ReadFloor | undefined,
+): boolean {
+  if (floor === undefined) return true;
+  return status.term >= floor.term && status.applied >= floor.position;
+}
+
+function isYoung(
+  ageMilliseconds: number | undefined,
+  maximumMilliseconds: number | undefined,
+): boolean {
+  if (maximumMilliseconds === undefined) return true;
+  return (
+    ageMilliseconds !== undefined && ageMilliseconds <= maximumMilliseconds
+  );
+}
--- a/packages/backend/src/lease_messages.ts
+++ b/packages/backend/src/lease_messages.ts
@@ -21,6 +21,8 @@
   readonly term: number;
   /** For a read: what it has to show at least. */
   readonly floor: ReadFloor | undefined;
+  /** For a read: how old what it shows may be, in milliseconds. */
+  readonly maximumAgeMilliseconds?: number;
   /** How long a replica may take to reach the floor, in milliseconds. */
   readonly floorWaitMilliseconds: number;
   /** How long the request may wait for a connection, in milliseconds. */
--- a/packages/group/src/group_watch.ts
+++ b/packages/group/src/group_watch.ts
@@ -10,6 +10,7 @@
   votingMembers,
 } from '@apricotlock/topology';
 import {CurrentPosition} from './current_position.js';
+import {PositionHistory} from './position_history.js';
 import {MemberObservation, StatusWatch} from './status_watch.js';
 
 /** Follows all members of a database group. */
@@ -17,6 +18,7 @@
   /** Counts changes of what is known; its value has no other meaning. */
   readonly changes = Observable.of(0);
   private readonly currentPosition: CurrentPosition;
+  private readonly history = PositionHistory.create();
   private watches = new Map<string, StatusWatch>();
 
   private constructor(
@@ -45,6 +47,7 @@
 
   /** Takes over the group of a newer view. */
   update(group: DatabaseGroup): void {
+    if (group.term !== this.current.term) this.history.clear();
     this.current = group;
     const members = votingMembers(group);
     for (const [name, watch] of this.watches) {
@@ -98,6 +101,21 @@
     return this.isConfirmed(term, position);
   }
 
+  /**
+   * How old, in milliseconds, what a member shows is at most; `undefined` if
+   * that cannot be told. The primary's word for its position counts only up to
+   * the time at which a majority was not fenced at a later term: until then
+   * there was no other primary, and so nothing newer elsewhere.
+   */
+  ageOf(member: string): number | undefined {
+    const status = this.observation(member)?.status;
+    const {term} = this.current;
+    if (status?.term !== term || status.fencedTerm !== term) return undefined;
+    const shownAt = this.history.timeOf(status.applied);
+    if (shownAt === undefined) return undefined;
+    return this.timer.now() - Math.min(shownAt, this.unfencedAt());
+  }
+
   /** Whether a primary of a term after `term` has been appointed. */
   isReplaced(term: number): boolean {
     return this.current.term > term && this.current.primary !== undefined;
@@ -139,11 +157,33 @@
 
   private follow(member: Member): StatusWatch {
     const watch = StatusWatch.start(member, this.client, this.timer);
-    watch.observation.subscribe(() => this.changed());
+    watch.observation.subscribe(observation => {
+      this.notePosition(observation);
+      this.changed();
+    });
     this.watches.set(member.name, watch);
     return watch;
   }
 
+  private notePosition({status, askedAt}: MemberObservation): void {
+    const {primary, term} = this.current;
+    const leads = status?.role === 'primary' && status.name === primary;
+    if (leads && status.term === term) {
+      this.history.note(status.received, askedAt);
+    }
+  }
+
+  /** The latest time at which a majority was not fenced at a later term. */
+  private unfencedAt(): number {
+    const {term} = this.current;
+    const times = votingMembers(this.current)
+      .map(({name}) => this.observation(name))
+      .filter(observation => observation?.status?.fencedTerm === term)
+      .map(observation => observation?.askedAt ?? -Infinity)
+      .sort((left, right) => right - left);
+    return times[majorityOf(this.current) - 1] ?? -Infinity;
+  }
+
   private changed(): void {
     this.changes.set(this.changes.current + 1);
   }
--- a/packages/group/src/index.ts
+++ b/packages/group/src/index.ts
@@ -6,4 +6,5 @@
  */
 export {CurrentPosition} from './current_position.js';
 export {GroupWatch} from './group_watch.js';
+export {PositionHistory} from './position_history.js';
 export {StatusWatch, type MemberObservation} from './status_watch.js';
--- a/packages/group/src/status_watch.ts
+++ b/packages/group/src/status_watch.ts
@@ -14,8 +14,8 @@
 export interface MemberObservation {
   /** The last status that came. */
   readonly status: MemberStatus | undefined;
-  /** When it came, on the timer's clock. */
-  readonly heardAt: number;
+  /** When the question was put that it answers, on the timer's clock. */
+  readonly askedAt: number;
   /** Why nothing comes now, on a fresh connection too. */
   readonly failure: MemberError | undefined;
 }
@@ -29,7 +29,7 @@
 export class StatusWatch {
   readonly observation = Observable.of<MemberObservation>({
     status: undefined,
-    heardAt: 0,
+    askedAt: 0,
     failure: undefined,
   });
   private stopped = false;
@@ -93,6 +93,7 @@
     const holdMilliseconds = this.primary
       ? PRIMARY_HOLD_MILLISECONDS
       : REPLICA_HOLD_MILLISECONDS;
+    const heldAskedAt = this.timer.now();
     const held = await this.client.status(this.member.apiAddress, {
       ...(status === undefined ? {} : {unlike: status}),
       holdMilliseconds,
@@ -100,11 +101,13 @@
     });
     // An old connection may have gone silent while new ones work: only the
     // failure of a fresh one says anything of the member.
+    const freshAskedAt = this.timer.now();
     const answer = held.isRight() ? held : await this.askAfresh();
+    const askedAt = held.isRight() ? heldAskedAt : freshAskedAt;
     if (this.stopped) return true;
     answer.caseOf({
       Left: failure => this.failed(failure),
-      Right: heard => this.heard(heard),
+      Right: heard => this.heard(heard, askedAt),
     });
     return answer.isRight();
   }
@@ -117,9 +120,8 @@
     });
   }
 
-  private heard(status: MemberStatus): void {
-    const heardAt = this.timer.now();
-    this.observation.set({status, heardAt, failure: undefined});
+  private heard(status: MemberStatus, askedAt: number): void {
+    this.observation.set({status, askedAt, failure: undefined});
   }
 
   private failed(failure: MemberError): void {
--- a/packages/proxy/src/router.ts
+++ b/packages/proxy/src/router.ts
@@ -148,6 +148,8 @@
   ): Promise<Attempt> {
     const group = findGroup(this.view.current, request.entry.database);
     if (group === undefined) return tryAgain('the database is not known yet');
+    const aged = await this.tryAgedRead(request, group, deadline);
+    if (aged !== undefined) return aged;
     const floor = await this.floorOf(request);
     if (floor === undefined) return tryAgain('the primary cannot be asked');
     let last: Attempt = tryAgain('no member can be reached');
@@ -181,6 +183,34 @@
     });
   }
 
+  /**
+   * A session that takes data of a stated age needs no current position: a
+   * replica that is young enough may serve it. What the session has seen
+   * stays its floor, whatever age it states.
+   */
+  private async tryAgedRead(
+    request: RouteRequest,
+    group: DatabaseGroup,
+    deadline: number,
+  ): Promise<Attempt | undefined> {
+    const {token, maximumStalenessMilliseconds} = request.settings;
+    if (maximumStalenessMilliseconds === undefined) return undefined;
+    for (const member of this.readOrder(group)) {
+      if (member.name === group.primary) continue;
+      const attempt = await this.readFrom(request, {
+        group,
+        member: member.name,
+        purpose: 'read',
+        floor: token,
+        maximumAgeMilliseconds: maximumStalenessMilliseconds,
+        floorWaitMilliseconds: 0,
+        deadline,
+      });
+      if (attempt.kind !== 'tryAgain' || attempt.sent) return attempt;
+    }
+    return undefined;
+  }
+
   private waitFor(group: DatabaseGroup, member: Member): number {
     if (member.name === group.primary) return 0;
     return this.memory.waitFor(member.name);
@@ -218,10 +248,15 @@
     return {...tryAgain('the answer could not be confirmed'), sent: true};
   }
 
-  /** Without a token the floor is where the primary stands now. */
+  /**
+   * Without a token the floor is where the primary stands now; so it is when
+   * no replica was young enough, for the token alone says nothing of age.
+   */
   private async floorOf(request: RouteRequest): Promise<ReadFloor | undefined> {
-    const {token} = request.settings;
-    if (token !== undefined) return token;
+    const {token, maximumStalenessMilliseconds} = request.settings;
+    if (token !== undefined && maximumStalenessMilliseconds === undefined) {
+      return token;
+    }
     const position = await this.gate.position(request.entry.database);
     return position.toMaybe().extract();
   }
@@ -229,6 +264,7 @@
   private lease(request: RouteRequest, choice: LeaseChoice): LeaseHolder {
     const {entry, session} = request;
     const {group, member, purpose, floor, floorWaitMilliseconds} = choice;
+    const {maximumAgeMilliseconds} = choice;
     const lease = LeaseHolder.create(this.gate, {
       database: group.database,
       member,
@@ -237,6 +273,7 @@
       purpose,
       term: group.term,
       floor: floor && {term: floor.term, position: floor.position},
+      ...(maximumAgeMilliseconds === undefined ? {} : {maximumAgeMilliseconds}),
       floorWaitMilliseconds,
       // An attempt that is not the first has only what is left of the time.
       queueMilliseconds: Math.max(
@@ -268,6 +305,7 @@
   readonly member: string;
   readonly purpose: LeaseRequest['purpose'];
   readonly floor: ReadFloor | undefined;
+  readonly maximumAgeMilliseconds?: number;
   readonly floorWaitMilliseconds: number;
   /** On the timer's clock. */
   readonly deadline: number;
