Rotate credentials without a stop, refuse strangers early, and drain in order

Cause: keys and tokens were read once, a stranger's body was read before its refusal, metrics only counted, and a shutdown cut leases of other VMs.

--- a/packages/apricotlock/src/entry_operator_backend.ts
+++ b/packages/apricotlock/src/entry_operator_backend.ts
@@ -209,8 +209,13 @@
     return answer.map(heard => heard.index >= index).orDefault(false);
   }
 
-  private drainSelf(): void {
+  /** From now on the balancer is to send callers elsewhere. */
+  stopBeingReady(): void {
     this.draining = true;
+  }
+
+  private drainSelf(): void {
+    this.stopBeingReady();
     this.options.requestShutdown();
   }
 
--- a/packages/apricotlock/src/entry_process.ts
+++ b/packages/apricotlock/src/entry_process.ts
@@ -1,11 +1,10 @@
-import {OwnerBackendGate, OwnerRegistry} from '@apricotlock/backend';
+import {LEASE, OwnerBackendGate, OwnerRegistry} from '@apricotlock/backend';
 import {ControlClient, ReplicatedControlLog} from '@apricotlock/control';
 import {
   FailoverCoordinator,
   FailureReporter,
   ReplicaReconciler,
 } from '@apricotlock/failover';
-import {Observable} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
 import {HttpMemberClient, MemberClient} from '@apricotlock/member';
 import {
@@ -15,7 +14,7 @@
   UdpDatagramTransport,
 } from '@apricotlock/membership';
 import {OperatorServer} from '@apricotlock/operator';
-import {PeerNetwork, ringOf, WebSocketPeerNetwork} from '@apricotlock/peer';
+import {WebSocketPeerNetwork} from '@apricotlock/peer';
 import {
   CallerListener,
   CancelRouter,
@@ -25,17 +24,18 @@
 import {SystemTimerService, TimerService} from '@apricotlock/timer';
 import {startControlLog} from './control_node.js';
 import {EntryOperatorBackend} from './entry_operator_backend.js';
-import {Metrics} from './metrics.js';
+import {Gauge, Metrics} from './metrics.js';
 import {Settings} from './settings.js';
 
 const MAXIMUM_PEER_MESSAGE_BYTES = 64 << 20;
+const CREDENTIAL_CHECK_MILLISECONDS = 2_000;
 
 /** What every part is given. */
 interface Base {
   readonly settings: Settings;
   readonly timer: TimerService;
   readonly logger: Logger;
-  readonly network: PeerNetwork;
+  readonly network: WebSocketPeerNetwork;
   readonly datagrams: DatagramTransport;
 }
 
@@ -50,6 +50,7 @@
 interface Parts extends Base, Deciding {
   readonly callers: CallerListener;
   readonly operators: OperatorServer;
+  readonly backend: EntryOperatorBackend;
 }
 
 /** One process of the system, with all its parts. */
@@ -63,9 +64,11 @@
     requestShutdown: () => void,
   ): Promise<EntryProcess> {
     const timer = SystemTimerService.create();
+    const {credentials} = settings;
     const network = await WebSocketPeerNetwork.start({
       listen: settings.peerAddress,
-      key: settings.peerKey,
+      key: credentials.peerKeys,
+      tls: credentials.peerTls,
       timer,
       logger,
       maximumMessageBytes: MAXIMUM_PEER_MESSAGE_BYTES,
@@ -73,39 +76,118 @@
     const datagrams = await UdpDatagramTransport.start(settings.peerAddress);
     const base: Base = {settings, timer, logger, network, datagrams};
     const deciding = await startDeciding(base);
-    const metrics = Metrics.create();
+    const metrics = Metrics.create(timer);
     const callers = await startCallers(base, deciding, metrics);
+    const backend = EntryOperatorBackend.create({
+      ...base,
+      ...deciding,
+      metrics,
+      requestShutdown,
+    });
     const operators = await OperatorServer.start({
       listen: settings.operatorAddress,
-      operatorToken: settings.operatorToken,
-      memberKey: settings.memberKey,
-      backend: EntryOperatorBackend.create({
-        ...base,
-        ...deciding,
-        metrics,
-        requestShutdown,
-      }),
+      operatorTokens: credentials.operatorTokens,
+      metricsTokens: credentials.metricsTokens,
+      memberKeys: credentials.memberKeys,
+      tls: credentials.operatorTls,
+      timer,
+      backend,
     });
+    const parts = {...base, ...deciding, callers, operators, backend};
+    metrics.show(gaugesOf(parts));
     logger.info('serving', {callers: settings.callerAddress.port});
-    return new EntryProcess({...base, ...deciding, callers, operators});
+    const entry = new EntryProcess(parts);
+    timer.every(CREDENTIAL_CHECK_MILLISECONDS, () => entry.reloadCredentials());
+    return entry;
+  }
+
+  /** Reads keys, tokens and certificates anew, if their files have changed. */
+  reloadCredentials(): void {
+    const {settings, logger} = this.parts;
+    settings.credentials.reload().caseOf({
+      Left: faults => {
+        for (const {flag, message} of faults) {
+          logger.error('credentials stay as they were', {flag, message});
+        }
+      },
+      Right: changed => {
+        if (changed) logger.info('credentials taken over');
+      },
+    });
   }
 
   /** Ends without cutting a request, if the deadline allows; gives the cuts. */
   async drain(): Promise<number> {
-    const {settings, membership, callers, registry, operators, network} =
-      this.parts;
-    const {log} = this.parts;
-    membership.announce('draining');
-    const cut = await callers.drain(settings.drainMilliseconds);
+    const {settings, timer, logger, backend, membership} = this.parts;
+    const {callers, network} = this.parts;
+    backend.stopBeingReady();
+    // Without another VM to take over, this one serves to the end.
+    const alone = !othersServe(membership, settings.name);
+    if (!alone) membership.announce('draining');
+    await timer.sleep(settings.balancerMilliseconds);
+    const deadline = timer.now() + settings.drainMilliseconds;
+    const left = () => Math.max(0, deadline - timer.now());
+    const cutSessions = await callers.drain(left());
+    if (alone) membership.announce('draining');
+    const cutLeases = await network.untilQuiet(LEASE, left());
+    logger.info('drained', {cutSessions, cutLeases});
+    await this.stop();
+    return cutSessions + cutLeases;
+  }
+
+  private async stop(): Promise<void> {
+    const {membership, registry, operators, log, network} = this.parts;
     await membership.leave();
     registry.stop();
     await operators.close();
     await log?.stop();
     await network.close();
-    return cut;
   }
 }
 
+function othersServe(membership: Membership, self: string): boolean {
+  return membership.machines.current.some(
+    ({name, state}) => name !== self && state === 'serving',
+  );
+}
+
+function gaugesOf(parts: Parts): readonly Gauge[] {
+  const {membership, control, callers, network, timer} = parts;
+  const startedAt = timer.now();
+  return [
+    {
+      name: 'apricotlock_caller_sessions',
+      help: 'Callers that are connected',
+      read: () => callers.sessionCount,
+    },
+    {
+      name: 'apricotlock_live_machines',
+      help: 'VMs that this one believes alive, itself among them',
+      read: () => membership.machines.current.length,
+    },
+    {
+      name: 'apricotlock_view_index',
+      help: 'The place in the log up to which decisions are in force',
+      read: () => control.view.current.index,
+    },
+    {
+      name: 'apricotlock_peer_links',
+      help: 'Links that this VM has dialled and keeps',
+      read: () => network.dialledLinks,
+    },
+    {
+      name: 'apricotlock_resident_memory_bytes',
+      help: 'Memory of the process',
+      read: () => process.memoryUsage.rss(),
+    },
+    {
+      name: 'apricotlock_uptime_seconds',
+      help: 'Since the process began to serve',
+      read: () => (timer.now() - startedAt) / 1_000,
+    },
+  ];
+}
+
 async function startDeciding(base: Base): Promise<Deciding> {
   const {settings, timer, logger, network} = base;
   const self = settings.name;
@@ -113,7 +195,10 @@
   const {machines} = membership;
   const log = await startControlLog({...base, machines});
   const control = ControlClient.start({self, network, timer, machines, log});
-  const client = HttpMemberClient.create(settings.memberKey, timer);
+  const client = HttpMemberClient.create(
+    () => settings.credentials.memberKeys.current.current,
+    timer,
+  );
   const registry = OwnerRegistry.start({
     self,
     view: control.view,
@@ -123,7 +208,9 @@
     timer,
     logger,
     memberUser: settings.memberUser,
-    memberPassword: settings.memberPassword,
+    get memberPassword() {
+      return settings.credentials.memberPassword;
+    },
   });
   const deciding = {membership, log, control, registry};
   startFailover(base, deciding, client);
@@ -155,7 +242,9 @@
     timer,
     logger,
     observer,
-    secureContext: undefined,
+    get secureContext() {
+      return settings.credentials.callerTls;
+    },
     cancels: CancelRouter.start({
       self,
       machines: membership.machines,
@@ -178,7 +267,7 @@
     },
     seeds: settings.seeds,
     transport,
-    keys: Observable.of(ringOf(settings.peerKey)),
+    keys: settings.credentials.peerKeys,
     timer,
     logger,
   });
--- a/packages/apricotlock/src/index.ts
+++ b/packages/apricotlock/src/index.ts
@@ -5,12 +5,11 @@
  */
 export {EntryProcess} from './entry_process.js';
 export {
-  checkSettings,
   gatherSettings,
   SETTING_DESCRIPTIONS,
   variableOf,
   type RawSettings,
   type SettingDescription,
   type SettingFault,
-  type Settings,
-} from './settings.js';
+} from './setting_descriptions.js';
+export {checkSettings, type Settings} from './settings.js';
--- a/packages/apricotlock/src/main.ts
+++ b/packages/apricotlock/src/main.ts
@@ -4,14 +4,13 @@
 import {Logger} from '@apricotlock/logging';
 import {EntryProcess} from './entry_process.js';
 import {
-  checkSettings,
   gatherSettings,
   RawSettings,
-  Settings,
   SETTING_DESCRIPTIONS,
   SettingFault,
   variableOf,
-} from './settings.js';
+} from './setting_descriptions.js';
+import {checkSettings, Settings} from './settings.js';
 
 const EXIT_FAILURE = 1;
 const EXIT_BAD_SETTINGS = 2;
@@ -68,18 +67,26 @@
   const logger = Logger.create(settings.logFormat, settings.logLevel).with({
     vm: settings.name,
   });
+  let signalled = false;
   let shuttingDown = false;
   let entry: EntryProcess | undefined;
   const shutDown = async () => {
-    if (shuttingDown) process.exit(EXIT_FAILURE);
+    if (shuttingDown) return;
     shuttingDown = true;
     logger.info('draining');
     const cut = (await entry?.drain()) ?? 0;
     logger.info('stopped', {cut});
     process.exit(cut === 0 ? 0 : EXIT_CUT_REQUESTS);
   };
-  process.on('SIGTERM', () => void shutDown());
-  process.on('SIGINT', () => void shutDown());
+  const onSignal = () => {
+    // Whoever signals twice does not want to wait.
+    if (signalled) process.exit(EXIT_FAILURE);
+    signalled = true;
+    void shutDown();
+  };
+  process.on('SIGTERM', onSignal);
+  process.on('SIGINT', onSignal);
+  process.on('SIGHUP', () => entry?.reloadCredentials());
   try {
     entry = await EntryProcess.start(settings, logger, () => void shutDown());
   } catch (failure) {
--- a/packages/apricotlock/src/metrics.ts
+++ b/packages/apricotlock/src/metrics.ts
@@ -1,44 +1,123 @@
+import {monitorEventLoopDelay} from 'node:perf_hooks';
 import {Failure, SessionObserver} from '@apricotlock/proxy';
+import {TimerService} from '@apricotlock/timer';
+import {LatencySummary} from './latency_summary.js';
 
-interface Counter {
+const NANOSECONDS_A_SECOND = 1_000_000_000;
+
+/** A value that is read when the page is asked for. */
+export interface Gauge {
   readonly name: string;
-  readonly labels: string;
-  readonly value: number;
+  readonly help: string;
+  readonly read: () => number;
 }
 
-/** Counts what the process does, for Prometheus. */
+/** What the process does, for Prometheus, in its text format 0.0.4. */
 export class Metrics implements SessionObserver {
-  private readonly counters = new Map<string, Counter>();
+  private readonly batches = new Map<string, number>();
+  private readonly failures = new Map<string, number>();
+  private readonly latencies = new Map<string, LatencySummary>();
+  private readonly delay = monitorEventLoopDelay();
+  private gauges: readonly Gauge[] = [];
 
-  private constructor() {}
+  private constructor(private readonly timer: TimerService) {
+    this.delay.enable();
+  }
 
   /** All counters at zero. */
-  static create(): Metrics {
-    return new Metrics();
+  static create(timer: TimerService): Metrics {
+    return new Metrics(timer);
   }
 
+  readonly now = (): number => this.timer.now();
+
   readonly served = (
     by: 'primary' | 'replica',
     purpose: 'read' | 'write',
+    milliseconds: number,
   ): void => {
-    this.count('apricotlock_batches_total', `by="${by}",purpose="${purpose}"`);
+    const labels = `by="${by}",purpose="${purpose}"`;
+    increase(this.batches, labels);
+    let latency = this.latencies.get(labels);
+    if (latency === undefined) {
+      latency = LatencySummary.create(this.timer);
+      this.latencies.set(labels, latency);
+    }
+    latency.record(milliseconds);
   };
 
   readonly failed = (failure: Failure): void => {
-    this.count('apricotlock_failures_total', `kind="${failure.kind}"`);
+    increase(this.failures, `kind="${failure.kind}"`);
   };
 
-  /** The counters, in Prometheus' text format. */
+  /** Shows gauges on the page from now on. */
+  show(gauges: readonly Gauge[]): void {
+    this.gauges = [...this.gauges, ...gauges];
+  }
+
+  /** The page. */
   render(): string {
-    const lines = [...this.counters.values()].map(
-      ({name, labels, value}) => `${name}{${labels}} ${value}\n`,
+    return [
+      ...counterLines(
+        'apricotlock_batches_total',
+        'Batches answered, by who answered them',
+        this.batches,
+      ),
+      ...counterLines(
+        'apricotlock_failures_total',
+        'Batches that failed, by kind',
+        this.failures,
+      ),
+      ...this.latencyLines(),
+      ...this.gauges.flatMap(gaugeLines),
+      ...gaugeLines({
+        name: 'apricotlock_event_loop_delay_seconds',
+        help: 'The 99th percentile since the page was last asked for',
+        read: () => this.readDelay(),
+      }),
+      '',
+    ].join('\n');
+  }
+
+  private latencyLines(): readonly string[] {
+    const name = 'apricotlock_batch_duration_seconds';
+    const head = headLines(name, 'From request to answer', 'summary');
+    const lines = [...this.latencies].flatMap(([labels, latency]) =>
+      latency.lines(name, labels),
     );
-    return lines.join('');
+    return [...head, ...lines];
   }
 
-  private count(name: string, labels: string): void {
-    const key = `${name}{${labels}}`;
-    const value = (this.counters.get(key)?.value ?? 0) + 1;
-    this.counters.set(key, {name, labels, value});
+  private readDelay(): number {
+    const seconds = this.delay.percentile(99) / NANOSECONDS_A_SECOND;
+    this.delay.reset();
+    return seconds;
   }
 }
+
+function increase(counts: Map<string, number>, labels: string): void {
+  counts.set(labels, (counts.get(labels) ?? 0) + 1);
+}
+
+function counterLines(
+  name: string,
+  help: string,
+  counts: ReadonlyMap<string, number>,
+): readonly string[] {
+  const lines = [...counts].map(
+    ([labels, value]) => `${name}{${labels}} ${value}`,
+  );
+  return [...headLines(name, help, 'counter'), ...lines];
+}
+
+function gaugeLines({name, help, read}: Gauge): readonly string[] {
+  return [...headLines(name, help, 'gauge'), `${name} ${read()}`];
+}
+
+function headLines(
+  name: string,
+  help: string,
+  type: 'counter' | 'gauge' | 'summary',
+): readonly string[] {
+  return [`# HELP ${name} ${help}`, `# TYPE ${name} ${type}`];
+}
--- a/packages/backend/src/index.ts
+++ b/packages/backend/src/index.ts
@@ -20,3 +20,4 @@
   type ReadFloor,
 } from './lease_messages.js';
 export {OwnerRegistry, type OwnerRegistryOptions} from './owner_registry.js';
+export {LEASE} from './lease_messages.js';
--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -203,6 +203,7 @@
       this.system.layout.machines.map(machine =>
         formatAddress(machine.operatorAddress),
       ),
+      this.system.operatorToken,
     );
     return byReplica / Math.max(1, byReplica + byPrimary);
   }
--- a/packages/bench/src/measure_reads.ts
+++ b/packages/bench/src/measure_reads.ts
@@ -109,5 +109,6 @@
     system.layout.machines.map(machine =>
       formatAddress(machine.operatorAddress),
     ),
+    system.operatorToken,
   );
 }
--- a/packages/bench/src/read_counts.ts
+++ b/packages/bench/src/read_counts.ts
@@ -7,10 +7,13 @@
 /** Adds up what the entry VMs' metrics say, by operators' address. */
 export async function readCounts(
   operatorAddresses: readonly string[],
+  operatorToken: string,
 ): Promise<ReadCounts> {
   const pages = await Promise.all(
     operatorAddresses.map(async address => {
-      const response = await fetch(`http://${address}/metrics`);
+      const response = await fetch(`http://${address}/metrics`, {
+        headers: {authorization: `Bearer ${operatorToken}`},
+      });
       return response.text();
     }),
   );
--- a/packages/bench/src/system_under_test.ts
+++ b/packages/bench/src/system_under_test.ts
@@ -9,6 +9,7 @@
 import {ProcessGroup} from './process_group.js';
 
 const POLL_MILLISECONDS = 25;
+const BALANCER_MILLISECONDS = '500';
 const START_TIMEOUT_MILLISECONDS = 20_000;
 const REPLACE_VOTER_MILLISECONDS = '5000';
 const KEY_BYTES = 'an example key of many characters';
@@ -84,6 +85,7 @@
         ...flag('initial-voters', this.initialVoters()),
         ...flag('replace-voter-milliseconds', REPLACE_VOTER_MILLISECONDS),
         ...flag('data-folder', dataFolder),
+        ...flag('balancer-milliseconds', BALANCER_MILLISECONDS),
       ],
       environment: {
         APRICOTLOCK_PEER_KEY_FILE: join(this.folder, 'peer-key'),
@@ -122,10 +124,15 @@
     });
   }
 
+  /** With what operators prove themselves. */
+  get operatorToken(): string {
+    return `${KEY_BYTES} operator-token`;
+  }
+
   /** A client of one VM's operators' API, the first one's by default. */
   operator(machine: MachineLayout = this.machine(0)): OperatorClient {
-    const token = `${KEY_BYTES} operator-token`;
-    return OperatorClient.create(machine.operatorAddress, token, 'bench');
+    const {operatorAddress} = machine;
+    return OperatorClient.create(operatorAddress, this.operatorToken, 'bench');
   }
 
   /** The entry VM at a place in the layout. */
--- a/packages/member/src/http_member_client.ts
+++ b/packages/member/src/http_member_client.ts
@@ -23,14 +23,14 @@
   });
 
   private constructor(
-    private readonly key: string,
+    private readonly key: () => string,
     private readonly timer: TimerService,
   ) {
     super();
   }
 
-  /** A client that proves itself with `key`. */
-  static create(key: string, timer: TimerService): HttpMemberClient {
+  /** A client that proves itself with what `key` gives at each call. */
+  static create(key: () => string, timer: TimerService): HttpMemberClient {
     return new HttpMemberClient(key, timer);
   }
 
@@ -107,7 +107,7 @@
       path: call.path,
       agent: call.freshConnection ? false : this.agent,
       headers: {
-        authorization: `Bearer ${this.key}`,
+        authorization: `Bearer ${this.key()}`,
         'content-type': 'application/json',
       },
     };
--- /dev/null
+++ b/packages/operator/src/operator_listener.ts
@@ -0,0 +1,58 @@
+import {createServer, RequestListener, Server} from 'node:http';
+import {createServer as createTlsServer, Server as TlsServer} from 'node:https';
+import {Observable} from '@apricotlock/flow';
+import {StrangerGuard} from '@apricotlock/peer';
+import {TimerService} from '@apricotlock/timer';
+
+const REQUEST_TIMEOUT_MILLISECONDS = 10_000;
+const HEADERS_TIMEOUT_MILLISECONDS = 2_000;
+const MAXIMUM_HEADER_BYTES = 8 << 10;
+
+/** With what the API proves itself to its clients, as PEM texts. */
+export interface OperatorTls {
+  readonly certificate: string;
+  readonly privateKey: string;
+}
+
+/** The HTTP or HTTPS server under the API, and the bound on strangers. */
+export interface OperatorListener {
+  readonly server: Server | TlsServer;
+  readonly guard: StrangerGuard;
+}
+
+/** Makes the server; it does not listen yet. */
+export function createOperatorListener(
+  handler: RequestListener,
+  tls: Observable<OperatorTls | undefined>,
+  timer: TimerService,
+): OperatorListener {
+  const limits = {
+    requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
+    headersTimeout: HEADERS_TIMEOUT_MILLISECONDS,
+    connectionsCheckingInterval: HEADERS_TIMEOUT_MILLISECONDS / 4,
+    maxHeaderSize: MAXIMUM_HEADER_BYTES,
+  };
+  const identity = tls.current;
+  const server =
+    identity === undefined
+      ? createServer(limits, handler)
+      : createTlsServer(
+          {
+            ...limits,
+            ...contextOf(identity),
+            handshakeTimeout: HEADERS_TIMEOUT_MILLISECONDS,
+          },
+          handler,
+        );
+  if (server instanceof TlsServer) {
+    server.on('tlsClientError', (_error, socket) => socket.destroy());
+    tls.subscribe(renewed => {
+      if (renewed !== undefined) server.setSecureContext(contextOf(renewed));
+    });
+  }
+  return {server, guard: StrangerGuard.watch(server, timer)};
+}
+
+function contextOf({certificate, privateKey}: OperatorTls) {
+  return {cert: certificate, key: privateKey};
+}
--- a/packages/operator/src/operator_server.ts
+++ b/packages/operator/src/operator_server.ts
@@ -8,13 +8,17 @@
   ControlCommand,
   ControlError,
 } from '@apricotlock/control';
+import {Observable} from '@apricotlock/flow';
 import {Announcement, readAnnouncement} from '@apricotlock/member';
+import {SecretRing, StrangerGuard} from '@apricotlock/peer';
+import {TimerService} from '@apricotlock/timer';
 import {
   Address,
   Catalogue,
   checkEntries,
   MemberState,
 } from '@apricotlock/topology';
+import {createOperatorListener, OperatorTls} from './operator_listener.js';
 import {
   ChangeReport,
   putCatalogueSchema,
@@ -24,7 +28,11 @@
 } from './operator_messages.js';
 
 const MAXIMUM_BODY_BYTES = 16 << 20;
-const REQUEST_TIMEOUT_MILLISECONDS = 10_000;
+const MAXIMUM_ANNOUNCEMENT_BYTES = 64 << 10;
+const LISTEN_BACKLOG = 4_096;
+const ANNOUNCEMENTS_PATH = '/v1/announcements';
+const METRICS_PATH = '/metrics';
+const OPEN_PATHS: ReadonlySet<string> = new Set(['/health', '/ready']);
 const HTTP_ACCEPTED = 202;
 const HTTP_BAD_REQUEST = 400;
 const HTTP_UNAUTHORIZED = 401;
@@ -56,10 +64,15 @@
 /** Options of the API. */
 export interface OperatorServerOptions {
   readonly listen: Address;
-  /** Operators prove themselves with this. */
-  readonly operatorToken: string;
-  /** Backend servers prove themselves with this. */
-  readonly memberKey: string;
+  /** Operators prove themselves with one of these. */
+  readonly operatorTokens: Observable<SecretRing>;
+  /** Who reads metrics may have a token for just that. */
+  readonly metricsTokens: Observable<SecretRing | undefined>;
+  /** Backend servers prove themselves with one of these. */
+  readonly memberKeys: Observable<SecretRing>;
+  /** Without it the API is in the clear. */
+  readonly tls: Observable<OperatorTls | undefined>;
+  readonly timer: TimerService;
   readonly backend: OperatorBackend;
 }
 
@@ -72,12 +85,27 @@
 
   /** Starts to listen. Throws if the address can't be had. */
   static async start(options: OperatorServerOptions): Promise<OperatorServer> {
+    let guard: StrangerGuard | undefined;
     const server = fastify({
       bodyLimit: MAXIMUM_BODY_BYTES,
-      requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
       forceCloseConnections: true,
+      serverFactory: handler => {
+        const {tls, timer} = options;
+        const listener = createOperatorListener(handler, tls, timer);
+        guard = listener.guard;
+        return listener.server;
+      },
     });
     const api = new OperatorServer(server, options);
+    server.addHook('onRequest', async (request, reply) => {
+      if (isOpen(request)) {
+        reply.header('connection', 'close');
+        return undefined;
+      }
+      if (!api.mayAsk(request)) return unauthorized(reply);
+      guard?.recognise(request.raw.socket);
+      return undefined;
+    });
     api.addOpenRoutes();
     api.addAnnouncementRoute();
     api.addReadRoutes();
@@ -85,6 +113,7 @@
     await server.listen({
       host: options.listen.host,
       port: options.listen.port,
+      backlog: LISTEN_BACKLOG,
     });
     return api;
   }
@@ -108,16 +137,20 @@
   }
 
   private addAnnouncementRoute(): void {
-    const {backend, memberKey} = this.options;
-    this.server.post('/v1/announcements', async (request, reply) => {
-      if (!hasToken(request, memberKey)) return unauthorized(reply);
-      const announcement = readAnnouncement(request.body);
-      if (announcement === undefined) {
-        return reply.code(HTTP_BAD_REQUEST).send({error: 'malformed'});
-      }
-      await backend.announced(announcement);
-      return reply.code(HTTP_ACCEPTED).send({heard: true});
-    });
+    const {backend} = this.options;
+    const bodyLimit = MAXIMUM_ANNOUNCEMENT_BYTES;
+    this.server.post(
+      '/v1/announcements',
+      {bodyLimit},
+      async (request, reply) => {
+        const announcement = readAnnouncement(request.body);
+        if (announcement === undefined) {
+          return reply.code(HTTP_BAD_REQUEST).send({error: 'malformed'});
+        }
+        await backend.announced(announcement);
+        return reply.code(HTTP_ACCEPTED).send({heard: true});
+      },
+    );
   }
 
   private addReadRoutes(): void {
@@ -138,15 +171,12 @@
   private addChangeRoutes(): void {
     const {backend} = this.options;
     this.server.put('/v1/catalogue', async (request, reply) => {
-      if (!this.isOperator(request)) return unauthorized(reply);
       return this.putCatalogue(request, reply);
     });
     this.server.post('/v1/servers/:name/:action', async (request, reply) => {
-      if (!this.isOperator(request)) return unauthorized(reply);
       return this.changeServer(request, reply);
     });
     this.server.post('/v1/vms/:name/drain', async (request, reply) => {
-      if (!this.isOperator(request)) return unauthorized(reply);
       const {name} = request.params as {readonly name: string};
       const drained = await backend.drainMachine(name);
       const report: ChangeReport = drained
@@ -234,13 +264,21 @@
     answer: (request: FastifyRequest, reply: FastifyReply) => Promise<unknown>,
   ): void {
     this.server.get(path, async (request, reply) => {
-      if (!this.isOperator(request)) return unauthorized(reply);
       return answer(request, reply);
     });
   }
 
-  private isOperator(request: FastifyRequest): boolean {
-    return hasToken(request, this.options.operatorToken);
+  /** Asked before the body is read, so that a stranger's costs nothing. */
+  private mayAsk(request: FastifyRequest): boolean {
+    const {operatorTokens, memberKeys, metricsTokens} = this.options;
+    const path = pathOf(request);
+    if (path === ANNOUNCEMENTS_PATH) {
+      return hasToken(request, memberKeys.current);
+    }
+    if (hasToken(request, operatorTokens.current)) return true;
+    const metrics = metricsTokens.current;
+    const reads = path === METRICS_PATH && metrics !== undefined;
+    return reads && hasToken(request, metrics);
   }
 
   private origin(request: FastifyRequest, changeId: string): ChangeOrigin {
@@ -256,12 +294,26 @@
   ['activate', 'active'],
 ]);
 
-function hasToken(request: FastifyRequest, token: string): boolean {
+function pathOf(request: FastifyRequest): string {
+  return request.url.split('?', 1)[0] as string;
+}
+
+/** What the balancer asks before it sends callers. */
+function isOpen(request: FastifyRequest): boolean {
+  return OPEN_PATHS.has(pathOf(request));
+}
+
+function hasToken(request: FastifyRequest, ring: SecretRing): boolean {
   const given = Buffer.from(request.headers.authorization ?? '');
-  const wanted = Buffer.from(`Bearer ${token}`);
-  return given.length === wanted.length && timingSafeEqual(given, wanted);
+  return ring.accepted.some(token => {
+    const wanted = Buffer.from(`Bearer ${token}`);
+    return given.length === wanted.length && timingSafeEqual(given, wanted);
+  });
 }
 
 function unauthorized(reply: FastifyReply): FastifyReply {
-  return reply.code(HTTP_UNAUTHORIZED).send({error: 'unauthorized'});
+  return reply
+    .code(HTTP_UNAUTHORIZED)
+    .header('connection', 'close')
+    .send({error: 'unauthorized'});
 }
--- a/packages/proxy/src/caller_listener.ts
+++ b/packages/proxy/src/caller_listener.ts
@@ -28,6 +28,13 @@
 const SERVER_VERSION = '17.0';
 const MAXIMUM_SECRET = 2 ** 31;
 const DRAIN_POLL_MILLISECONDS = 20;
+/** How long a shutdown waits for the next request of an idle session. */
+const NEXT_ANSWER_MILLISECONDS = 500;
+const SHUTTING_DOWN = errorResponse({
+  severity: 'FATAL',
+  code: SqlState.ADMIN_SHUTDOWN,
+  message: 'this proxy is shutting down; connect again',
+});
 const START_UP_LIMIT_MILLISECONDS = 10_000;
 /** Callers that are connected or connecting, at most. */
 const MAXIMUM_SESSIONS = 20_000;
@@ -100,16 +107,20 @@
   }
 
   /**
-   * Lets no caller in any more, ends sessions when they are idle, and waits
-   * for the others. Gives how many had to be cut when time was up.
+   * Lets no caller in any more and ends sessions, most with their next answer:
+   * a session ended while it is idle may have a request on its way. Gives how
+   * many had to be cut when time was up.
    */
   async drain(deadlineMilliseconds: number): Promise<number> {
     this.draining = true;
     this.server.close();
     const {timer} = this.options;
-    const deadline = timer.now() + deadlineMilliseconds;
+    const startedAt = timer.now();
+    const deadline = startedAt + deadlineMilliseconds;
+    const patience = Math.min(NEXT_ANSWER_MILLISECONDS, deadlineMilliseconds);
+    for (const {session} of this.sessions.values()) session.endWhenIdle();
     while (this.sessions.size > 0 && timer.now() < deadline) {
-      for (const open of this.sessions.values()) this.endIfIdle(open);
+      if (timer.now() - startedAt >= patience) this.endIdle();
       await timer.sleep(DRAIN_POLL_MILLISECONDS);
     }
     const cut = this.sessions.size;
@@ -117,16 +128,11 @@
     return cut;
   }
 
-  private endIfIdle({session, socket}: OpenSession): void {
-    session.endWhenIdle();
-    if (!session.idle) return;
-    socket.end(
-      errorResponse({
-        severity: 'FATAL',
-        code: SqlState.ADMIN_SHUTDOWN,
-        message: 'this proxy is shutting down; connect again',
-      }),
-    );
+  private endIdle(): void {
+    for (const {session, socket} of this.sessions.values()) {
+      session.endWhenIdle();
+      if (session.idle) socket.end(SHUTTING_DOWN);
+    }
   }
 
   /** Cancels what a session runs; `false` if there is no such session here. */
@@ -202,7 +208,9 @@
       await session.run();
     } finally {
       this.sessions.delete(processId);
-      stream.socket.end();
+      // In one piece with the last answer, before the caller sends another.
+      if (this.draining) stream.socket.end(SHUTTING_DOWN);
+      else stream.socket.end();
     }
   }
 
--- a/packages/proxy/src/caller_session.ts
+++ b/packages/proxy/src/caller_session.ts
@@ -34,9 +34,12 @@
 
 /** What a session counts for the metrics. */
 export interface SessionObserver {
+  /** A clock in milliseconds, for the durations that it is told. */
+  readonly now: () => number;
   readonly served: (
     by: 'primary' | 'replica',
     purpose: 'read' | 'write',
+    milliseconds: number,
   ) => void;
   readonly failed: (failure: Failure) => void;
 }
@@ -249,6 +252,7 @@
     const replay = this.settings.tracked.replay();
     const reader = this.readerFor(batch, replay === undefined ? 0 : 1);
     const {router, id, observer} = this.options;
+    const startedAt = observer.now();
     const outcome = await router.route({
       entry,
       session: id,
@@ -260,7 +264,7 @@
     });
     this.running = undefined;
     if (outcome.kind === 'notRouted') return this.fail(outcome.failure, batch);
-    observer.served(outcome.servedBy, purpose);
+    observer.served(outcome.servedBy, purpose, observer.now() - startedAt);
     return this.finish(outcome.lease, batch, outcome.result, reader);
   }
 
