Hand members over between owners, and find silent connections

Cause: owners came from membership alone, so two VMs could run statements on one member at a time, and a joining VM owned everything until it had heard of the others. A connection that went silent kept its statement, its slot and its caller for good. A stopped owner kept its locks for ever.

Change: an owner claims its member from every VM that may have owned it, begins nothing before each has answered, and leaves to them what they still hold; the one asked begins nothing new and hands over. The member itself ends what an owner has not used for 3 s (idle_session_timeout), and owners use every connection more often, so a VM without an answer holds nothing after 3.25 s. A process that stood still claims anew. Idle and lent connections are probed by a Sync; a statement without an answer is given up when connections of its age are silent and a newer one answers, or when the member is gone.

--- a/packages/apricotlock/src/entry_process.ts
+++ b/packages/apricotlock/src/entry_process.ts
@@ -78,10 +78,13 @@
 
   /** Ends without cutting a request, if the deadline allows; gives the cuts. */
   async drain(): Promise<number> {
-    const {settings, membership, callers, registry, operators, network} =
-      this.parts;
+    const {membership, callers, registry, operators, network} = this.parts;
+    const {drainMilliseconds} = this.parts.settings;
+    const deadline = this.parts.timer.now() + drainMilliseconds;
     membership.announce('draining');
-    const cut = await callers.drain(settings.drainMilliseconds);
+    const cut = await callers.drain(drainMilliseconds);
+    // Sessions of other VMs may still have transactions here.
+    await registry.drained(deadline - this.parts.timer.now());
     await membership.leave();
     registry.stop();
     await operators.close();
--- a/packages/backend/src/backend_connection.ts
+++ b/packages/backend/src/backend_connection.ts
@@ -40,19 +40,26 @@
   readonly relay: (bytes: Buffer) => void;
 }
 
+/** What became of a round trip that runs nothing. */
+export type ProbeResult = 'answered' | 'ended' | 'silent';
+
 /** One connection to a member. At most one exchange is under way on it. */
 export class BackendConnection {
   private inTransaction = false;
   private needsReset = false;
   private broken = false;
 
+  /** When it was opened, on the timer's clock. */
+  readonly openedAt: number;
   private lastHeardAt: number;
+  private abandoned = false;
 
   private constructor(
     private readonly opened: OpenedBackend,
     private readonly timer: TimerService,
   ) {
-    this.lastHeardAt = timer.now();
+    this.openedAt = timer.now();
+    this.lastHeardAt = this.openedAt;
   }
 
   /** A connection that has just been opened. */
@@ -113,14 +120,26 @@
   }
 
   /** Whether the server still answers on it; if not, it has to be closed. */
-  async probe(timeoutMilliseconds: number): Promise<boolean> {
-    if (!this.usable) return false;
+  async probe(timeoutMilliseconds: number): Promise<ProbeResult> {
+    if (!this.usable) return 'ended';
     const answered = await withTimeout(
       this.timer,
       timeoutMilliseconds,
       this.command(PROBE),
     );
-    return answered !== TIMED_OUT && answered;
+    if (answered === TIMED_OUT) return 'silent';
+    return answered ? 'answered' : 'ended';
+  }
+
+  /** Whether it was closed while the server may have been running something. */
+  get mayStillRun(): boolean {
+    return this.abandoned;
+  }
+
+  /** Ends the connection at once, although an answer is owed on it. */
+  abandon(): void {
+    this.abandoned = true;
+    this.close();
   }
 
   /** Ends the connection at once. */
--- a/packages/backend/src/entry_account.ts
+++ b/packages/backend/src/entry_account.ts
@@ -130,7 +130,8 @@
   expectedWait(slots: number): number {
     const {connections} = this.allowance.limits;
     const forSlots = this.statementTime.milliseconds / Math.max(slots, 1);
-    const forConnections = this.leaseTime.milliseconds / connections;
+    const forConnections =
+      this.leaseTime.milliseconds / Math.max(connections, 1);
     return this.waiting * Math.max(forSlots, forConnections);
   }
 
--- a/packages/backend/src/lease_server.ts
+++ b/packages/backend/src/lease_server.ts
@@ -4,6 +4,7 @@
 import {TimerService} from '@apricotlock/timer';
 import {queryMessage} from '@apricotlock/wire';
 import {ExchangeEnd} from './backend_connection.js';
+import {ConnectionKeeper} from './connection_keeper.js';
 import {LeaseAdmission} from './lease_admission.js';
 import {LeaseInbox, RunMessage} from './lease_inbox.js';
 import {
@@ -19,6 +20,7 @@
 
 const CONFIRM_TIMEOUT_MILLISECONDS = 3_000;
 const IDLE_IN_TRANSACTION_LIMIT_MILLISECONDS = 60_000;
+const PROBE_PERIOD_MILLISECONDS = 1_000;
 const PRIMARY_POSITION_QUERY = queryMessage('SELECT pg_current_wal_lsn()');
 const REPLICA_POSITION_QUERY = queryMessage('SELECT pg_last_wal_replay_lsn()');
 
@@ -27,6 +29,7 @@
   readonly watch: GroupWatch;
   readonly admission: LeaseAdmission;
   readonly scheduler: WorkScheduler;
+  readonly keeper: ConnectionKeeper;
   readonly timer: TimerService;
 }
 
@@ -88,11 +91,9 @@
   private async lend(turn: Turn, first: RunMessage): Promise<void> {
     let message: RunMessage = first;
     while ((await this.run(turn, message)) === 'goOn') {
-      const next = await this.inbox.nextWithin(
-        IDLE_IN_TRANSACTION_LIMIT_MILLISECONDS,
-      );
+      const next = await this.nextStatements(turn);
       // Whatever the transaction holds is freed by the clean-up.
-      if (next === undefined || next === TIMED_OUT) break;
+      if (next === undefined) break;
       if (!(await this.mayRun(turn, next))) {
         this.refuse({kind: 'overloaded', retryAfterMilliseconds: 0});
         break;
@@ -102,6 +103,24 @@
     await turn.giveBack();
   }
 
+  /**
+   * The next statements of an open transaction, for which the connection is
+   * kept alive; `undefined` if the transaction is to be rolled back.
+   */
+  private async nextStatements(turn: Turn): Promise<RunMessage | undefined> {
+    const {timer, keeper} = this.options;
+    const deadline = timer.now() + IDLE_IN_TRANSACTION_LIMIT_MILLISECONDS;
+    while (timer.now() < deadline) {
+      const next = await this.inbox.nextWithin(PROBE_PERIOD_MILLISECONDS);
+      if (next !== TIMED_OUT) return next;
+      if (await keeper.probeLent(turn.connection)) continue;
+      turn.discard();
+      this.channel.send({kind: 'lost', sent: false});
+      return undefined;
+    }
+    return undefined;
+  }
+
   /**
    * The end of a transaction needs no slot: statements that wait for its locks
    * may hold them all.
@@ -115,13 +134,14 @@
     const {term, role} = this.options.admission.standing();
     const {connection} = turn;
     if (message.reset) connection.markForReset();
-    const ended = await connection.exchange({
+    const exchange = connection.exchange({
       bytes: message.bytes,
       answers: message.answers,
       positionQuery:
         role === 'primary' ? PRIMARY_POSITION_QUERY : REPLICA_POSITION_QUERY,
       relay: bytes => this.channel.send({kind: 'answer', bytes}),
     });
+    const ended = await this.options.keeper.watch(connection, exchange);
     if (ended.isLeft()) {
       this.channel.send({kind: 'lost', sent: true});
       turn.discard();
--- a/packages/backend/src/owner_limits.ts
+++ b/packages/backend/src/owner_limits.ts
@@ -4,6 +4,7 @@
   MemberCapacity,
   ServiceClass,
 } from '@apricotlock/topology';
+import {Holding} from './ownership_messages.js';
 
 /** What one entry may use of a member, and its weight among the others. */
 export interface EntryAllowance {
@@ -48,6 +49,32 @@
   };
 }
 
+/** What is left of limits while others still hold a part. */
+export function withoutHeld(
+  limits: OwnerLimits,
+  held: readonly Holding[],
+): OwnerLimits {
+  const heldBy = (entry: string) =>
+    sum(held.map(({leases}) => leases[entry] ?? 0));
+  const leases = sum(held.flatMap(each => Object.values(each.leases)));
+  const connections = sum(held.map(each => each.connections));
+  return {
+    entries: limits.entries.map(allowance => ({
+      ...allowance,
+      limits: {
+        ...allowance.limits,
+        connections: Math.max(
+          0,
+          allowance.limits.connections - heldBy(allowance.entry),
+        ),
+        slots: Math.max(0, allowance.limits.slots - heldBy(allowance.entry)),
+      },
+    })),
+    connections: Math.max(0, limits.connections - connections),
+    slots: Math.max(0, limits.slots - leases),
+  };
+}
+
 function sum(values: readonly number[]): number {
   return values.reduce((total, value) => total + value, 0);
 }
--- a/packages/backend/src/turn.ts
+++ b/packages/backend/src/turn.ts
@@ -5,6 +5,8 @@
 
 /** How long a clean-up waits for a slot before the connection is closed. */
 const CLEAN_WAIT_MILLISECONDS = 2_000;
+/** How long the slot of a statement that was given up stays taken. */
+const LOST_SLOT_MILLISECONDS = 1_000;
 
 /** What a turn tells its scheduler. */
 export interface TurnKeeper {
@@ -100,7 +102,12 @@
 
   private finish(returnConnection: () => void): void {
     const {keeper, account, purpose} = this;
-    this.freeSlot();
+    // The member may go on with the statement, which then still has its slot.
+    if (this.connection.mayStillRun) {
+      keeper.timer.once(LOST_SLOT_MILLISECONDS, () => this.freeSlot());
+    } else {
+      this.freeSlot();
+    }
     keeper.leaseEnded(account, purpose, keeper.timer.now() - this.leasedAt);
     returnConnection();
   }
--- a/packages/backend/src/work_scheduler.ts
+++ b/packages/backend/src/work_scheduler.ts
@@ -29,6 +29,8 @@
   readonly pool: ConnectionPool;
   readonly limits: OwnerLimits;
   readonly timer: TimerService;
+  /** Whether this process may still count on being the owner. */
+  readonly current?: () => boolean;
 }
 
 /**
@@ -51,7 +53,11 @@
   private paused = false;
   private closed = false;
 
-  private constructor({pool, limits, timer}: WorkSchedulerOptions) {
+  private readonly current: () => boolean;
+
+  private constructor(options: WorkSchedulerOptions) {
+    const {pool, limits, timer} = options;
+    this.current = options.current ?? (() => true);
     this.pool = pool;
     this.timer = timer;
     this.limits = limits;
@@ -65,9 +71,10 @@
     return new WorkScheduler(options);
   }
 
-  /** Leases that have begun and not ended. */
-  get lent(): number {
-    return sum([...this.accounts.values()].map(account => account.lent));
+  /** Leases that have begun and not ended, by entry. */
+  get leases(): Readonly<Record<string, number>> {
+    const used = [...this.accounts].filter(([, {lent}]) => lent > 0);
+    return Object.fromEntries(used.map(([entry, {lent}]) => [entry, lent]));
   }
 
   /** Takes over limits; what is over them ends by itself. */
@@ -208,6 +215,7 @@
   }
 
   private dispatch(): void {
+    if (!this.current()) return;
     while (this.continueNext()) continue;
     while (this.beginNext()) continue;
     if (!this.paused) this.pool.want(this.wantedConnections());
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -6,7 +6,13 @@
 export {Caller, type Outcome, type Row} from './caller.js';
 export {describeHeldSystem, type HeldSystem} from './held_system.js';
 export {Demo, type DemoReport} from './demo.js';
-export {layOut, PROFILES, type Layout, type Profile} from './layout.js';
+export {
+  layOut,
+  PROFILES,
+  type Layout,
+  type MachineLayout,
+  type Profile,
+} from './layout.js';
 export {Ledger} from './ledger.js';
 export {ProcessGroup} from './process_group.js';
 export {ReaderLoad, type ReaderLoadOptions} from './reader_load.js';
--- a/packages/standin/src/database_session.ts
+++ b/packages/standin/src/database_session.ts
@@ -1,6 +1,7 @@
 import {Duplex} from 'node:stream';
 import {Socket} from 'node:net';
 import {Right} from 'purify-ts';
+import {TIMED_OUT, withTimeout} from '@apricotlock/flow';
 import {fieldOf, isNode, SyntaxNode} from '@apricotlock/sql';
 import {TimerService} from '@apricotlock/timer';
 import {
@@ -114,10 +115,10 @@
   }
 
   async run(): Promise<void> {
-    const {splitter, stream} = this.caller;
+    const {splitter} = this.caller;
     try {
       for (;;) {
-        const chunk = await stream.read();
+        const chunk = await this.readWithinLimit();
         if (chunk === undefined) return;
         splitter.push(chunk);
         for (const frame of splitter.drain().orDefault([])) {
@@ -130,6 +131,24 @@
     }
   }
 
+  /** The next bytes; `undefined` once the client is gone or idle too long. */
+  private async readWithinLimit(): Promise<Buffer | undefined> {
+    const {stream, parameters} = this.caller;
+    const limit =
+      this.transaction === undefined
+        ? parameters['idle_session_timeout']
+        : parameters['idle_in_transaction_session_timeout'];
+    const milliseconds = Number(limit ?? 0);
+    if (!(milliseconds > 0)) return stream.read();
+    const {timer} = this.options;
+    const read = await withTimeout(timer, milliseconds, stream.read());
+    if (read !== TIMED_OUT) return read;
+    const code = SqlState.IDLE_SESSION_TIMEOUT;
+    const message = 'terminating connection due to idle-session timeout';
+    this.send(errorResponse({severity: 'FATAL', code, message}));
+    return undefined;
+  }
+
   private async handle(frame: Frame): Promise<void> {
     if (frame.type === FrontendType.QUERY) {
       await this.runQuery(readQuery(frame).orDefault(''));
--- a/packages/topology/src/index.ts
+++ b/packages/topology/src/index.ts
@@ -31,7 +31,7 @@
   type MemberCapacity,
   type MemberState,
 } from './database_group.js';
-export {ownerOf} from './rendezvous.js';
+export {ownerOf, ownerRanking} from './rendezvous.js';
 export {
   type VirtualMachine,
   type VirtualMachineState,
