--- a/packages/apricotlock/src/entry_process.ts
+++ b/packages/apricotlock/src/entry_process.ts
@@ -1,17 +1,24 @@
 import {OwnerBackendGate, OwnerRegistry} from '@apricotlock/backend';
-import {ControlClient, ControlLog, SoleControlLog} from '@apricotlock/control';
+import {ControlClient, ReplicatedControlLog} from '@apricotlock/control';
 import {
   FailoverCoordinator,
   FailureReporter,
   ReplicaReconciler,
 } from '@apricotlock/failover';
+import {Observable} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
 import {HttpMemberClient, MemberClient} from '@apricotlock/member';
-import {GossipMembership, Membership} from '@apricotlock/membership';
+import {
+  DatagramTransport,
+  Membership,
+  SwimMembership,
+  UdpDatagramTransport,
+} from '@apricotlock/membership';
 import {OperatorServer} from '@apricotlock/operator';
-import {PeerNetwork, WebSocketPeerNetwork} from '@apricotlock/peer';
+import {PeerNetwork, ringOf, WebSocketPeerNetwork} from '@apricotlock/peer';
 import {CallerListener, Router, SessionObserver} from '@apricotlock/proxy';
 import {SystemTimerService, TimerService} from '@apricotlock/timer';
+import {startControlLog} from './control_node.js';
 import {EntryOperatorBackend} from './entry_operator_backend.js';
 import {Metrics} from './metrics.js';
 import {Settings} from './settings.js';
@@ -24,12 +31,13 @@
   readonly timer: TimerService;
   readonly logger: Logger;
   readonly network: PeerNetwork;
+  readonly datagrams: DatagramTransport;
 }
 
 /** The parts that know who is alive, what is decided and who owns what. */
 interface Deciding {
   readonly membership: Membership;
-  readonly log: ControlLog | undefined;
+  readonly log: ReplicatedControlLog | undefined;
   readonly control: ControlClient;
   readonly registry: OwnerRegistry;
 }
@@ -57,8 +65,9 @@
       logger,
       maximumMessageBytes: MAXIMUM_PEER_MESSAGE_BYTES,
     });
-    const base: Base = {settings, timer, logger, network};
-    const deciding = startDeciding(base);
+    const datagrams = await UdpDatagramTransport.start(settings.peerAddress);
+    const base: Base = {settings, timer, logger, network, datagrams};
+    const deciding = await startDeciding(base);
     const metrics = Metrics.create();
     const callers = await startCallers(base, deciding, metrics);
     const operators = await OperatorServer.start({
@@ -78,7 +87,7 @@
 
   /** Ends without cutting a request, if the deadline allows; gives the cuts. */
   async drain(): Promise<number> {
-    const {membership, callers, registry, operators, network} = this.parts;
+    const {membership, callers, registry, operators, network, log} = this.parts;
     const {drainMilliseconds} = this.parts.settings;
     const deadline = this.parts.timer.now() + drainMilliseconds;
     membership.announce('draining');
@@ -88,17 +97,18 @@
     await membership.leave();
     registry.stop();
     await operators.close();
+    await log?.stop();
     await network.close();
     return cut;
   }
 }
 
-function startDeciding(base: Base): Deciding {
+async function startDeciding(base: Base): Promise<Deciding> {
   const {settings, timer, logger, network} = base;
   const self = settings.name;
   const membership = joinMembership(base);
   const {machines} = membership;
-  const log = settings.controlVoter ? SoleControlLog.create(self) : undefined;
+  const log = await startControlLog({...base, machines});
   const control = ControlClient.start({self, network, timer, machines, log});
   const client = HttpMemberClient.create(settings.memberKey, timer);
   const registry = OwnerRegistry.start({
@@ -146,8 +156,9 @@
   });
 }
 
-function joinMembership({settings, network, timer}: Base): Membership {
-  return GossipMembership.start({
+function joinMembership(base: Base): Membership {
+  const {settings, datagrams: transport, timer, logger} = base;
+  return SwimMembership.start({
     self: {
       name: settings.name,
       incarnation: timer.wallClock(),
@@ -158,8 +169,10 @@
       state: 'serving',
     },
     seeds: settings.seeds,
-    network,
+    transport,
+    keys: Observable.of(ringOf(settings.peerKey)),
     timer,
+    logger,
   });
 }
 
