--- a/packages/bench/src/process_group.ts
+++ b/packages/bench/src/process_group.ts
@@ -15,8 +15,10 @@
 export class ProcessGroup {
   private readonly children = new Map<string, ChildProcess>();
 
+  private readonly atExit = () => this.killAll();
+
   private constructor() {
-    process.on('exit', () => this.killAll());
+    process.on('exit', this.atExit);
   }
 
   /** An empty group. */
@@ -61,6 +63,7 @@
   async stopAll(): Promise<void> {
     this.killAll();
     await Promise.all([...this.children.keys()].map(name => this.ended(name)));
+    process.off('exit', this.atExit);
   }
 
   private killAll(): void {
