Give a connection back before its lease ends, and test owners with small fakes

Cause: the end of a lease was counted before its connection was back, so the next lease of the entry opened another one each time. Change: first the connection, then the count.

--- a/packages/backend/src/turn.ts
+++ b/packages/backend/src/turn.ts
@@ -102,6 +102,8 @@
 
   private finish(returnConnection: () => void): void {
     const {keeper, account, purpose} = this;
+    // First the connection: else another would be opened for the next lease.
+    returnConnection();
     // The member may go on with the statement, which then still has its slot.
     if (this.connection.mayStillRun) {
       keeper.timer.once(LOST_SLOT_MILLISECONDS, () => this.freeSlot());
@@ -109,6 +111,5 @@
       this.freeSlot();
     }
     keeper.leaseEnded(account, purpose, keeper.timer.now() - this.leasedAt);
-    returnConnection();
   }
 }
--- /dev/null
+++ b/packages/backend/test/lease_server_test.ts
@@ -0,0 +1,164 @@
+import {expect} from 'chai';
+import {createChannelPair, ChannelPair} from '@apricotlock/peer';
+import {GroupWatch} from '@apricotlock/group';
+import {ManualTimerService} from '@apricotlock/timer';
+import {queryMessage} from '@apricotlock/wire';
+import {ConnectionKeeper} from '../src/connection_keeper.js';
+import {ConnectionPool} from '../src/connection_pool.js';
+import {LeaseAdmission} from '../src/lease_admission.js';
+import {LeaseDown, LeaseRequest, LeaseUp} from '../src/lease_messages.js';
+import {LeaseServer} from '../src/lease_server.js';
+import {WorkScheduler} from '../src/work_scheduler.js';
+import {
+  allowance,
+  FakeBackend,
+  limitsOf,
+  schedulerOver,
+  settle,
+} from './fake_backend.js';
+
+const GROUP = {
+  database: 'ledger',
+  size: 1,
+  term: 1,
+  primary: 'ledger-a',
+  members: [{name: 'ledger-a', state: 'active'}],
+};
+const STATUS = {role: 'primary', term: 1, received: 1n, applied: 1n};
+const REQUEST: LeaseRequest = {
+  database: 'ledger',
+  member: 'ledger-a',
+  entry: 'holds',
+  session: 'first',
+  purpose: 'write',
+  term: 1,
+  floor: undefined,
+  floorWaitMilliseconds: 0,
+  queueMilliseconds: 1_000,
+};
+
+describe('LeaseServer', () => {
+  let timer: ManualTimerService;
+  let backend: FakeBackend;
+  let pool: ConnectionPool;
+  let scheduler: WorkScheduler;
+  let keeper: ConnectionKeeper;
+
+  beforeEach(() => {
+    timer = ManualTimerService.create();
+    backend = new FakeBackend();
+    const limits = limitsOf([allowance('holds', {slots: 1, connections: 1})]);
+    ({pool, scheduler} = schedulerOver(backend, limits, timer));
+    keeper = ConnectionKeeper.start(pool, timer, () => false);
+  });
+
+  afterEach(() => keeper.stop());
+
+  /** A member that leads, and confirms at once. */
+  function serve(): ChannelPair<LeaseUp, LeaseDown> {
+    const watch = {
+      group: GROUP,
+      observation: () => ({status: STATUS}),
+      confirmed: async () => true,
+    } as unknown as GroupWatch;
+    const pair = createChannelPair<LeaseUp, LeaseDown>();
+    const admission = LeaseAdmission.of('ledger-a', watch, timer);
+    const options = {watch, admission, scheduler, keeper, timer};
+    void LeaseServer.serve(REQUEST, pair.called, options).finally(() =>
+      pair.called.end(),
+    );
+    return pair;
+  }
+
+  function run(text: string): LeaseUp {
+    const bytes = queryMessage(text);
+    return {kind: 'run', bytes, answers: 1, reset: false};
+  }
+
+  async function kindsOf(pair: ChannelPair<LeaseUp, LeaseDown>) {
+    const kinds: string[] = [];
+    for (;;) {
+      const message = await pair.caller.receive();
+      if (message === undefined) return kinds;
+      kinds.push(message.kind);
+    }
+  }
+
+  it('takes nothing before there is something to run', async () => {
+    serve();
+    await settle();
+    expect(backend.opened).to.equal(0);
+  });
+
+  it('gives the connection back with the answer', async () => {
+    const pair = serve();
+    pair.caller.send(run('SELECT 1'));
+    expect(await kindsOf(pair)).to.deep.equal([
+      'granted',
+      'answer',
+      'finished',
+    ]);
+    expect(pool.idleConnections).to.have.length(1);
+  });
+
+  it('rolls back what a vanished caller left open', async () => {
+    backend.status = 'transaction';
+    const pair = serve();
+    pair.caller.send(run('BEGIN'));
+    await settle();
+    expect(pool.idleConnections).to.have.length(0);
+    backend.status = 'idle';
+    pair.caller.end();
+    await settle();
+    expect(backend.received.join()).to.include('ROLLBACK');
+    expect(pool.idleConnections).to.have.length(1);
+  });
+
+  it('rolls back a transaction that is idle for too long', async () => {
+    backend.status = 'transaction';
+    const pair = serve();
+    pair.caller.send(run('BEGIN'));
+    await settle();
+    for (let second = 0; second <= 60; second++) {
+      timer.advance(1_000);
+      await settle();
+    }
+    expect(backend.received.join()).to.include('ROLLBACK');
+    const kinds = await kindsOf(pair);
+    expect(kinds[kinds.length - 1]).to.equal('finished');
+  });
+
+  it('tells of an open transaction whose connection is silent', async () => {
+    backend.status = 'transaction';
+    const pair = serve();
+    pair.caller.send(run('BEGIN'));
+    await settle();
+    backend.silent = true;
+    timer.advance(1_000);
+    await settle();
+    timer.advance(300);
+    await settle();
+    expect(await kindsOf(pair)).to.deep.equal([
+      'granted',
+      'answer',
+      'finished',
+      'lost',
+    ]);
+    expect(pool.openCount).to.equal(0);
+  });
+
+  it('drops an answer that comes after the caller has gone', async () => {
+    backend.held = true;
+    const first = serve();
+    first.caller.send(run('SELECT 1'));
+    await settle();
+    first.caller.end();
+    const second = serve();
+    second.caller.send(run('SELECT 2'));
+    await settle();
+    backend.release();
+    const kinds = await kindsOf(second);
+    expect(kinds).to.deep.equal(['granted', 'answer', 'finished']);
+    expect(backend.opened).to.equal(1);
+  });
+});
--- /dev/null
+++ b/packages/bench/src/measure_overload_main.ts
@@ -0,0 +1,159 @@
+import hdr from 'hdr-histogram-js';
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {SystemTimerService, TimerService} from '@apricotlock/timer';
+import {Caller} from './caller.js';
+import {layOut, PROFILES} from './layout.js';
+import {SystemUnderTest} from './system_under_test.js';
+import {untilDone} from './workload.js';
+
+const DATABASE = 'booking-ledger-1';
+const PRIMARY = `${DATABASE}-a`;
+const STATEMENT_MILLISECONDS = 5;
+const MILLISECONDS_A_SECOND = 1_000;
+const MICROSECONDS_A_MILLISECOND = 1_000;
+
+/** What came of one rate of arrivals. */
+interface OverloadRow {
+  readonly offeredASecond: number;
+  readonly sentASecond: number;
+  readonly doneASecond: number;
+  readonly doneMedianMilliseconds: number;
+  readonly doneTailMilliseconds: number;
+  readonly refusedASecond: number;
+  readonly refusalMedianMilliseconds: number;
+  readonly refusalTailMilliseconds: number;
+}
+
+/** Writes that arrive at a rate of their own, whatever becomes of them. */
+class Arrivals {
+  private readonly done = hdr.build();
+  private readonly refused = hdr.build();
+  private readonly free: Caller[] = [];
+  private sent = 0;
+  private turn = 0;
+
+  private constructor(
+    private readonly system: SystemUnderTest,
+    private readonly timer: TimerService,
+  ) {}
+
+  static create(system: SystemUnderTest, timer: TimerService): Arrivals {
+    return new Arrivals(system, timer);
+  }
+
+  /** Offers writes at a rate for a while. */
+  async offer(aSecond: number, milliseconds: number): Promise<OverloadRow> {
+    const {timer} = this;
+    this.done.reset();
+    this.refused.reset();
+    this.sent = 0;
+    const start = timer.now();
+    const tasks: Array<Promise<void>> = [];
+    for (;;) {
+      const elapsed = timer.now() - start;
+      if (elapsed >= milliseconds) break;
+      const due = Math.floor((elapsed * aSecond) / MILLISECONDS_A_SECOND);
+      while (this.sent < due) tasks.push(this.write());
+      await timer.sleep(1);
+    }
+    await Promise.all(tasks);
+    return this.row(aSecond, (timer.now() - start) / MILLISECONDS_A_SECOND);
+  }
+
+  async close(): Promise<void> {
+    await Promise.all(this.free.map(caller => caller.close()));
+  }
+
+  private row(offeredASecond: number, seconds: number): OverloadRow {
+    const {done, refused} = this;
+    return {
+      offeredASecond,
+      sentASecond: Math.round(this.sent / seconds),
+      doneASecond: Math.round(done.totalCount / seconds),
+      doneMedianMilliseconds: inMilliseconds(done, 50),
+      doneTailMilliseconds: inMilliseconds(done, 99),
+      refusedASecond: Math.round(refused.totalCount / seconds),
+      refusalMedianMilliseconds: inMilliseconds(refused, 50),
+      refusalTailMilliseconds: inMilliseconds(refused, 99),
+    };
+  }
+
+  private async write(): Promise<void> {
+    this.sent += 1;
+    const {timer} = this;
+    const caller = this.free.pop() ?? this.newCaller();
+    const start = timer.now();
+    const outcome = await caller.run(
+      `INSERT INTO overload (id, holder) VALUES ('${this.turn++}', 'x')`,
+    );
+    const took = (timer.now() - start) * MICROSECONDS_A_MILLISECOND;
+    const histogram = outcome.kind === 'done' ? this.done : this.refused;
+    histogram.recordValue(Math.max(1, Math.round(took)));
+    this.free.push(caller);
+  }
+
+  private newCaller(): Caller {
+    const {machines} = this.system.layout;
+    const {callerAddress} = this.system.machine(this.sent % machines.length);
+    return Caller.create(DATABASE, DATABASE, callerAddress, this.timer);
+  }
+}
+
+function inMilliseconds(histogram: hdr.Histogram, percentile: number): number {
+  const microseconds = histogram.getValueAtPercentile(percentile);
+  return Math.round(microseconds / MICROSECONDS_A_MILLISECOND);
+}
+
+async function measure(): Promise<void> {
+  const options = await yargs(hideBin(process.argv))
+    .option('base-port', {type: 'number', default: 26_400})
+    .option('rates', {
+      type: 'number',
+      array: true,
+      default: [50, 100, 200, 400],
+    })
+    .option('queue-milliseconds', {type: 'number', default: 500})
+    .option('seconds', {type: 'number', default: 5})
+    .strict()
+    .parse();
+  const timer = SystemTimerService.create();
+  const profile = {...PROFILES.bonanno, databases: [DATABASE]};
+  const layout = layOut(profile, options.basePort);
+  const system = await SystemUnderTest.start(layout, timer);
+  try {
+    await prepare(system, timer, options.queueMilliseconds);
+    const arrivals = Arrivals.create(system, timer);
+    const rows: OverloadRow[] = [];
+    for (const rate of options.rates) {
+      const milliseconds = options.seconds * MILLISECONDS_A_SECOND;
+      rows.push(await arrivals.offer(rate, milliseconds));
+    }
+    await arrivals.close();
+    console.table(rows);
+  } finally {
+    await system.stop();
+  }
+}
+
+async function prepare(
+  system: SystemUnderTest,
+  timer: TimerService,
+  queueMilliseconds: number,
+): Promise<void> {
+  const entries = system.catalogueEntries().map(entry => ({
+    ...entry,
+    limits: {...entry.limits, queueMilliseconds},
+  }));
+  await system.operator().putCatalogue('first', 0, entries, true);
+  await system.untilWhole();
+  const {callerAddress} = system.machine(0);
+  const caller = Caller.create(DATABASE, DATABASE, callerAddress, timer);
+  await untilDone(timer, () =>
+    caller.run('CREATE TABLE overload (id text PRIMARY KEY, holder text)'),
+  );
+  await caller.close();
+  await system.command(PRIMARY, 'slow', {statement: STATEMENT_MILLISECONDS});
+}
+
+await measure();
