--- a/packages/bench/src/measure_fairness_main.ts
+++ b/packages/bench/src/measure_fairness_main.ts
@@ -130,13 +130,12 @@
     await system.operator().putCatalogue('first', 0, entries, true);
     await system.untilWhole();
     await createTable(system, timer);
-    await system.command(`${DATABASE}-a`, 'slow', {
-      statement: STATEMENT_MILLISECONDS,
-    });
+    for (const {name} of system.layout.members) {
+      await system.command(name, 'slow', {statement: STATEMENT_MILLISECONDS});
+    }
     const shares = await measureShares(system, timer, options);
     console.table(shares);
-    const counts = await countsOf(system);
-    console.log(JSON.stringify({shares, counts}));
+    console.table(await countsOf(system));
   } finally {
     await system.stop();
   }
@@ -173,11 +172,16 @@
   return shares;
 }
 
-async function countsOf(system: SystemUnderTest): Promise<unknown> {
-  const {commandAddress} = system.member(`${DATABASE}-a`);
-  const {host, port} = commandAddress;
-  const answer = await fetch(`http://${host}:${port}/state`);
-  return ((await answer.json()) as {readonly counts: unknown}).counts;
+/** What the members counted of their connections and statements. */
+async function countsOf(system: SystemUnderTest): Promise<readonly object[]> {
+  return Promise.all(
+    system.layout.members.map(async ({name, commandAddress}) => {
+      const {host, port} = commandAddress;
+      const answer = await fetch(`http://${host}:${port}/state`);
+      const {counts} = (await answer.json()) as {readonly counts: object};
+      return {name, ...counts};
+    }),
+  );
 }
 
 await measure();
--- a/packages/bench/src/measure_overload_main.ts
+++ b/packages/bench/src/measure_overload_main.ts
@@ -8,7 +8,6 @@
 import {untilDone} from './workload.js';
 
 const DATABASE = 'booking-ledger-1';
-const PRIMARY = `${DATABASE}-a`;
 const STATEMENT_MILLISECONDS = 5;
 const MILLISECONDS_A_SECOND = 1_000;
 const MICROSECONDS_A_MILLISECOND = 1_000;
@@ -153,7 +152,9 @@
     caller.run('CREATE TABLE overload (id text PRIMARY KEY, holder text)'),
   );
   await caller.close();
-  await system.command(PRIMARY, 'slow', {statement: STATEMENT_MILLISECONDS});
+  for (const {name} of system.layout.members) {
+    await system.command(name, 'slow', {statement: STATEMENT_MILLISECONDS});
+  }
 }
 
 await measure();
--- a/packages/bench/src/measure_owner_hop_main.ts
+++ b/packages/bench/src/measure_owner_hop_main.ts
@@ -19,28 +19,47 @@
   readonly writeTailMicroseconds: number;
 }
 
-async function measureWay(
-  way: string,
-  address: Address,
+/** One way to the primary, sampled in turn with the others. */
+class Way {
+  private readonly histogram = hdr.build();
+  private turn = 0;
+
+  private constructor(
+    private readonly name: string,
+    private readonly caller: Caller,
+  ) {}
+
+  static of(name: string, address: Address, timer: TimerService): Way {
+    return new Way(name, Caller.create(DATABASE, DATABASE, address, timer));
+  }
+
+  async sample(counts: boolean): Promise<void> {
+    const took = await this.caller.timed(
+      `INSERT INTO hops (id) VALUES ('${this.name} ${this.turn++}')`,
+    );
+    const microseconds = Math.round(took * MICROSECONDS_A_MILLISECOND);
+    if (counts) this.histogram.recordValue(microseconds);
+  }
+
+  async finish(): Promise<HopRow> {
+    await this.caller.close();
+    return {
+      way: this.name,
+      writeMedianMicroseconds: this.histogram.getValueAtPercentile(50),
+      writeTailMicroseconds: this.histogram.getValueAtPercentile(99),
+    };
+  }
+}
+
+async function measureWays(
+  ways: readonly Way[],
   samples: number,
-  timer: TimerService,
-): Promise<HopRow> {
-  const caller = Caller.create(DATABASE, DATABASE, address, timer);
-  const histogram = hdr.build();
+): Promise<readonly HopRow[]> {
   for (let sample = 0; sample < samples * 2; sample++) {
-    const took = await caller.timed(
-      `INSERT INTO hops (id) VALUES ('${way} ${sample}')`,
-    );
     // The first half warms up.
-    if (sample < samples) continue;
-    histogram.recordValue(Math.round(took * MICROSECONDS_A_MILLISECOND));
+    for (const way of ways) await way.sample(sample >= samples);
   }
-  await caller.close();
-  return {
-    way,
-    writeMedianMicroseconds: histogram.getValueAtPercentile(50),
-    writeTailMicroseconds: histogram.getValueAtPercentile(99),
-  };
+  return Promise.all(ways.map(way => way.finish()));
 }
 
 async function measure(): Promise<void> {
@@ -66,11 +85,10 @@
       creator.run('CREATE TABLE hops (id text PRIMARY KEY)'),
     );
     await creator.close();
-    const rows: HopRow[] = [];
-    for (const [way, address] of Object.entries(ways)) {
-      rows.push(await measureWay(way, address, options.samples, timer));
-    }
-    console.table(rows);
+    const measured = Object.entries(ways).map(([name, address]) =>
+      Way.of(name, address, timer),
+    );
+    console.table(await measureWays(measured, options.samples));
   } finally {
     await system.stop();
   }
