--- a/packages/apricotlock/src/entry_process.ts
+++ b/packages/apricotlock/src/entry_process.ts
@@ -119,7 +119,7 @@
   /** Ends without cutting a request, if the deadline allows; gives the cuts. */
   async drain(): Promise<number> {
     const {settings, timer, logger, backend, membership} = this.parts;
-    const {callers, network} = this.parts;
+    const {callers, network, registry} = this.parts;
     backend.stopBeingReady();
     // Without another VM to take over, this one serves to the end.
     const alone = !othersServe(membership, settings.name);
@@ -129,6 +129,8 @@
     const left = () => Math.max(0, deadline - timer.now());
     const cutSessions = await callers.drain(left());
     if (alone) membership.announce('draining');
+    // Sessions of other VMs may still have transactions here.
+    await registry.drained(left());
     const cutLeases = await network.untilQuiet(LEASE, left());
     logger.info('drained', {cutSessions, cutLeases});
     await this.stop();
