--- a/packages/bench/test/process_life_test.ts
+++ b/packages/bench/test/process_life_test.ts
@@ -6,7 +6,13 @@
 import {testPort} from '@apricotlock/testing';
 import {SystemTimerService} from '@apricotlock/timer';
 import {Address, formatAddress} from '@apricotlock/topology';
-import {layOut, PROFILES, SystemUnderTest} from '../src/index.js';
+import {
+  layOut,
+  NO_VIOLATIONS,
+  PROFILES,
+  SystemUnderTest,
+  Workload,
+} from '../src/index.js';
 
 const BASE_PORT = testPort(800);
 const KNOWN_DEAD_LIMIT_MILLISECONDS = 4_000;
@@ -205,6 +211,31 @@
     const ended = (index: number) =>
       system.processes.ended(system.machine(index).name);
 
+    it('under load cuts no request, here and through other VMs', async () => {
+      const workload = await Workload.start(
+        {
+          database,
+          proxies: system.layout.machines.map(
+            ({callerAddress}) => callerAddress,
+          ),
+          callers: 12,
+          readsAWrite: 2,
+          thinkMilliseconds: 1,
+          timer,
+        },
+        'drained',
+      );
+      await timer.sleep(1_000);
+      signal(4);
+      expect(await ended(4)).to.equal(0);
+      await timer.sleep(500);
+      const report = await workload.finish();
+      expect(report.writes).to.be.greaterThan(0);
+      expect(report.unknown).to.equal(0);
+      expect(report.violations).to.deep.equal(NO_VIOLATIONS);
+      expect((await seenBy(1)).length).to.equal(5);
+    });
+
     it('first makes the VM unready while callers are still let in', async () => {
       signal(3);
       await system.until(
