Tell the age of the view in force, and list VMs lost during a wait

A VM that membership dropped while an operator waited counted as having the change. One silent VM held each failed trial vote up for a second. Conclusion: an age is now true of what callers are served by.

--- a/packages/apricotlock/src/entry_operator_backend.ts
+++ b/packages/apricotlock/src/entry_operator_backend.ts
@@ -28,6 +28,7 @@
   formatAddress,
   Member,
   ownerOf,
+  VirtualMachine,
 } from '@apricotlock/topology';
 import {Metrics} from './metrics.js';
 import {Settings} from './settings.js';
@@ -188,7 +189,7 @@
     let open = membership.machines.current;
     for (;;) {
       const reached = await Promise.all(
-        open.map(machine => this.hasReached(machine.name, index)),
+        open.map(machine => this.hasReached(machine, index)),
       );
       open = open.filter((_machine, position) => !reached[position]);
       if (open.length === 0 || timer.now() >= deadline) break;
@@ -201,16 +202,20 @@
     return this.options.timer.wallClock();
   }
 
-  private async hasReached(name: string, index: number): Promise<boolean> {
+  private async hasReached(
+    asked: VirtualMachine,
+    index: number,
+  ): Promise<boolean> {
     const {settings, membership, network, control} = this.options;
-    if (name === settings.name) {
+    if (asked.name === settings.name) {
       await this.untilInForce(index, IN_FORCE_POLL_MILLISECONDS);
       return control.view.current.index >= index;
     }
     const machine = membership.machines.current.find(
-      other => other.name === name,
+      other => other.name === asked.name,
     );
-    if (machine === undefined) return true;
+    // Who was lost since may still serve callers with the view before.
+    if (machine === undefined) return asked.state === 'draining';
     const answer = await network.call(
       machine.peerAddress,
       VIEW_INDEX,
--- a/packages/control/src/election.ts
+++ b/packages/control/src/election.ts
@@ -97,7 +97,7 @@
     term: number,
     how: Pick<VoteRequest, 'trial' | 'handOver'>,
   ): Promise<boolean> {
-    const {log, peers, higherTerm} = this.context;
+    const {log, peers, timer, timings, higherTerm} = this.context;
     const {configuration, vote} = log;
     const granting = new Set([vote.diskId]);
     const others = votersOf(configuration).filter(
@@ -112,20 +112,26 @@
       lastTerm: log.last.term,
     };
     return new Promise(resolve => {
-      let open = others.length;
+      const possible = new Set([
+        ...granting,
+        ...others.map(disk => disk.diskId),
+      ]);
       const decide = () => {
         if (isQuorum(configuration, granting)) resolve(true);
-        else if (open === 0) resolve(false);
+        else if (!isQuorum(configuration, possible)) resolve(false);
       };
       decide();
+      // A silent VM must not hold the next attempt up.
+      if (how.trial) {
+        timer.once(timings.electionMinimumMilliseconds, () => resolve(false));
+      }
       for (const member of others) {
         const to = member.diskId;
         void peers.call(member, VOTE, {...request, to}).then(answer => {
-          open -= 1;
-          answer.ifRight(heard => {
-            if (heard.granted) granting.add(to);
-            else higherTerm(heard.term);
-          });
+          const heard = answer.toMaybe().extract();
+          if (heard?.granted) granting.add(to);
+          else possible.delete(to);
+          if (heard?.granted === false) higherTerm(heard.term);
           decide();
         });
       }
--- a/packages/control/src/view_distributor.ts
+++ b/packages/control/src/view_distributor.ts
@@ -93,9 +93,8 @@
    * way counts from when it asked.
    */
   get ageMilliseconds(): number {
-    const {log, timer} = this.options;
-    const asked = timer.now() - this.currentAt;
-    return log?.leading.current ? Math.min(log.ageMilliseconds, asked) : asked;
+    const inForce = this.view.current.index >= this.newest.current.index;
+    return inForce ? this.newestAgeMilliseconds() : this.askedAge();
   }
 
   /** Ends the tasks. */
@@ -104,6 +103,17 @@
     for (const pusher of this.pushers) pusher.stop();
   }
 
+  /** The age of the newest view, which need not be in force yet. */
+  private newestAgeMilliseconds(): number {
+    const {log} = this.options;
+    const asked = this.askedAge();
+    return log?.leading.current ? Math.min(log.ageMilliseconds, asked) : asked;
+  }
+
+  private askedAge(): number {
+    return this.options.timer.now() - this.currentAt;
+  }
+
   private lead(): void {
     const {log, self} = this.options;
     if (log?.leading.current) this.setRoot(self);
@@ -192,7 +202,10 @@
       current.index > index ? this.history.updateFrom(index) : null;
     return {
       index: current.index,
-      ageMilliseconds: Math.min(this.ageMilliseconds, Number.MAX_SAFE_INTEGER),
+      ageMilliseconds: Math.min(
+        this.newestAgeMilliseconds(),
+        Number.MAX_SAFE_INTEGER,
+      ),
       root: this.root ?? null,
       update,
     };
@@ -234,16 +247,23 @@
       FETCH_TIMEOUT_MILLISECONDS,
     );
     if (this.stopped) return;
-    answer.ifRight(fetched => {
-      if (fetched.update !== null) this.takeUpdate(fetched.update);
-      if (this.newest.current.index < fetched.index) return;
-      if (fetched.root !== null && this.root === undefined) {
-        this.setRoot(fetched.root);
-      }
-      if (fetched.ageMilliseconds >= Number.MAX_SAFE_INTEGER) return;
-      const currentAt = sentAt - fetched.ageMilliseconds;
-      this.currentAt = Math.max(this.currentAt, currentAt);
-    });
+    answer.ifRight(fetched => void this.takeFetched(fetched, sentAt));
+  }
+
+  private async takeFetched(
+    fetched: FetchedView,
+    sentAt: number,
+  ): Promise<void> {
+    if (fetched.update !== null) this.takeUpdate(fetched.update);
+    if (fetched.root !== null && this.root === undefined) {
+      this.setRoot(fetched.root);
+    }
+    if (fetched.ageMilliseconds >= Number.MAX_SAFE_INTEGER) return;
+    if (this.newest.current.index < fetched.index) return;
+    // The age is told of the view in force: it must be that one first.
+    await this.view.until(({index}) => index >= fetched.index);
+    const currentAt = sentAt - fetched.ageMilliseconds;
+    this.currentAt = Math.max(this.currentAt, currentAt);
   }
 }
 
--- a/packages/control/test/support/memory_folder.ts
+++ b/packages/control/test/support/memory_folder.ts
@@ -13,6 +13,9 @@
   /** The operation at which the power goes; it and all later ones fail. */
   crashAt = Infinity;
 
+  /** Writes wait for this: a slow disk. */
+  held: Promise<void> = Promise.resolve();
+
   private constructor(
     private readonly files: Map<string, Content>,
     /** What the names were when they were last synced. */
@@ -78,6 +81,7 @@
   }
 
   override async write(name: string, bytes: Buffer): Promise<void> {
+    await this.held;
     const content = {synced: Buffer.alloc(0), unsynced: bytes};
     this.files.set(name, content);
     this.step();
--- a/packages/control/test/view_distributor_test.ts
+++ b/packages/control/test/view_distributor_test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {Observable} from '@apricotlock/flow';
+import {Deferred, Observable} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
 import {SystemTimerService} from '@apricotlock/timer';
 import {VirtualMachine} from '@apricotlock/topology';
@@ -142,6 +142,21 @@
     expect(decreased.some(wentBack => wentBack())).to.equal(false);
   }).timeout(20_000);
 
+  it('tells no small age of an old view while its disk is slow', async () => {
+    await inForce(await change());
+    await timer.sleep(1_500);
+    const slow = nodes[1] as ViewDistributor;
+    const release = Deferred.create<void>();
+    disk.held = release.promise;
+    const index = await change();
+    await inForce(index, nodes.slice(2));
+    await timer.sleep(1_500);
+    expect(slow.view.current.index).to.equal(index - 1);
+    expect(slow.ageMilliseconds).to.be.greaterThan(1_000);
+    release.resolve();
+    await inForce(index);
+  }).timeout(20_000);
+
   it('comes back from a restart with the view that was in force', async () => {
     const index = await change();
     await inForce(index);
