Keep the capacity of a member in the log, and bound a holder's pause

A caller that stopped reading a long answer kept its slot and connection without limit. Change: the schema keeps it; a holder that takes no more for 60 s is given up.

--- a/packages/backend/src/answer_relay.ts
+++ b/packages/backend/src/answer_relay.ts
@@ -1,14 +1,19 @@
+import {TIMED_OUT, withTimeout} from '@apricotlock/flow';
 import {PeerChannel} from '@apricotlock/peer';
+import {TimerService} from '@apricotlock/timer';
 import {LeaseInbox} from './lease_inbox.js';
 import {LeaseDown, LeaseUp} from './lease_messages.js';
 
 /** How much of an answer is kept back until its end, in bytes. */
 const MAXIMUM_HELD_BYTES = 1 << 20;
+/** How long a holder may take to pass a part on. */
+const HOLDER_PAUSE_LIMIT_MILLISECONDS = 60_000;
 
 /** What the relay of one answer needs. */
 export interface AnswerRelayOptions {
   readonly channel: PeerChannel<LeaseDown, LeaseUp>;
   readonly inbox: LeaseInbox;
+  readonly timer: TimerService;
   /** Whether all that the answer has shown up to now is confirmed. */
   readonly confirm: () => Promise<boolean>;
 }
@@ -47,12 +52,13 @@
   }
 
   private async passOn(): Promise<boolean> {
-    const {channel, inbox, confirm} = this.options;
+    const {channel, inbox, confirm, timer} = this.options;
     if (!(await confirm())) return false;
     const room = inbox.roomForMore();
     const bytes = this.rest();
     if (!channel.send({kind: 'answer', bytes, confirmed: true})) return false;
-    await room;
-    return true;
+    // A caller that reads no more must not keep its slot for ever.
+    const limit = HOLDER_PAUSE_LIMIT_MILLISECONDS;
+    return (await withTimeout(timer, limit, room)) !== TIMED_OUT;
   }
 }
--- a/packages/backend/src/lease_server.ts
+++ b/packages/backend/src/lease_server.ts
@@ -141,6 +141,7 @@
     const relay = AnswerRelay.create({
       channel: this.channel,
       inbox: this.inbox,
+      timer: this.options.timer,
       confirm: () => this.confirmNow(term, role),
     });
     let answered = false;
--- a/packages/bench/test/owner_test.ts
+++ b/packages/bench/test/owner_test.ts
@@ -19,6 +19,7 @@
 const LOCK_ROW = "SELECT id FROM locked WHERE id = 'one' FOR UPDATE";
 const CONNECTIONS = 8;
 const SLOTS = 2;
+const STATEMENT_MILLISECONDS = 5;
 const BEFORE_FAULT_MILLISECONDS = 500;
 const KILLED_LIMIT_MILLISECONDS = 4_000;
 const STOPPED_LIMIT_MILLISECONDS = 8_000;
@@ -183,6 +184,29 @@
     await expectLimitsHeld();
   });
 
+  it('runs no more for all entries than the member can', async () => {
+    const [first] = entries(CONNECTIONS);
+    const both = [first, {...first, name: 'reports'}];
+    await system.operator().putCatalogue('second', 1, both as never, true);
+    await system.command(primary, 'slow', {statement: STATEMENT_MILLISECONDS});
+    const report = await underLoad(async () => {
+      const reporters = others().map(({callerAddress}) =>
+        Caller.create('reports', DATABASE, callerAddress, timer),
+      );
+      for (let round = 0; round < 20; round++) {
+        await Promise.all(
+          reporters.map(reporter =>
+            reporter.run('SELECT id FROM booked FOR UPDATE'),
+          ),
+        );
+      }
+      await Promise.all(reporters.map(reporter => reporter.close()));
+    });
+    expect(report.violations).to.deep.equal(NO_VIOLATIONS);
+    const {counts} = await stateOf(primary);
+    expect(counts.maximumRunning).to.be.at.most(SLOTS);
+  });
+
   it('replaces connections that went silent, without a failover', async () => {
     const before = (await stateOf(primary)).status;
     const report = await underLoad(async () => {
--- a/packages/control/src/control_schemas.ts
+++ b/packages/control/src/control_schemas.ts
@@ -26,6 +26,7 @@
   address,
   apiAddress: address,
   incarnation: count,
+  capacity: z.object({connections: count, slots: count}).optional(),
 });
 
 /** One schema for each command: a command without one does not compile. */
