--- a/packages/apricotctl/src/command_context.ts
+++ b/packages/apricotctl/src/command_context.ts
@@ -10,6 +10,8 @@
 export interface CommonFlags {
   readonly address: string;
   readonly tokenFile: string;
+  /** Empty if the API is in the clear. */
+  readonly authorityFile: string;
   readonly output: OutputFormat;
 }
 
@@ -29,6 +31,9 @@
     address.unsafeCoerce(),
     readToken(flags.tokenFile),
     userInfo().username,
+    flags.authorityFile === ''
+      ? undefined
+      : readFlagFile('--authority-file', flags.authorityFile),
   );
 }
 
@@ -40,11 +45,17 @@
   });
 }
 
+/** The first of the file's lines; further ones are accepted by servers. */
 function readToken(path: string): string {
+  const [newest = ''] = readFlagFile('--token-file', path).trim().split('\n');
+  return newest.trim();
+}
+
+function readFlagFile(flag: string, path: string): string {
   try {
-    return readFileSync(path, 'utf8').trim();
+    return readFileSync(path, 'utf8');
   } catch {
-    return exitWith(ExitCode.USAGE, `--token-file: cannot read "${path}"`);
+    return exitWith(ExitCode.USAGE, `${flag}: cannot read "${path}"`);
   }
 }
 
--- a/packages/standin/src/database_session.ts
+++ b/packages/standin/src/database_session.ts
@@ -25,6 +25,7 @@
   TransactionStatus,
 } from '@apricotlock/wire';
 import {Answer, tagOnly} from './answer.js';
+import {readWithinIdleLimit} from './idle_limit.js';
 import {MemberRuntime} from './member_runtime.js';
 import {
   parseStatements,
@@ -122,10 +123,15 @@
   }
 
   async run(): Promise<void> {
-    const {splitter, stream} = this.caller;
+    const {splitter} = this.caller;
     try {
       for (;;) {
-        const chunk = await stream.read();
+        const inTransaction = this.transaction !== undefined;
+        const chunk = await readWithinIdleLimit(
+          this.caller,
+          inTransaction,
+          this.options.timer,
+        );
         if (chunk === undefined) return;
         splitter.push(chunk);
         for (const frame of splitter.drain().orDefault([])) {
