Keep the order of bytes that a relay delays

Cause: under load a byte sent after a delayed one came before it, since the delayed one waited for its timer only: 'ba' for 'ab' once in a full test run. Change: a lane makes its deliveries in order, each when it is due.

--- a/packages/faults/src/lane.ts
+++ b/packages/faults/src/lane.ts
@@ -2,10 +2,15 @@
 import {TimerService} from '@apricotlock/timer';
 import {LaneFault} from './fault_plan.js';
 
-/** Carries the bytes of one direction of one connection. */
+interface Delivery {
+  /** When it is to be made, on the timer's clock. */
+  readonly due: number;
+  readonly deliver: () => void;
+}
+
+/** Carries the bytes of one direction of one connection, in their order. */
 export class Lane {
-  private waiting: Array<() => void> = [];
-  private lastDue = 0;
+  private waiting: Delivery[] = [];
   private silent = false;
 
   private constructor(
@@ -37,28 +42,28 @@
     this.waiting = [];
   }
 
-  /** Delivers what waits, if the fault has ended. */
+  /** Makes the deliveries that are due, if nothing is held back. */
   release(): void {
     while (!this.fault().held) {
-      const next = this.waiting.shift();
-      if (next === undefined) return;
-      next();
+      const [next] = this.waiting;
+      if (next === undefined || next.due > this.timer.now()) return;
+      this.waiting.shift();
+      next.deliver();
     }
   }
 
-  private later(action: () => void): void {
+  private later(deliver: () => void): void {
+    if (this.silent) return;
     const {delayMilliseconds} = this.fault();
-    const now = this.timer.now();
-    // A shorter delay must not let later bytes pass earlier ones.
-    this.lastDue = Math.max(this.lastDue, now + delayMilliseconds);
-    if (this.lastDue <= now) this.offer(action);
-    else this.timer.once(this.lastDue - now, () => this.offer(action));
+    const due = this.timer.now() + delayMilliseconds;
+    this.waiting.push({due, deliver});
+    this.release();
+    if (delayMilliseconds > 0) this.wake(delayMilliseconds);
   }
 
-  private offer(action: () => void): void {
-    if (this.silent) return;
-    this.waiting.push(action);
-    this.release();
+  /** A timer may come early by a part of a millisecond. */
+  private wake(delayMilliseconds: number): void {
+    this.timer.once(delayMilliseconds + 1, () => this.release());
   }
 
   private carry(chunk: Buffer): void {
