--- a/packages/proxy/src/outcome.ts
+++ b/packages/proxy/src/outcome.ts
@@ -45,9 +45,7 @@
         severity: 'ERROR',
         code: SqlState.TRANSACTION_RESOLUTION_UNKNOWN,
         message: `the outcome is unknown: ${failure.reason}`,
-        hint:
-          'Send it again with the same apricotlock.idempotency_key to learn ' +
-          'the outcome without running it twice.',
+        hint: 'Look for what it would have left behind before it is sent again.',
       };
     case 'cutShort':
       return {
