--- a/packages/failover/src/failover_coordinator.ts
+++ b/packages/failover/src/failover_coordinator.ts
@@ -18,6 +18,8 @@
 
 const SUSPICION_LIFETIME_MILLISECONDS = 1_000;
 const OBSERVERS_NEEDED = 2;
+/** How long watchers that disagree with this process have to go on. */
+const DISAGREEMENT_MILLISECONDS = 1_500;
 const PROBE_TIMEOUT_MILLISECONDS = 200;
 const SWEEP_PERIOD_MILLISECONDS = 50;
 
@@ -32,12 +34,16 @@
 
 interface HeardSuspicion extends Suspicion {
   readonly heardAt: number;
+  /** When its reporter began to report without a break. */
+  readonly since: number;
 }
 
 /**
  * Replaces lost primaries, on the control VM that leads. It believes no single
  * observer: a primary is replaced when a watcher of its group and this
- * process, each on a connection made for that, cannot reach it.
+ * process, each on a connection made for that, cannot reach it. Watchers that
+ * go on to report it are believed even where this process can reach it: it may
+ * be cut off together with the primary from everybody else.
  */
 export class FailoverCoordinator {
   private suspicions: readonly HeardSuspicion[] = [];
@@ -60,12 +66,13 @@
   suspect(suspicion: Suspicion): void {
     if (!this.options.log.leading.current) return;
     const now = this.options.timer.now();
-    const others = this.suspicions.filter(
-      known =>
-        now - known.heardAt < SUSPICION_LIFETIME_MILLISECONDS &&
-        !isSameReport(known, suspicion),
+    const fresh = this.suspicions.filter(
+      known => now - known.heardAt < SUSPICION_LIFETIME_MILLISECONDS,
     );
-    this.suspicions = [...others, {...suspicion, heardAt: now}];
+    const before = fresh.find(known => isSameReport(known, suspicion));
+    const others = fresh.filter(known => known !== before);
+    const since = before?.since ?? now;
+    this.suspicions = [...others, {...suspicion, heardAt: now, since}];
     const group = this.groupOf(suspicion.database);
     if (group === undefined || group.term !== suspicion.term) return;
     this.exclusively(group.database, () => this.examine(group));
@@ -93,11 +100,16 @@
     const answer = await this.probe(primary);
     const status = answer.toMaybe().extract();
     const leads = status?.role === 'primary' && status.term === group.term;
-    if (leads) return;
+    const now = this.options.timer.now();
+    const reports = this.reportsOf(group);
+    const lasting = reports.filter(
+      ({since}) => now - since >= DISAGREEMENT_MILLISECONDS,
+    );
+    if (leads && lasting.length < OBSERVERS_NEEDED) return;
     // This process's own failed probe is an observation too.
-    if (this.reporters(group) + 1 < OBSERVERS_NEEDED) return;
+    if (!leads && reports.length + 1 < OBSERVERS_NEEDED) return;
     const text =
-      status === undefined
+      status === undefined || leads
         ? 'the primary cannot be reached'
         : 'the primary leads no more';
     await FailoverRound.run(
@@ -107,14 +119,14 @@
     );
   }
 
-  private reporters(group: DatabaseGroup): number {
+  private reportsOf(group: DatabaseGroup): readonly HeardSuspicion[] {
     const oldest = this.options.timer.now() - SUSPICION_LIFETIME_MILLISECONDS;
     return this.suspicions.filter(
       known =>
         known.database === group.database &&
         known.term === group.term &&
         known.heardAt >= oldest,
-    ).length;
+    );
   }
 
   /** Finds the primary of a group that has none. */
@@ -161,5 +173,9 @@
 }
 
 function isSameReport(left: Suspicion, right: Suspicion): boolean {
-  return left.database === right.database && left.reporter === right.reporter;
+  return (
+    left.database === right.database &&
+    left.term === right.term &&
+    left.reporter === right.reporter
+  );
 }
