--- a/packages/backend/test/lease_server_test.ts
+++ b/packages/backend/test/lease_server_test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {createChannelPair, ChannelPair} from '@apricotlock/peer';
+import {Observable} from '@apricotlock/flow';
 import {GroupWatch} from '@apricotlock/group';
 import {ManualTimerService} from '@apricotlock/timer';
 import {queryMessage} from '@apricotlock/wire';
@@ -59,6 +60,8 @@
     const watch = {
       group: GROUP,
       observation: () => ({status: STATUS}),
+      changes: Observable.of(0),
+      isReplaced: () => false,
       confirmed: async () => true,
       primaryPosition: async () => 1n,
     } as unknown as GroupWatch;
