--- /dev/null
+++ b/packages/proxy/test/caller_session_test.ts
@@ -0,0 +1,241 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {Socket} from 'node:net';
+import {duplexPair} from 'node:stream';
+import {serialize} from 'pg-protocol';
+import {Observable} from '@apricotlock/flow';
+import {StatementClassifier} from '@apricotlock/sql';
+import {SystemTimerService} from '@apricotlock/timer';
+import {
+  BackendType,
+  bareMessage,
+  ByteStream,
+  commandComplete,
+  dataRow,
+  Frame,
+  FrameSplitter,
+  FrontendType,
+  readFirstValue,
+  readParse,
+  readQuery,
+  readyForQuery,
+  TransactionStatus,
+} from '@apricotlock/wire';
+import {CallerSession} from '../src/caller_session.js';
+import {Router} from '../src/router.js';
+import {DEFAULT_SETTINGS} from '../src/session_settings.js';
+import {ENTRY, FakeGate, FakeOwner, finished, VIEW} from './fake_gate.js';
+
+const SEED = 20_261_203;
+const MAXIMUM_BYTES = 1 << 20;
+
+/** Splits bytes into messages. */
+function framesOf(bytes: Buffer): readonly Frame[] {
+  const splitter = FrameSplitter.create(MAXIMUM_BYTES, 'regular');
+  splitter.push(bytes);
+  return splitter.drain().unsafeCoerce();
+}
+
+/**
+ * An owner whose member has no memory between leases: it answers each Execute
+ * with the text that it was sent in the same run, and knows BEGIN and COMMIT.
+ */
+function echoingOwner(): FakeOwner {
+  return (_request, run) => {
+    let text = '';
+    let status: TransactionStatus = 'idle';
+    const out: Buffer[] = [];
+    const execute = () => {
+      if (text.startsWith('BEGIN')) status = 'transaction';
+      if (text.startsWith('COMMIT')) status = 'idle';
+      out.push(dataRow([text]), commandComplete('SELECT 1'));
+    };
+    for (const frame of framesOf(run.bytes)) {
+      switch (frame.type) {
+        case FrontendType.QUERY:
+          text = readQuery(frame).unsafeCoerce();
+          execute();
+          out.push(readyForQuery(status));
+          break;
+        case FrontendType.PARSE:
+          text = readParse(frame).unsafeCoerce().query;
+          out.push(bareMessage(BackendType.PARSE_COMPLETE));
+          break;
+        case FrontendType.BIND:
+          out.push(bareMessage(BackendType.BIND_COMPLETE));
+          break;
+        case FrontendType.EXECUTE:
+          execute();
+          break;
+        case FrontendType.SYNC:
+          out.push(readyForQuery(status));
+          break;
+        default:
+          break;
+      }
+    }
+    return [finished(Buffer.concat(out), {status})];
+  };
+}
+
+describe('CallerSession', () => {
+  const timer = SystemTimerService.create();
+  let classifier: StatementClassifier;
+
+  before(async () => {
+    classifier = await StatementClassifier.create();
+  });
+
+  function serve(owner: FakeOwner) {
+    const [caller, proxy] = duplexPair();
+    const gate = new FakeGate(owner);
+    const view = Observable.of(VIEW);
+    const session = CallerSession.create({
+      id: 's',
+      caller: {
+        stream: ByteStream.of(proxy as unknown as Socket, MAXIMUM_BYTES),
+        splitter: FrameSplitter.create(MAXIMUM_BYTES, 'regular'),
+        parameters: {user: ENTRY.name},
+      },
+      settings: DEFAULT_SETTINGS,
+      entry: () => ENTRY,
+      router: Router.create('palermo', view, gate, timer),
+      classifier,
+      observer: {served: () => undefined, failed: () => undefined},
+    });
+    const running = session.run().finally(() => proxy.end());
+    const received: Buffer[] = [];
+    caller.on('data', (chunk: Buffer) => received.push(chunk));
+    const done = async () => {
+      await running;
+      await new Promise(resolve => setImmediate(resolve));
+      const frames = framesOf(Buffer.concat(received));
+      return frames.filter(({type}) => type !== BackendType.PARAMETER_STATUS);
+    };
+    return {caller, proxy, gate, done};
+  }
+
+  const terminate = serialize.end() as Buffer;
+  const sync = serialize.sync() as Buffer;
+
+  function extended(name: string, text: string, again: boolean): Buffer {
+    const parse = serialize.parse({name, text}) as Buffer;
+    const run = Buffer.concat([
+      serialize.bind({statement: name, values: []}) as Buffer,
+      serialize.execute() as Buffer,
+      sync,
+    ]);
+    return Buffer.concat(again ? [parse, sync, run] : [parse, run]);
+  }
+
+  it('answers in order however the stream is cut', async () => {
+    const batch = fc.record({
+      kind: fc.constantFrom('simple', 'unnamed', 'named'),
+      again: fc.boolean(),
+    });
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(batch, {minLength: 1, maxLength: 8}),
+        fc.array(fc.nat(400), {maxLength: 12}),
+        async (batches, cuts) => {
+          const texts = batches.map((_, index) => `SELECT ${index}`);
+          const bytes = batches.map(({kind, again}, index) => {
+            const text = texts[index] as string;
+            if (kind === 'simple') return serialize.query(text) as Buffer;
+            return extended(kind === 'named' ? `s${index}` : '', text, again);
+          });
+          const whole = Buffer.concat([...bytes, terminate]);
+          const {caller, done} = serve(echoingOwner());
+          const places = [...new Set(cuts)].sort((a, b) => a - b);
+          let from = 0;
+          for (const place of [...places, whole.length]) {
+            caller.write(whole.subarray(from, place));
+            from = Math.min(place, whole.length);
+            await new Promise(resolve => setImmediate(resolve));
+          }
+          const frames = await done();
+          const rows = frames.filter(({type}) => type === BackendType.DATA_ROW);
+          expect(rows.map(readFirstValue)).to.deep.equal(texts);
+          const owed = batches.reduce(
+            (sum, {kind, again}) => sum + (kind !== 'simple' && again ? 2 : 1),
+            0,
+          );
+          const ready = frames.filter(
+            ({type}) => type === BackendType.READY_FOR_QUERY,
+          );
+          expect(ready.length).to.equal(owed);
+        },
+      ),
+      {seed: SEED, numRuns: 60},
+    );
+  });
+
+  it('survives any bytes without an answer of its own making', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(fc.uint8Array({maxLength: 40}), {maxLength: 6}),
+        async chunks => {
+          const {caller, done} = serve(echoingOwner());
+          for (const chunk of chunks) caller.write(Buffer.from(chunk));
+          caller.end();
+          const frames = await done();
+          for (const {type} of frames) {
+            expect([
+              BackendType.ERROR_RESPONSE,
+              BackendType.READY_FOR_QUERY,
+              BackendType.DATA_ROW,
+              BackendType.COMMAND_COMPLETE,
+            ] as number[]).to.include(type);
+          }
+        },
+      ),
+      {seed: SEED, numRuns: 100},
+    );
+  });
+
+  it('never says idle while a transaction holds a lease', async () => {
+    const {caller, gate, done} = serve(echoingOwner());
+    for (const text of ['BEGIN', 'SELECT 1', 'COMMIT', 'SELECT 2']) {
+      caller.write(serialize.query(text) as Buffer);
+    }
+    caller.write(terminate);
+    const frames = await done();
+    const states = frames
+      .filter(({type}) => type === BackendType.READY_FOR_QUERY)
+      .map(({bytes}) => String.fromCharCode(bytes[5] as number));
+    // The echoing member forgets the transaction with each run but BEGIN.
+    expect(states[0]).to.equal('T');
+    expect(gate.requests.length).to.be.lessThan(4);
+  });
+
+  it('gives each connection the settings of its session first', async () => {
+    const {caller, gate, done} = serve(echoingOwner());
+    caller.write(
+      serialize.query("SET TimeZone TO 'Pacific/Auckland'") as Buffer,
+    );
+    caller.write(serialize.query('SELECT 1') as Buffer);
+    caller.write(terminate);
+    const frames = await done();
+    const last = gate.requests[gate.requests.length - 1]?.first;
+    const sent = framesOf(last?.bytes ?? Buffer.alloc(0));
+    expect(sent.map(frame => readQuery(frame).unsafeCoerce())).to.deep.equal([
+      "SET timezone TO 'Pacific/Auckland'",
+      'SELECT 1',
+    ]);
+    expect(last).to.include({answers: 2, reset: true});
+    const rows = frames.filter(({type}) => type === BackendType.DATA_ROW);
+    expect(rows.map(readFirstValue)[1]).to.equal('SELECT 1');
+    expect(rows.length).to.equal(2);
+  });
+
+  it('gives up what runs when its caller has gone', async () => {
+    const {caller, proxy, gate, done} = serve(
+      () => new Promise(() => undefined),
+    );
+    caller.write(serialize.query('SELECT 1') as Buffer);
+    await new Promise(resolve => setTimeout(resolve, 20));
+    proxy.destroy();
+    await done();
+    expect(gate.requests.length).to.equal(1);
+  });
+});
--- /dev/null
+++ b/packages/proxy/test/fake_gate.ts
@@ -0,0 +1,118 @@
+import {Either, Right} from 'purify-ts';
+import {
+  BackendGate,
+  GroupPosition,
+  LeaseConversation,
+  LeaseDown,
+  LeaseRequest,
+  LeaseUp,
+} from '@apricotlock/backend';
+import {createChannelPair, PeerChannel} from '@apricotlock/peer';
+import {CatalogueEntry, ClusterView, Member} from '@apricotlock/topology';
+
+/** What a fake owner makes of a run: its messages, the last one an end. */
+export type FakeOwner = (
+  request: LeaseRequest,
+  run: Extract<LeaseUp, {kind: 'run'}>,
+) => readonly LeaseDown[] | Promise<readonly LeaseDown[]>;
+
+/** A gate whose owners are a function of the test. */
+export class FakeGate extends BackendGate {
+  readonly requests: LeaseRequest[] = [];
+  readonly said: LeaseUp[] = [];
+  position_: GroupPosition = {term: 1, position: 100n};
+
+  constructor(private readonly owner: FakeOwner) {
+    super();
+  }
+
+  override lease(request: LeaseRequest): LeaseConversation {
+    this.requests.push(request);
+    const pair = createChannelPair<LeaseUp, LeaseDown>();
+    void this.serve(request, pair.called);
+    return pair.caller;
+  }
+
+  override async position(): Promise<Either<'unavailable', GroupPosition>> {
+    return Right(this.position_);
+  }
+
+  private async serve(
+    request: LeaseRequest,
+    channel: PeerChannel<LeaseDown, LeaseUp>,
+  ): Promise<void> {
+    let message: LeaseUp | undefined = request.first;
+    while (message !== undefined) {
+      this.said.push(message);
+      if (message.kind === 'release') break;
+      if (message.kind === 'run') {
+        const answers = await this.owner(request, message);
+        answers.forEach(answer => channel.send(answer));
+      }
+      message = await channel.receive();
+    }
+    channel.end();
+  }
+}
+
+/** The end of an answer at position 100 of term 1. */
+export function finished(
+  answer: Buffer,
+  more: Partial<Extract<LeaseDown, {kind: 'finished'}>> = {},
+): LeaseDown {
+  return {
+    kind: 'finished',
+    answer,
+    status: 'idle',
+    term: 1,
+    position: 100n,
+    confirmed: true,
+    ...more,
+  };
+}
+
+export const ENTRY: CatalogueEntry = {
+  name: 'holds',
+  owner: 'bonanno',
+  class: 'critical',
+  database: 'holds',
+  members: 3,
+  limits: {
+    connections: 4,
+    slots: 2,
+    queueLength: 10,
+    queueMilliseconds: 500,
+  },
+};
+
+/** A view with the primary `a` and the replicas `b` and `c`. */
+export const VIEW: ClusterView = {
+  index: 1,
+  catalogue: {version: 1, entries: [ENTRY]},
+  groups: [
+    {
+      database: 'holds',
+      size: 3,
+      term: 1,
+      primary: 'a',
+      members: [
+        member('a', 'catania'),
+        member('b', 'palermo'),
+        member('c', 'messina'),
+      ],
+    },
+  ],
+};
+
+function member(name: string, dataCentre: string): Member {
+  const address = {host: '127.0.0.1', port: 1};
+  return {
+    name,
+    database: 'holds',
+    dataCentre,
+    address,
+    apiAddress: address,
+    incarnation: 1,
+    state: 'active',
+  };
+}
