Let the stand-in send an answer at once, as PostgreSQL does

Cause: it sent each message by itself, so the proxy took up to six reads for an answer and its position; PostgreSQL sends at ReadyForQuery, at Flush, or when its buffer of 8 KiB is full. Change: the stand-in keeps messages back in the same manner.

--- a/packages/standin/src/database_session.ts
+++ b/packages/standin/src/database_session.ts
@@ -44,6 +44,7 @@
 
 const MAXIMUM_MESSAGE_BYTES = 16 << 20;
 const SERVER_VERSION = '17.0';
+const SEND_BUFFER_BYTES = 8_192;
 
 /** What all sessions of a member share. */
 export interface SessionOptions {
@@ -101,6 +102,8 @@
   private failed = false;
   /** After an error, extended messages are skipped up to Sync. */
   private skipping = false;
+  private unsent: Buffer[] = [];
+  private unsentBytes = 0;
   private readonly prepared = new Map<string, PreparedStatement>();
   private readonly portals = new Map<string, Portal>();
   private readonly functions: SystemFunctions;
@@ -142,9 +145,11 @@
     if (frame.type === FrontendType.QUERY) {
       await this.runQuery(readQuery(frame).orDefault(''));
       this.send(readyForQuery(this.status));
+      this.flush();
     } else if (frame.type === FrontendType.SYNC) {
       this.skipping = false;
       this.send(readyForQuery(this.status));
+      this.flush();
     } else if (!this.skipping) {
       await this.guard(() => this.handleExtended(frame));
     }
@@ -211,7 +216,7 @@
         return;
       }
       case FrontendType.FLUSH:
-        return;
+        return this.flush();
       default:
         throw SqlError.of(SqlState.PROTOCOL_VIOLATION, 'unexpected message');
     }
@@ -398,8 +403,18 @@
     this.send(Buffer.concat([...rows, commandComplete(answer.tag)]));
   }
 
+  /** PostgreSQL too sends when it is ready, asked to, or has much to send. */
   private send(bytes: Buffer): void {
-    this.caller.stream.write(bytes);
+    this.unsent.push(bytes);
+    this.unsentBytes += bytes.length;
+    if (this.unsentBytes >= SEND_BUFFER_BYTES) this.flush();
+  }
+
+  private flush(): void {
+    if (this.unsent.length === 0) return;
+    this.caller.stream.write(Buffer.concat(this.unsent));
+    this.unsent = [];
+    this.unsentBytes = 0;
   }
 }
 
