Stop the start-up library's polling, and prove who we are to members

Cause: a test that would not end showed it: the gateway library's pair of streams polls with a timer each millisecond for as long as the process lives, two for each caller that has ever connected. And towards members only trust and passwords in clear text were known. Tests: timers before and after start-up are equal; right, wrong and missing password; a server that does not know the password; a server without TLS. TLS itself towards a member is not tested yet: there is no certificate to test by.

--- a/packages/wire/src/backend_start_up.ts
+++ b/packages/wire/src/backend_start_up.ts
@@ -1,20 +1,23 @@
-import {connect, Socket} from 'node:net';
 import {Either, Left, Right} from 'purify-ts';
 import {serialize} from 'pg-protocol';
-import {AsyncQueue} from '@apricotlock/flow';
+import {
+  BackendAuthentication,
+  BackendAuthenticationError,
+} from './backend_authentication.js';
 import {DatabaseErrorFields, readErrorResponse} from './backend_message.js';
+import {
+  BackendAddress,
+  BackendSocketError,
+  connectToBackend,
+} from './backend_socket.js';
 import {ByteStream} from './byte_stream.js';
-import {Frame, FrameSplitter} from './frame.js';
+import {FrameSplitter} from './frame.js';
 import {BackendType} from './message_type.js';
 
 const MAXIMUM_WAITING_BYTES = 1 << 20;
-const AUTHENTICATION_OK = 0;
-const AUTHENTICATION_CLEAR_TEXT = 3;
 
 /** To whom a connection is opened, and as whom. */
-export interface BackendStartUp {
-  readonly host: string;
-  readonly port: number;
+export interface BackendStartUp extends BackendAddress {
   readonly user: string;
   readonly password: string | undefined;
   readonly database: string;
@@ -22,8 +25,6 @@
   readonly maximumMessageBytes: number;
   /** Settings of the server for this connection, by name. */
   readonly settings?: Readonly<Record<string, string>>;
-  /** Gives the attempt up, and closes its socket, once aborted. */
-  readonly abort?: AbortSignal;
 }
 
 /** A connection to a backend server that is ready for a statement. */
@@ -36,16 +37,16 @@
 
 /** Why no connection could be opened; nothing was run. */
 export type BackendConnectionError =
-  | {readonly kind: 'unreachable'; readonly reason: string}
+  | BackendSocketError
+  | BackendAuthenticationError
   | {readonly kind: 'refused'; readonly error: DatabaseErrorFields}
-  | {readonly kind: 'protocolViolation'}
-  | {readonly kind: 'unsupportedAuthentication'; readonly method: number};
+  | {readonly kind: 'protocolViolation'};
 
 /** Opens a connection and waits until the server takes statements. */
 export async function openBackendConnection(
   options: BackendStartUp,
 ): Promise<Either<BackendConnectionError, OpenedBackend>> {
-  const connected = await connectSocket(options);
+  const connected = await connectToBackend(options);
   if (connected.isLeft()) {
     return connected as Either<BackendConnectionError, never>;
   }
@@ -66,27 +67,13 @@
   }) as Buffer;
 }
 
-async function connectSocket({
-  host,
-  port,
-  abort,
-}: BackendStartUp): Promise<Either<BackendConnectionError, Socket>> {
-  const outcome = AsyncQueue.create<Either<BackendConnectionError, Socket>>();
-  const socket = connect({host, port, noDelay: true});
-  socket.once('connect', () => outcome.push(Right(socket)));
-  socket.on('error', (error: NodeJS.ErrnoException) => {
-    outcome.push(Left({kind: 'unreachable', reason: error.code ?? 'error'}));
-  });
-  const giveUp = () => socket.destroy(new Error('given up'));
-  abort?.addEventListener('abort', giveUp, {once: true});
-  return (await outcome.take()) as Either<BackendConnectionError, Socket>;
-}
-
 async function finishStartUp(
   stream: ByteStream,
   options: BackendStartUp,
 ): Promise<Either<BackendConnectionError, OpenedBackend>> {
   const splitter = FrameSplitter.create(options.maximumMessageBytes, 'regular');
+  const encrypted = options.tls !== undefined;
+  const proof = BackendAuthentication.begin(options.password, encrypted);
   let processId = 0;
   let secret = 0;
   for (;;) {
@@ -106,10 +93,11 @@
         secret = frame.bytes.readInt32BE(9);
       }
       if (frame.type === BackendType.AUTHENTICATION) {
-        const answered = answerAuthentication(stream, frame, options);
-        if (answered.isLeft()) {
-          return answered as Either<BackendConnectionError, never>;
+        const answer = await proof.answer(frame);
+        if (answer.isLeft()) {
+          return answer as Either<BackendConnectionError, never>;
         }
+        answer.ifRight(bytes => bytes && stream.write(bytes));
       }
       if (frame.type === BackendType.READY_FOR_QUERY) {
         return Right({stream, splitter, processId, secret});
@@ -117,17 +105,3 @@
     }
   }
 }
-
-function answerAuthentication(
-  stream: ByteStream,
-  frame: Frame,
-  options: BackendStartUp,
-): Either<BackendConnectionError, void> {
-  const method = frame.bytes.readInt32BE(5);
-  if (method === AUTHENTICATION_OK) return Right(undefined);
-  if (method === AUTHENTICATION_CLEAR_TEXT && options.password !== undefined) {
-    stream.write(serialize.password(options.password) as Buffer);
-    return Right(undefined);
-  }
-  return Left({kind: 'unsupportedAuthentication', method});
-}
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -63,6 +63,8 @@
   type StartUpParameters,
 } from './start_up.js';
 export {SqlState, type SqlStateCode} from './sql_state.js';
+export {type BackendTls} from './backend_socket.js';
+export {SCRAM_MECHANISM, ScramClient, type ScramError} from './scram_client.js';
 export {
   openBackendConnection,
   type BackendConnectionError,
--- a/packages/wire/src/start_up.ts
+++ b/packages/wire/src/start_up.ts
@@ -1,7 +1,7 @@
 import {Socket} from 'node:net';
 import {SecureContext, TLSSocket} from 'node:tls';
 import {Either, Left, Right} from 'purify-ts';
-import {createDuplexPair, PostgresConnection} from 'pg-gateway';
+import {PostgresConnection} from 'pg-gateway';
 import {
   backendKeyData,
   errorResponse,
@@ -178,18 +178,27 @@
   authentication: CallerAuthentication,
   options: AcceptOptions,
 ): Promise<Either<AcceptError, unknown>> {
-  const [ours, theirs] = createDuplexPair<Uint8Array>();
-  const gateway = new PostgresConnection(theirs, {
-    serverVersion: options.serverVersion,
-    auth: gatewayAuthentication(authentication),
-  });
-  const writer = ours.writable.getWriter();
-  const reader = ours.readable.getReader();
+  // The library's own pair of streams polls with timers for ever.
+  const towardsGateway = new TransformStream<Uint8Array, Uint8Array>();
+  const fromGateway = new TransformStream<Uint8Array, Uint8Array>();
+  const gateway = new PostgresConnection(
+    {readable: towardsGateway.readable, writable: fromGateway.writable},
+    {
+      serverVersion: options.serverVersion,
+      auth: gatewayAuthentication(authentication),
+    },
+  );
+  const writer = towardsGateway.writable.getWriter();
+  const reader = fromGateway.readable.getReader();
   const finished = relayAnswers(reader, start, options);
-  void writer.write(start.startUpFrame.bytes);
+  void writer.write(start.startUpFrame.bytes).catch(() => undefined);
   const relayed = relayMessages(start, writer, gateway);
   const proved = await finished;
-  void writer.close().catch(() => undefined);
+  // The library logs any other reason for which its stream may end.
+  const over = Object.assign(new Error('start-up is over'), {
+    code: 'ABORT_ERR',
+  });
+  void writer.abort(over).catch(() => undefined);
   void relayed;
   return proved;
 }
