--- a/packages/control/src/durable_log.ts
+++ b/packages/control/src/durable_log.ts
@@ -1,5 +1,6 @@
 import {Either, Left, Right} from 'purify-ts';
 import {Deferred} from '@apricotlock/flow';
+import {TimerService} from '@apricotlock/timer';
 import {
   ControlConfiguration,
   EMPTY_CONFIGURATION,
@@ -14,6 +15,7 @@
 const GENERATION_DIGITS = 8;
 /** Entries kept behind a snapshot, for voters that are a little behind. */
 const ENTRIES_KEPT_BEHIND = 200;
+const SLOW_WRITE_MILLISECONDS = 300;
 const BEFORE_ALL: LogPosition = {index: 0, term: 0};
 const EMPTY_SNAPSHOT: Snapshot = {
   ...BEFORE_ALL,
@@ -21,6 +23,15 @@
   state: EMPTY_CONTROL_STATE,
 };
 
+/** What a log needs, and what it tells of its disk. */
+export interface DurableLogContext {
+  readonly timer: TimerService;
+  /** A write failed: nothing can be promised from then on. */
+  readonly failed: (error: StorageError) => void;
+  /** A write and its sync took long. */
+  readonly slow: (milliseconds: number) => void;
+}
+
 type LogItem =
   | {readonly kind: 'vote'; readonly vote: VoteState}
   /** An entry replaces those of its index and after. */
@@ -56,27 +67,26 @@
     private voteHeld: VoteState,
     private generation: number,
     private file: StorageFile,
-    private readonly failed: (error: StorageError) => void,
+    private readonly context: DurableLogContext,
   ) {}
 
   /**
    * Reads the folder, or begins a log under a new disk identity in an empty
-   * one. `failed` is called if a later write fails: nothing can be promised
-   * from then on.
+   * one.
    */
   static async open(
     folder: StorageFolder,
     newDiskId: () => string,
-    failed: (error: StorageError) => void,
+    context: DurableLogContext,
   ): Promise<Either<StorageError, DurableLog>> {
     try {
       const generations = await generationsIn(folder);
       const newest = generations.at(-1);
       if (newest === undefined) {
-        const begun = await begin(folder, newDiskId(), failed);
+        const begun = await begin(folder, newDiskId(), context);
         return Right(begun);
       }
-      const read = await DurableLog.read(folder, newest, failed);
+      const read = await DurableLog.read(folder, newest, context);
       for (const old of read.isRight() ? generations.slice(0, -1) : []) {
         await folder.remove(fileName(old));
       }
@@ -89,7 +99,7 @@
   private static async read(
     folder: StorageFolder,
     generation: number,
-    failed: (error: StorageError) => void,
+    context: DurableLogContext,
   ): Promise<Either<StorageError, DurableLog>> {
     const name = fileName(generation);
     const path = folder.pathOf(name);
@@ -107,7 +117,7 @@
       return Left({kind: 'corrupt', file: path, offsetBytes: 0});
     }
     const file = await folder.openAt(name, lengthBytes);
-    const log = new DurableLog(folder, vote, generation, file, failed);
+    const log = new DurableLog(folder, vote, generation, file, context);
     for (const item of items) log.take(item);
     log.flushedTo = log.last.index;
     return Right(log);
@@ -118,9 +128,9 @@
     folder: StorageFolder,
     vote: VoteState,
     file: StorageFile,
-    failed: (error: StorageError) => void,
+    context: DurableLogContext,
   ): DurableLog {
-    return new DurableLog(folder, vote, 1, file, failed);
+    return new DurableLog(folder, vote, 1, file, context);
   }
 
   /** Term, vote and the identity of the disk. */
@@ -269,13 +279,16 @@
       while (this.tasks.length > 0) {
         // Whatever is added in the same turn goes into the same record.
         await Promise.resolve();
+        const startedAt = this.context.timer.now();
         await this.writeSome();
+        const took = this.context.timer.now() - startedAt;
+        if (took > SLOW_WRITE_MILLISECONDS) this.context.slow(took);
       }
       this.writing = false;
       this.resolveWaiting(this.waiting);
     } catch (failure) {
       // Still `writing`: nobody is told that anything more was synced.
-      this.failed(diskError(this.folder, failure));
+      this.context.failed(diskError(this.folder, failure));
     }
   }
 
@@ -325,13 +338,13 @@
 async function begin(
   folder: StorageFolder,
   diskId: string,
-  failed: (error: StorageError) => void,
+  context: DurableLogContext,
 ): Promise<DurableLog> {
   const vote = {diskId, cluster: undefined, term: 0, vote: undefined};
   const bytes = encodeRecord([{kind: 'vote', vote}]);
   await folder.replace(fileName(1), bytes);
   const file = await folder.openAt(fileName(1), bytes.length);
-  return DurableLog.fresh(folder, vote, file, failed);
+  return DurableLog.fresh(folder, vote, file, context);
 }
 
 async function generationsIn(
