--- a/packages/standin/src/database_session.ts
+++ b/packages/standin/src/database_session.ts
@@ -25,6 +25,7 @@
   TransactionStatus,
 } from '@apricotlock/wire';
 import {Answer, tagOnly} from './answer.js';
+import {AnswerBuffer} from './answer_buffer.js';
 import {readWithinIdleLimit} from './idle_limit.js';
 import {MemberRuntime} from './member_runtime.js';
 import {
@@ -45,7 +46,6 @@
 
 const MAXIMUM_MESSAGE_BYTES = 16 << 20;
 const SERVER_VERSION = '17.0';
-const SEND_BUFFER_BYTES = 8_192;
 
 /** What all sessions of a member share. */
 export interface SessionOptions {
@@ -103,8 +103,7 @@
   private failed = false;
   /** After an error, extended messages are skipped up to Sync. */
   private skipping = false;
-  private unsent: Buffer[] = [];
-  private unsentBytes = 0;
+  private readonly answers: AnswerBuffer;
   private readonly prepared = new Map<string, PreparedStatement>();
   private readonly portals = new Map<string, Portal>();
   private readonly functions: SystemFunctions;
@@ -114,6 +113,7 @@
     private readonly options: SessionOptions,
     private readonly cancel: StatementCancel,
   ) {
+    this.answers = AnswerBuffer.before(caller.stream);
     this.functions = SystemFunctions.of(options.runtime);
   }
 
@@ -151,11 +151,11 @@
     if (frame.type === FrontendType.QUERY) {
       await this.runQuery(readQuery(frame).orDefault(''));
       this.send(readyForQuery(this.status));
-      this.flush();
+      this.answers.flush();
     } else if (frame.type === FrontendType.SYNC) {
       this.skipping = false;
       this.send(readyForQuery(this.status));
-      this.flush();
+      this.answers.flush();
     } else if (!this.skipping) {
       await this.guard(() => this.handleExtended(frame));
     }
@@ -222,7 +222,7 @@
         return;
       }
       case FrontendType.FLUSH:
-        return this.flush();
+        return this.answers.flush();
       default:
         throw SqlError.of(SqlState.PROTOCOL_VIOLATION, 'unexpected message');
     }
@@ -409,18 +409,8 @@
     this.send(Buffer.concat([...rows, commandComplete(answer.tag)]));
   }
 
-  /** PostgreSQL too sends when it is ready, asked to, or has much to send. */
   private send(bytes: Buffer): void {
-    this.unsent.push(bytes);
-    this.unsentBytes += bytes.length;
-    if (this.unsentBytes >= SEND_BUFFER_BYTES) this.flush();
-  }
-
-  private flush(): void {
-    if (this.unsent.length === 0) return;
-    this.caller.stream.write(Buffer.concat(this.unsent));
-    this.unsent = [];
-    this.unsentBytes = 0;
+    this.answers.add(bytes);
   }
 }
 
