--- a/packages/proxy/src/router.ts
+++ b/packages/proxy/src/router.ts
@@ -69,6 +69,8 @@
 /** Finds the member that runs a batch. */
 export class Router {
   private readonly memory: ReplicaMemory;
+  /** Members in the order in which reads try them; a group never changes. */
+  private readonly orders = new WeakMap<DatabaseGroup, readonly Member[]>();
 
   private constructor(
     private readonly dataCentre: string,
@@ -93,20 +95,19 @@
   async route(request: RouteRequest): Promise<Routed | NotRouted> {
     const deadline = this.timer.now() + request.entry.limits.queueMilliseconds;
     let {purpose} = request;
-    let repeats = 0;
+    const lost: LostReads = {count: 0};
     for (;;) {
       const attempt =
         purpose === 'read'
-          ? await this.tryRead(request, deadline)
+          ? await this.tryRead(request, deadline, lost)
           : await this.tryWrite(request, deadline);
       if (attempt.kind === 'needsPrimary') {
         purpose = 'write';
         continue;
       }
       if (attempt.kind !== 'tryAgain') return attempt;
-      if (attempt.sent) repeats += 1;
       const late = this.timer.now() + RETRY_PAUSE_MILLISECONDS >= deadline;
-      if (late || repeats > MAXIMUM_REPEATED_READS) {
+      if (late || lost.count > MAXIMUM_REPEATED_READS) {
         return {kind: 'notRouted', failure: attempt.failure};
       }
       await this.timer.sleep(RETRY_PAUSE_MILLISECONDS);
@@ -145,6 +146,7 @@
   private async tryRead(
     request: RouteRequest,
     deadline: number,
+    lost: LostReads,
   ): Promise<Attempt> {
     const group = findGroup(this.view.current, request.entry.database);
     if (group === undefined) return tryAgain('the database is not known yet');
@@ -166,12 +168,14 @@
           floorWaitMilliseconds: waits,
           deadline,
         });
-        if (last.kind !== 'tryAgain' || last.sent) return last;
+        if (last.kind !== 'tryAgain') return last;
+        if (last.sent) lost.count += 1;
+        if (lost.count > MAXIMUM_REPEATED_READS) return last;
       }
     }
     const primary = order.find(({name}) => name === group.primary);
     if (primary === undefined) return last;
-    return this.readFrom(request, {
+    last = await this.readFrom(request, {
       group,
       member: primary.name,
       purpose: 'read',
@@ -179,6 +183,8 @@
       floorWaitMilliseconds: 0,
       deadline,
     });
+    if (last.kind === 'tryAgain' && last.sent) lost.count += 1;
+    return last;
   }
 
   private waitFor(group: DatabaseGroup, member: Member): number {
@@ -250,10 +256,14 @@
 
   /** Replicas near by, then other replicas, then the primary. */
   private readOrder(group: DatabaseGroup): readonly Member[] {
+    const known = this.orders.get(group);
+    if (known !== undefined) return known;
     const active = group.members.filter(member => member.state === 'active');
-    return [...active].sort(
+    const order = [...active].sort(
       (left, right) => this.distance(group, left) - this.distance(group, right),
     );
+    this.orders.set(group, order);
+    return order;
   }
 
   private distance(group: DatabaseGroup, member: Member): number {
@@ -262,6 +272,11 @@
   }
 }
 
+/** Reads of one request whose answers were lost; each attempt adds to it. */
+interface LostReads {
+  count: number;
+}
+
 /** Which member is tried, and how long it may take. */
 interface LeaseChoice {
   readonly group: DatabaseGroup;
--- a/packages/proxy/test/router_test.ts
+++ b/packages/proxy/test/router_test.ts
@@ -114,6 +114,20 @@
       expect(gate.requests.length).to.equal(3);
     });
 
+    it('go on to the next member when one is cut off', async () => {
+      const {gate, router} = over(({member, floorWaitMilliseconds}) => {
+        if (member !== 'b') return [LOST];
+        return [floorWaitMilliseconds > 0 ? finished(DONE) : BEHIND];
+      });
+      const outcome = await router.route(asking('read'));
+      expect(outcome).to.include({kind: 'routed', servedBy: 'replica'});
+      expect(gate.requests.map(({member}) => member)).to.deep.equal([
+        'b',
+        'c',
+        'b',
+      ]);
+    });
+
     it('that were told in part are not repeated', async () => {
       const part: LeaseDown = {kind: 'answer', bytes: DONE, confirmed: true};
       const told: Buffer[] = [];
