--- a/packages/proxy/test/caller_session_test.ts
+++ b/packages/proxy/test/caller_session_test.ts
@@ -101,7 +101,11 @@
       entry: () => ENTRY,
       router: Router.create('palermo', view, gate, timer),
       classifier,
-      observer: {served: () => undefined, failed: () => undefined},
+      observer: {
+        now: () => timer.now(),
+        served: () => undefined,
+        failed: () => undefined,
+      },
     });
     const running = session.run().finally(() => proxy.end());
     const received: Buffer[] = [];
--- a/packages/wire/test/backend_start_up_test.ts
+++ b/packages/wire/test/backend_start_up_test.ts
@@ -1,7 +1,8 @@
 import {expect} from 'chai';
 import {createServer, Server} from 'node:net';
 import {Right} from 'purify-ts';
-import {testPort} from '@apricotlock/testing';
+import {createSecureContext, SecureContext} from 'node:tls';
+import {TestAuthority, testPort} from '@apricotlock/testing';
 import {
   acceptCaller,
   openBackendConnection,
@@ -48,14 +49,21 @@
 describe('openBackendConnection', () => {
   let server: Server;
   let verifier: ScramVerifier;
+  let secureContext: SecureContext | undefined;
+  let authority: string;
+
+  before(async () => {
+    authority = (await TestAuthority.create('members')).certificate;
+  });
 
   beforeEach(async () => {
     verifier = await scramVerifier(PASSWORD);
+    secureContext = undefined;
     server = createServer(socket => {
       void acceptCaller(socket, {
         maximumMessageBytes: MAXIMUM_BYTES,
         serverVersion: '17.0',
-        secureContext: undefined,
+        secureContext,
         processId: 7,
         secret: 8,
         authenticate: () => Right({method: 'scram', verifier}),
@@ -68,7 +76,7 @@
 
   afterEach(() => new Promise(resolve => server.close(resolve)));
 
-  async function open(password: string | undefined, tls?: boolean) {
+  async function open(password: string | undefined, tls = false) {
     const opened = await openBackendConnection({
       host: '127.0.0.1',
       port: PORT,
@@ -77,7 +85,7 @@
       database: 'holds',
       applicationName: 'test',
       maximumMessageBytes: MAXIMUM_BYTES,
-      ...(tls ? {tls: {authorities: []}} : {}),
+      ...(tls ? {tls: {authorities: [authority]}} : {}),
     });
     opened.ifRight(({stream}) => stream.socket.destroy());
     return opened;
@@ -115,4 +123,26 @@
     const opened = await open(PASSWORD, true);
     expect(opened.extract()).to.include({kind: 'notProtected'});
   });
+
+  describe('over TLS', () => {
+    async function protect(name: string): Promise<TestAuthority> {
+      const signing = await TestAuthority.create(name);
+      const {certificate, privateKey} = await signing.issue('member');
+      secureContext = createSecureContext({cert: certificate, key: privateKey});
+      return signing;
+    }
+
+    it('opens a connection to a server that it can trust', async () => {
+      authority = (await protect('members')).certificate;
+      const opened = await open(PASSWORD, true);
+      expect(opened.unsafeCoerce()).to.include({processId: 7, secret: 8});
+    });
+
+    it('refuses a certificate of another authority', async () => {
+      await protect('somebody else');
+      authority = (await TestAuthority.create('members')).certificate;
+      const opened = await open(PASSWORD, true);
+      expect(opened.extract()).to.include({kind: 'notProtected'});
+    });
+  });
 });
