--- a/packages/standin/src/database_session.ts
+++ b/packages/standin/src/database_session.ts
@@ -25,6 +25,7 @@
   TransactionStatus,
 } from '@apricotlock/wire';
 import {Answer, tagOnly} from './answer.js';
+import {AnswerBuffer} from './answer_buffer.js';
 import {readWithinIdleLimit} from './idle_limit.js';
 import {MemberRuntime} from './member_runtime.js';
 import {
@@ -102,6 +103,7 @@
   private failed = false;
   /** After an error, extended messages are skipped up to Sync. */
   private skipping = false;
+  private readonly answers: AnswerBuffer;
   private readonly prepared = new Map<string, PreparedStatement>();
   private readonly portals = new Map<string, Portal>();
   private readonly functions: SystemFunctions;
@@ -111,6 +113,7 @@
     private readonly options: SessionOptions,
     private readonly cancel: StatementCancel,
   ) {
+    this.answers = AnswerBuffer.before(caller.stream);
     this.functions = SystemFunctions.of(options.runtime);
   }
 
@@ -148,9 +151,11 @@
     if (frame.type === FrontendType.QUERY) {
       await this.runQuery(readQuery(frame).orDefault(''));
       this.send(readyForQuery(this.status));
+      this.answers.flush();
     } else if (frame.type === FrontendType.SYNC) {
       this.skipping = false;
       this.send(readyForQuery(this.status));
+      this.answers.flush();
     } else if (!this.skipping) {
       await this.guard(() => this.handleExtended(frame));
     }
@@ -217,7 +222,7 @@
         return;
       }
       case FrontendType.FLUSH:
-        return;
+        return this.answers.flush();
       default:
         throw SqlError.of(SqlState.PROTOCOL_VIOLATION, 'unexpected message');
     }
@@ -405,7 +410,7 @@
   }
 
   private send(bytes: Buffer): void {
-    this.caller.stream.write(bytes);
+    this.answers.add(bytes);
   }
 }
 
