Run keyed requests at most once, and give a resend its first answer

Cause: a caller with an unknown outcome could only look for traces; the setting for a key was refused. Change: a key is a row in the caller's own transaction, with a digest and the answer of each batch; a resend finds it and gets the recorded answers, waits for an open attempt, or is refused if it is another request. Single statements and transactions, both protocols.

--- /dev/null
+++ b/packages/bench/test/idempotency_test.ts
@@ -0,0 +1,157 @@
+import {expect} from 'chai';
+import {testPort} from '@apricotlock/testing';
+import {SystemTimerService} from '@apricotlock/timer';
+import {
+  Caller,
+  layOut,
+  NO_VIOLATIONS,
+  Outcome,
+  PROFILES,
+  SystemUnderTest,
+  untilDone,
+  Workload,
+} from '../src/index.js';
+
+const BASE_PORT = testPort(2_700);
+const DATABASE = 'booking-ledger-1';
+const BEFORE_FAULT_MILLISECONDS = 700;
+const AFTER_FAULT_MILLISECONDS = 3_000;
+
+describe('idempotency keys, on real processes', () => {
+  const timer = SystemTimerService.create();
+  let system: SystemUnderTest;
+  let callers: readonly Caller[] = [];
+
+  before(async () => {
+    system = await SystemUnderTest.start(
+      layOut(PROFILES.bonanno, BASE_PORT),
+      timer,
+    );
+    const entries = system.catalogueEntries();
+    await system.operator().putCatalogue('first', 0, entries, true);
+    await system.untilWhole();
+    const caller = callerAt(0);
+    await untilDone(timer, () =>
+      caller.run('CREATE TABLE keyed (item text, number int)'),
+    );
+    await caller.close();
+  });
+
+  after(() => system.stop());
+
+  beforeEach(() => {
+    callers = [0, 1, 2].map(callerAt);
+  });
+
+  afterEach(() => Promise.all(callers.map(caller => caller.close())));
+
+  function callerAt(machine: number): Caller {
+    const {callerAddress} = system.machine(machine);
+    return Caller.create(DATABASE, DATABASE, callerAddress, timer);
+  }
+
+  function insert(caller: number, key: string, item: string): Promise<Outcome> {
+    return (callers[caller] as Caller).runKeyed(key, [
+      'INSERT INTO keyed (item, number) VALUES ($1, 1) RETURNING item',
+      [item],
+    ]);
+  }
+
+  async function countOf(item: string): Promise<string> {
+    const rows = await untilDone(timer, () =>
+      (callers[0] as Caller).run(
+        'SELECT count(*) AS found FROM keyed WHERE item = $1',
+        [item],
+      ),
+    );
+    return String(rows[0]?.['found']);
+  }
+
+  it('give a resend its first answer, rows and all, and run once', async () => {
+    const first = await insert(0, 'cot', 'cot');
+    expect(first).to.deep.equal({kind: 'done', rows: [{item: 'cot'}]});
+    expect(await insert(1, 'cot', 'cot')).to.deep.equal(first);
+    expect(await insert(2, 'cot', 'cot')).to.deep.equal(first);
+    expect(await countOf('cot')).to.equal('1');
+  });
+
+  it('are refused for another request', async () => {
+    await insert(0, 'seat', 'seat');
+    const other = await insert(1, 'seat', 'pram');
+    expect(other).to.deep.equal({kind: 'unknown', code: '22023'});
+    expect(await countOf('pram')).to.equal('0');
+  });
+
+  it('are free again after a statement that failed', async () => {
+    const [caller] = callers as readonly [Caller];
+    const failed = await caller.runKeyed('typo', [
+      'INSERT INTO no_such_table (item) VALUES ($1)',
+      ['x'],
+    ]);
+    expect(failed).to.have.property('code', '42P01');
+    const second = await insert(1, 'typo', 'after a typo');
+    expect(second.kind).to.equal('done');
+    expect(await countOf('after a typo')).to.equal('1');
+  });
+
+  describe('of a transaction', () => {
+    async function book(caller: Caller, upTo: 'open' | 'done') {
+      await caller.run("SET apricotlock.idempotency_key = 'booking'");
+      await caller.run('BEGIN');
+      const made = await caller.run(
+        "INSERT INTO keyed (item, number) VALUES ('booking', 2) RETURNING number",
+      );
+      if (upTo === 'open') return [made];
+      await caller.run(
+        "UPDATE keyed SET number = number + 1 WHERE item = 'booking'",
+      );
+      return [made, await caller.run('COMMIT')];
+    }
+
+    it('wait for an attempt that is open, and run once', async () => {
+      const [first, second, third] = callers as readonly [
+        Caller,
+        Caller,
+        Caller,
+      ];
+      await book(first, 'open');
+      const waiting = book(second, 'done');
+      await timer.sleep(BEFORE_FAULT_MILLISECONDS);
+      // The first caller vanishes in the middle of its transaction.
+      await first.close();
+      const done = await waiting;
+      expect(done.map(({kind}) => kind)).to.deep.equal(['done', 'done']);
+      expect(await book(third, 'done')).to.deep.equal(done);
+      const [row] = await untilDone(timer, () =>
+        third.run("SELECT number FROM keyed WHERE item = 'booking'"),
+      );
+      expect(row).to.deep.equal({number: 3});
+      expect(await countOf('booking')).to.equal('1');
+    });
+  });
+
+  it('run once though the primary and a proxy die under load', async () => {
+    const machines = system.layout.machines.slice(0, 4);
+    const workload = await Workload.start(
+      {
+        database: DATABASE,
+        proxies: machines.map(machine => machine.callerAddress),
+        callers: 6,
+        readsAWrite: 1,
+        thinkMilliseconds: 1,
+        keyed: true,
+        transactions: true,
+        timer,
+      },
+      'under_keys',
+    );
+    await timer.sleep(BEFORE_FAULT_MILLISECONDS);
+    system.processes.signal('vm-4', 'SIGKILL');
+    await timer.sleep(BEFORE_FAULT_MILLISECONDS);
+    await system.command(`${DATABASE}-a`, 'kill');
+    await timer.sleep(AFTER_FAULT_MILLISECONDS);
+    const report = await workload.finish();
+    expect(report.writes).to.be.greaterThan(0);
+    expect(report.violations).to.deep.equal(NO_VIOLATIONS);
+  });
+});
--- a/packages/proxy/src/answer.ts
+++ b/packages/proxy/src/answer.ts
@@ -3,7 +3,9 @@
   errorResponse,
   FRAME_HEADER_BYTES,
   parameterStatus,
+  readCommandTag,
   readErrorResponse,
+  readFirstValue,
   readyForQuery,
   TransactionStatus,
 } from '@apricotlock/wire';
@@ -116,6 +118,50 @@
   return false;
 }
 
+/** Whether an answer has a message of this type. */
+export function hasType(answer: Buffer, wanted: number): boolean {
+  for (const {type} of spansOf(answer)) {
+    if (type === wanted) return true;
+  }
+  return false;
+}
+
+/** An answer to several requests, cut after each ReadyForQuery. */
+export function answersOf(answer: Buffer): readonly Buffer[] {
+  const answers: Buffer[] = [];
+  let begun = 0;
+  for (const {type, end} of spansOf(answer)) {
+    if (type !== BackendType.READY_FOR_QUERY) continue;
+    answers.push(answer.subarray(begun, end));
+    begun = end;
+  }
+  return answers;
+}
+
+/** The first value of the first row, if there is one. */
+export function firstValueOf(answer: Buffer): string | undefined {
+  for (const {type, start, end} of spansOf(answer)) {
+    if (type !== BackendType.DATA_ROW) continue;
+    return readFirstValue({type, bytes: answer.subarray(start, end)});
+  }
+  return undefined;
+}
+
+/** The last command tag of an answer. */
+export function commandTagOf(answer: Buffer): string | undefined {
+  let tag: string | undefined;
+  for (const {type, start, end} of spansOf(answer)) {
+    if (type !== BackendType.COMMAND_COMPLETE) continue;
+    tag = readCommandTag({type, bytes: answer.subarray(start, end)});
+  }
+  return tag;
+}
+
+/** The answer, with another status in the ReadyForQuery that ends it. */
+export function withStatus(answer: Buffer, status: TransactionStatus): Buffer {
+  return Buffer.concat([withoutReady(answer), readyForQuery(status)]);
+}
+
 /** Puts a ParameterStatus before the ReadyForQuery that ends an answer. */
 export function withParameter(
   answer: Buffer,
--- a/packages/proxy/src/caller_listener.ts
+++ b/packages/proxy/src/caller_listener.ts
@@ -20,6 +20,7 @@
 import {CallerSession, SessionObserver} from './caller_session.js';
 import {CancelRouter} from './cancel_router.js';
 import {EntryGatekeeper} from './entry_gatekeeper.js';
+import {IdempotencyCleaner} from './idempotency_cleaner.js';
 import {Router} from './router.js';
 import {DEFAULT_SETTINGS} from './session_settings.js';
 import {startUpSettings} from './start_up_settings.js';
@@ -62,6 +63,7 @@
 export class CallerListener {
   /** By process id. */
   private readonly sessions = new Map<number, OpenSession>();
+  private readonly cleaner: IdempotencyCleaner;
   private connecting = 0;
   private draining = false;
 
@@ -71,6 +73,8 @@
     private readonly server: Server,
     private readonly gatekeeper: EntryGatekeeper,
   ) {
+    const {router, timer} = options;
+    this.cleaner = IdempotencyCleaner.create(router, timer);
     options.cancels.onRequest(request => this.cancel(request));
     server.on('connection', socket => {
       this.serve(socket).catch((failure: unknown) => {
@@ -190,7 +194,7 @@
   ): Promise<void> {
     const {parameters, stream} = caller;
     const {user} = parameters;
-    const {self, router, observer} = this.options;
+    const {self, router, timer, observer} = this.options;
     const database = this.gatekeeper.entryOf(user)?.database ?? user;
     const session = CallerSession.create({
       id: `${self}/${processId}`,
@@ -200,6 +204,8 @@
       ),
       entry: () => this.gatekeeper.entryOf(user),
       router,
+      timer,
+      cleaner: this.cleaner,
       classifier: this.classifier,
       observer,
     });
--- a/packages/proxy/src/caller_session.ts
+++ b/packages/proxy/src/caller_session.ts
@@ -1,5 +1,6 @@
 import {SessionToken} from '@apricotlock/session';
 import {StatementClassifier} from '@apricotlock/sql';
+import {TimerService} from '@apricotlock/timer';
 import {CatalogueEntry} from '@apricotlock/topology';
 import {
   AcceptedCaller,
@@ -19,6 +20,8 @@
 } from './answer.js';
 import {BatchCollector, CollectedStep} from './batch_collector.js';
 import {batchFailure, planBatch} from './batch_plan.js';
+import {IdempotencyCleaner} from './idempotency_cleaner.js';
+import {beginKeyed, KeyedOutcome, KeyedRequest} from './keyed_request.js';
 import {LeaseHolder, RunRequest, RunResult} from './lease_holder.js';
 import {executes, localAnswer, messagesFor} from './local_answer.js';
 import {applySet, LocalStatement, runLocally} from './local_statement.js';
@@ -53,6 +56,8 @@
   /** The caller's entry as the newest view has it. */
   readonly entry: () => CatalogueEntry | undefined;
   readonly router: Router;
+  readonly timer: TimerService;
+  readonly cleaner: IdempotencyCleaner;
   readonly classifier: StatementClassifier;
   readonly observer: SessionObserver;
 }
@@ -65,6 +70,8 @@
   private status: TransactionStatus = 'idle';
   /** Held while a transaction is open. */
   private lease: LeaseHolder | undefined;
+  /** Held while a transaction under an idempotency key is open. */
+  private keyed: KeyedRequest | undefined;
   /** The lease on which a batch is under way. */
   private running: LeaseHolder | undefined;
   private readonly reader: BatchReader;
@@ -116,6 +123,7 @@
       }
     } finally {
       this.lease?.release();
+      this.keyed?.release();
     }
   }
 
@@ -184,7 +192,7 @@
     const batch = read.unsafeCoerce();
     const plan = planBatch(batch, this.settings, {
       status: this.status,
-      holdsLease: this.lease !== undefined,
+      holdsLease: this.lease !== undefined || this.keyed !== undefined,
     });
     switch (plan.kind) {
       case 'refuse':
@@ -195,8 +203,7 @@
         this.status = 'idle';
         return localAnswer(batch.frames, {tag: 'ROLLBACK'}, 'idle');
       case 'run':
-        if (this.lease !== undefined) return this.goOn(this.lease, batch);
-        return this.begin(batch, plan.purpose);
+        return this.runBatch(batch, plan.purpose);
     }
   }
 
@@ -239,16 +246,65 @@
     return this.readerFor(batch, 0).take(answer);
   }
 
-  private async begin(
+  private async runBatch(
     batch: RequestBatch,
     purpose: 'read' | 'write',
   ): Promise<Buffer> {
+    if (this.lease !== undefined) return this.goOn(this.lease, batch);
+    if (this.keyed !== undefined) {
+      return this.finishKeyed(batch, await this.keyed.goOn(batch));
+    }
     const entry = this.options.entry();
     if (entry === undefined) {
       const code = SqlState.INVALID_CATALOG_NAME;
       const reason = 'the catalogue has this entry no more';
       return this.fail({kind: 'notPossible', code, reason}, batch);
     }
+    const {idempotencyKey} = this.settings;
+    if (purpose === 'write' && idempotencyKey !== undefined) {
+      return this.beginKeyed(batch, entry, idempotencyKey);
+    }
+    return this.begin(batch, entry, purpose);
+  }
+
+  private async beginKeyed(
+    batch: RequestBatch,
+    entry: CatalogueEntry,
+    key: string,
+  ): Promise<Buffer> {
+    const {id, router, timer, cleaner} = this.options;
+    const {settings} = this;
+    const holding = (lease: LeaseHolder) => this.holding(lease);
+    const context = {entry, session: id, settings, router, timer, holding};
+    const outcome = await beginKeyed(context, key, batch);
+    cleaner.keyUsed(entry);
+    return this.finishKeyed(batch, outcome);
+  }
+
+  private finishKeyed(batch: RequestBatch, outcome: KeyedOutcome): Buffer {
+    this.running = undefined;
+    this.status = outcome.status;
+    if (outcome.kind === 'failed') {
+      this.keyed = undefined;
+      return this.fail(outcome.failure, batch);
+    }
+    this.keyed = outcome.open;
+    // The key has done its work; the next request is another one.
+    if (outcome.done) {
+      this.settings = {...this.settings, idempotencyKey: undefined};
+    }
+    const reader = this.readerFor(batch, 0);
+    const answer = reader.take(outcome.answer);
+    if (!batch.simple) this.reader.settle(batch, reader.parsed);
+    if (outcome.seen !== undefined) this.learn(outcome.seen);
+    return this.withToken(answer);
+  }
+
+  private async begin(
+    batch: RequestBatch,
+    entry: CatalogueEntry,
+    purpose: 'read' | 'write',
+  ): Promise<Buffer> {
     const replay = this.settings.tracked.replay();
     const reader = this.readerFor(batch, replay === undefined ? 0 : 1);
     const {router, id, observer} = this.options;
@@ -318,9 +374,14 @@
     if (!batch.simple) this.reader.settle(batch, reader.parsed);
     this.learnSettings(batch, answer);
     this.learn(result);
+    return this.withToken(answer);
+  }
+
+  /** The answer with the session's token, if that is news to the caller. */
+  private withToken(answer: Buffer): Buffer {
     const token = this.settings.token?.toString();
     const told = token === undefined || token === this.toldToken;
-    if (told || result.status !== 'idle') return answer;
+    if (told || this.status !== 'idle') return answer;
     this.toldToken = token;
     return withParameter(answer, SettingName.SESSION, token);
   }
@@ -355,6 +416,8 @@
       // PostgreSQL would abort the transaction; so must the proxy.
       this.lease?.release();
       this.lease = undefined;
+      this.keyed?.release();
+      this.keyed = undefined;
       this.status = 'failed';
     }
     return failureAnswer(failure, this.status);
@@ -364,6 +427,7 @@
   private abandon(): void {
     this.gone = true;
     this.running?.release();
+    this.keyed?.release();
   }
 
   private refuseStream(message: string): void {
--- a/packages/proxy/src/outcome.ts
+++ b/packages/proxy/src/outcome.ts
@@ -16,7 +16,12 @@
       readonly reason: string;
     }
   /** It may or may not have been run. */
-  | {readonly kind: 'unknown'; readonly reason: string}
+  | {
+      readonly kind: 'unknown';
+      readonly reason: string;
+      /** Whether the request has an idempotency key. */
+      readonly keyed?: boolean;
+    }
   /** A read whose answer the caller has got in part; it changed nothing. */
   | {readonly kind: 'cutShort'; readonly reason: string}
   /** The caller asked for it; nothing was run, or it was rolled back. */
@@ -24,6 +29,12 @@
   /** The transaction had not been committed, and is rolled back. */
   | {readonly kind: 'rolledBack'; readonly reason: string};
 
+const KEYED_HINT =
+  'Send it again under the same apricotlock.idempotency_key: it is not run ' +
+  'twice, and its first answer is given.';
+const UNKEYED_HINT =
+  'Look for what it would have left behind before it is sent again.';
+
 /** The failure in the words of PostgreSQL. */
 export function failureFields(failure: Failure): DatabaseErrorFields {
   switch (failure.kind) {
@@ -45,7 +56,7 @@
         severity: 'ERROR',
         code: SqlState.TRANSACTION_RESOLUTION_UNKNOWN,
         message: `the outcome is unknown: ${failure.reason}`,
-        hint: 'Look for what it would have left behind before it is sent again.',
+        hint: failure.keyed === true ? KEYED_HINT : UNKEYED_HINT,
       };
     case 'cutShort':
       return {
--- a/packages/proxy/src/session_settings.ts
+++ b/packages/proxy/src/session_settings.ts
@@ -2,6 +2,7 @@
 import {SessionToken} from '@apricotlock/session';
 import {TrackedSettings} from './tracked_settings.js';
 
+const MAXIMUM_KEY_CHARACTERS = 200;
 const DURATION_PATTERN = /^([0-9]{1,9})(ms|s|min)?$/;
 const MILLISECONDS_A_UNIT: Readonly<Record<string, number>> = {
   ms: 1,
@@ -59,9 +60,8 @@
           token.database === database ? Right({...settings, token}) : Left(bad),
         );
     case SettingName.IDEMPOTENCY_KEY:
-      // Taken without effect, it would make a caller repeat what it guards.
-      if (value) return Left(bad);
-      return Right({...settings, idempotencyKey: undefined});
+      if ((value?.length ?? 0) > MAXIMUM_KEY_CHARACTERS) return Left(bad);
+      return Right({...settings, idempotencyKey: value || undefined});
     case SettingName.MAX_STALENESS:
       return readDuration(value)
         .map(milliseconds => ({
--- a/packages/proxy/test/caller_session_test.ts
+++ b/packages/proxy/test/caller_session_test.ts
@@ -21,6 +21,7 @@
   readyForQuery,
   TransactionStatus,
 } from '@apricotlock/wire';
+import {IdempotencyCleaner} from '../src/idempotency_cleaner.js';
 import {CallerSession} from '../src/caller_session.js';
 import {Router} from '../src/router.js';
 import {DEFAULT_SETTINGS} from '../src/session_settings.js';
@@ -90,6 +91,7 @@
     const [caller, proxy] = duplexPair();
     const gate = new FakeGate(owner);
     const view = Observable.of(VIEW);
+    const router = Router.create('palermo', view, gate, timer);
     const session = CallerSession.create({
       id: 's',
       caller: {
@@ -99,7 +101,9 @@
       },
       settings: DEFAULT_SETTINGS,
       entry: () => ENTRY,
-      router: Router.create('palermo', view, gate, timer),
+      router,
+      timer,
+      cleaner: IdempotencyCleaner.create(router, timer),
       classifier,
       observer: {
         now: () => timer.now(),
