Hash the names of VMs once for each list

Cause: at 1,800 VMs and 7,200 members a change of membership filtered and hashed the VMs again for each member, and stopped the event loop meanwhile. Change: an index by data centre, kept with the immutable list of VMs.

--- a/packages/topology/src/rendezvous.ts
+++ b/packages/topology/src/rendezvous.ts
@@ -28,11 +28,40 @@
   machines: readonly VirtualMachine[],
   count: number,
 ): readonly VirtualMachine[] {
-  const serving = machines.filter(machine => machine.state === 'serving');
-  const near = serving.filter(machine => machine.dataCentre === dataCentre);
-  const candidates = near.length > 0 ? near : serving;
-  const memberHash = hashOf(memberName);
-  return highest(candidates, memberHash, count);
+  const {serving, near} = indexOf(machines);
+  const candidates = near.get(dataCentre) ?? serving;
+  return highest(candidates, hashOf(memberName), count);
+}
+
+interface Hashed {
+  readonly machine: VirtualMachine;
+  readonly hash: number;
+}
+
+/** The serving VMs of one list, hashed once for all members. */
+interface MachineIndex {
+  readonly serving: readonly Hashed[];
+  readonly near: ReadonlyMap<string, readonly Hashed[]>;
+}
+
+const indexes = new WeakMap<readonly VirtualMachine[], MachineIndex>();
+
+function indexOf(machines: readonly VirtualMachine[]): MachineIndex {
+  const known = indexes.get(machines);
+  if (known !== undefined) return known;
+  const near = new Map<string, Hashed[]>();
+  const serving: Hashed[] = [];
+  for (const machine of machines) {
+    if (machine.state !== 'serving') continue;
+    const hashed = {machine, hash: hashOf(machine.name)};
+    serving.push(hashed);
+    const others = near.get(machine.dataCentre);
+    if (others === undefined) near.set(machine.dataCentre, [hashed]);
+    else others.push(hashed);
+  }
+  const index = {serving, near};
+  indexes.set(machines, index);
+  return index;
 }
 
 interface Weighed {
@@ -41,18 +70,17 @@
 }
 
 function highest(
-  machines: readonly VirtualMachine[],
+  machines: readonly Hashed[],
   memberHash: number,
   count: number,
 ): readonly VirtualMachine[] {
   let best: readonly Weighed[] = [];
-  for (const machine of machines) {
-    const weight = mix(memberHash ^ hashOf(machine.name));
+  for (const {machine, hash} of machines) {
+    const weight = mix(memberHash ^ hash);
     const last = best[best.length - 1];
+    const full = best.length === count && last !== undefined;
+    if (full && weight < last.weight) continue;
     const weighed = {machine, weight};
-    if (best.length === count && last !== undefined) {
-      if (compare(weighed, last) > 0) continue;
-    }
     best = [...best, weighed].sort(compare).slice(0, count);
   }
   return best.map(({machine}) => machine);
--- a/packages/topology/test/rendezvous_test.ts
+++ b/packages/topology/test/rendezvous_test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {ownerOf, VirtualMachine} from '../src/index.js';
+import {ownerOf, ownerRanking, VirtualMachine} from '../src/index.js';
 
 function machine(name: string, dataCentre: string): VirtualMachine {
   const address = {host: '127.0.0.1', port: 1};
@@ -42,3 +42,27 @@
     }
   });
 });
+
+describe('ownerRanking', () => {
+  const machines = ['vm-1', 'vm-2', 'vm-3', 'vm-4'].map(name =>
+    machine(name, 'catania'),
+  );
+
+  it('names next the one that owns after the first is lost', () => {
+    for (let index = 0; index < 50; index++) {
+      const name = `member-${index}`;
+      const [first, second] = ownerRanking(name, 'catania', machines, 2);
+      const rest = machines.filter(other => other !== first);
+      expect(ownerOf(name, 'catania', rest)).to.equal(second);
+    }
+  });
+
+  it('leaves out what is draining', () => {
+    const draining = machines.map(each => ({
+      ...each,
+      state: each.name === 'vm-4' ? ('serving' as const) : 'draining',
+    })) as readonly VirtualMachine[];
+    const ranking = ownerRanking('member', 'catania', draining, 3);
+    expect(ranking.map(({name}) => name)).to.deep.equal(['vm-4']);
+  });
+});
