--- a/packages/apricotctl/src/main.ts
+++ b/packages/apricotctl/src/main.ts
@@ -31,6 +31,13 @@
     describe: "file with the operators' token [APRICOTLOCK_TOKEN_FILE]",
     default: process.env['APRICOTLOCK_TOKEN_FILE'] ?? 'operator-token',
   },
+  authorityFile: {
+    type: 'string',
+    describe:
+      "file with who signs the API's certificate, for TLS " +
+      '[APRICOTLOCK_AUTHORITY_FILE]',
+    default: process.env['APRICOTLOCK_AUTHORITY_FILE'] ?? '',
+  },
   output: {
     choices: ['table', 'json'] as const,
     describe: 'how answers are shown',
--- a/packages/operator/src/operator_client.ts
+++ b/packages/operator/src/operator_client.ts
@@ -1,14 +1,11 @@
 import {Either, Left, Right} from 'purify-ts';
 import {AuditRange, AuditTrail, ControlReport} from '@apricotlock/control';
-import {
-  Address,
-  Catalogue,
-  CatalogueFault,
-  formatAddress,
-} from '@apricotlock/topology';
+import {Address, Catalogue, CatalogueFault} from '@apricotlock/topology';
+import {exchangeHttp} from './http_exchange.js';
 import {ChangeReport, ServerReport, StatusReport} from './operator_messages.js';
 
-const REQUEST_TIMEOUT_MILLISECONDS = 15_000;
+const HTTP_OK = 200;
+const HTTP_REDIRECTION = 300;
 
 /** Why an operator's call has no answer of use. */
 export type OperatorError =
@@ -26,15 +23,20 @@
     private readonly address: Address,
     private readonly token: string,
     private readonly actor: string,
+    private readonly authority: string | undefined,
   ) {}
 
-  /** A client of the process at `address`. */
+  /**
+   * A client of the process at `address`; over TLS if there is an authority,
+   * a PEM text, that signs the process's certificate.
+   */
   static create(
     address: Address,
     token: string,
     actor: string,
+    authority?: string,
   ): OperatorClient {
-    return new OperatorClient(address, token, actor);
+    return new OperatorClient(address, token, actor, authority);
   }
 
   status(): Promise<Either<OperatorError, StatusReport>> {
@@ -97,22 +99,21 @@
     body?: Body,
   ): Promise<Either<OperatorError, T>> {
     try {
-      const response = await fetch(
-        `http://${formatAddress(this.address)}${path}`,
-        {
-          method,
-          headers: {
-            authorization: `Bearer ${this.token}`,
-            'x-apricotlock-actor': this.actor,
-            ...(body === undefined ? {} : {'content-type': 'application/json'}),
-          },
-          ...(body === undefined ? {} : {body: JSON.stringify(body)}),
-          signal: AbortSignal.timeout(REQUEST_TIMEOUT_MILLISECONDS),
+      const {status, text} = await exchangeHttp({
+        address: this.address,
+        method,
+        path,
+        headers: {
+          authorization: `Bearer ${this.token}`,
+          'x-apricotlock-actor': this.actor,
+          ...(body === undefined ? {} : {'content-type': 'application/json'}),
         },
-      );
-      const answer = (await response.json()) as Body;
-      if (response.ok) return Right(answer as T);
-      return Left(errorOf(response.status, answer));
+        body: body === undefined ? undefined : JSON.stringify(body),
+        authority: this.authority,
+      });
+      const answer = JSON.parse(text) as Body;
+      const done = status >= HTTP_OK && status < HTTP_REDIRECTION;
+      return done ? Right(answer as T) : Left(errorOf(status, answer));
     } catch (failure) {
       return Left({kind: 'unreachable', reason: String(failure)});
     }
