Report only decided voters and the margin that follows

Cause: with other suites at work the test of the second loss found no leader for 10 s: the report named the new voter, and a margin of 1, when the change stood in the leader's log alone, and the leader was lost at that moment. Change: the report goes by what is decided. Conclusion: a margin is reported once a quorum has the change on disk.

--- a/packages/control/src/election.ts
+++ b/packages/control/src/election.ts
@@ -123,7 +123,7 @@
       decide();
       // A silent VM must not hold the next attempt up.
       if (how.trial) {
-        timer.once(timings.electionMinimumMilliseconds, () => resolve(false));
+        timer.once(timings.electionMaximumMilliseconds, () => resolve(false));
       }
       for (const member of others) {
         const to = member.diskId;
--- a/packages/control/src/replicated_control_log.ts
+++ b/packages/control/src/replicated_control_log.ts
@@ -10,7 +10,11 @@
 import {FORWARD, TAKE_OVER} from './consensus_messages.js';
 import {CONSENSUS_TIMINGS, ConsensusTimings} from './consensus_timings.js';
 import {CommandAnswer, ControlCommand} from './control_command.js';
-import {quorumOf, votersOf} from './control_configuration.js';
+import {
+  ControlConfiguration,
+  quorumOf,
+  votersOf,
+} from './control_configuration.js';
 import {ControlError, ControlLog} from './control_log.js';
 import {ControlPeers} from './control_peers.js';
 import {ControlReport, marginOf} from './control_report.js';
@@ -56,6 +60,8 @@
   private readonly bootstrap: Bootstrap;
   private readonly repair: VoterRepair;
   private appliedIndex: number;
+  /** Who takes part by what is decided; a newer change may be under way. */
+  private decided: ControlConfiguration;
 
   private constructor(
     private readonly options: ReplicatedControlLogOptions,
@@ -67,6 +73,7 @@
     const {timings} = this;
     this.state = Observable.of(log.snapshot.state);
     this.appliedIndex = log.snapshot.index;
+    this.decided = log.snapshot.configuration;
     this.peers = ControlPeers.of(network, machines, timings.callMilliseconds);
     const shared = {...options, log, peers: this.peers, timings};
     this.consensus = Consensus.start({
@@ -124,9 +131,8 @@
 
   /** How the log is doing; complete only where this VM leads. */
   override report(): ControlReport {
-    const {log, options, consensus} = this;
+    const {log, options, consensus, decided: configuration} = this;
     const {leadership} = consensus;
-    const {configuration} = log;
     const now = options.timer.now();
     const members = configuration.members.map(({address: _, ...member}) => {
       const own = member.diskId === log.vote.diskId;
@@ -213,6 +219,9 @@
       if (entry === undefined) break;
       const applied = applyEntry(state, entry);
       state = applied.state;
+      if (entry.body.kind === 'configuration') {
+        this.decided = entry.body.configuration;
+      }
       answers.set(entry.index, applied.answer);
       this.appliedIndex = entry.index;
     }
@@ -229,6 +238,7 @@
     const {snapshot} = this.log;
     if (snapshot.index <= this.appliedIndex) return;
     this.appliedIndex = snapshot.index;
+    this.decided = snapshot.configuration;
     this.state.set(snapshot.state);
   }
 
