--- a/packages/apricotlock/src/entry_operator_backend.ts
+++ b/packages/apricotlock/src/entry_operator_backend.ts
@@ -234,8 +234,13 @@
     );
   }
 
-  private drainSelf(): void {
+  /** From now on the balancer is to send callers elsewhere. */
+  stopBeingReady(): void {
     this.draining = true;
+  }
+
+  private drainSelf(): void {
+    this.stopBeingReady();
     this.options.requestShutdown();
   }
 
--- /dev/null
+++ b/packages/operator/test/operator_server_test.ts
@@ -0,0 +1,118 @@
+import {connect} from 'node:net';
+import {expect} from 'chai';
+import {Right} from 'purify-ts';
+import {Observable} from '@apricotlock/flow';
+import {ringOf, SecretRing} from '@apricotlock/peer';
+import {TestAuthority, testPort} from '@apricotlock/testing';
+import {SystemTimerService} from '@apricotlock/timer';
+import {OperatorBackend, OperatorClient, OperatorServer} from '../src/index.js';
+import {OperatorTls} from '../src/operator_listener.js';
+
+const ADDRESS = {host: '127.0.0.1', port: testPort(760)};
+const BODY_BYTES = 15_000_000;
+const CUT_LIMIT_MILLISECONDS = 4_000;
+
+const backend = {
+  ready: () => true,
+  metrics: async () => 'a_metric 1\n',
+  status: () => ({machine: 'vm-1'}),
+  audit: async () => Right([]),
+} as unknown as OperatorBackend;
+
+describe('OperatorServer', () => {
+  const timer = SystemTimerService.create();
+  const operatorTokens = Observable.of(ringOf('new token', 'old token'));
+  let server: OperatorServer;
+
+  const start = async (tls?: OperatorTls) => {
+    const current = Observable.of(tls);
+    server = await OperatorServer.start({
+      listen: ADDRESS,
+      operatorTokens,
+      metricsTokens: Observable.of<SecretRing | undefined>(ringOf('metrics')),
+      memberKeys: Observable.of(ringOf('member key')),
+      tls: current,
+      timer,
+      backend,
+    });
+    return current;
+  };
+
+  afterEach(() => server.close());
+
+  const statusOf = async (token: string, authority?: string) => {
+    const client = OperatorClient.create(ADDRESS, token, 'test', authority);
+    const status = await client.status();
+    return status.caseOf({
+      Left: ({kind}) => kind as string,
+      Right: ({machine}) => machine,
+    });
+  };
+
+  describe('tokens', () => {
+    it('are taken as long as the ring has them', async () => {
+      await start();
+      expect(await statusOf('old token')).to.equal('vm-1');
+      expect(await statusOf('new token')).to.equal('vm-1');
+      operatorTokens.set(ringOf('new token'));
+      expect(await statusOf('old token')).to.equal('unauthorized');
+    });
+
+    it('for metrics open nothing else', async () => {
+      await start();
+      const get = (path: string) =>
+        fetch(`http://${ADDRESS.host}:${ADDRESS.port}${path}`, {
+          headers: {authorization: 'Bearer metrics'},
+        });
+      expect((await get('/metrics')).status).to.equal(200);
+      expect((await get('/v1/status')).status).to.equal(401);
+    });
+  });
+
+  describe('TLS', () => {
+    it('proves the API, and takes a renewed certificate', async () => {
+      const authority = await TestAuthority.create('operators');
+      const other = await TestAuthority.create('others');
+      const current = await start(await authority.issue('vm-1'));
+      const good = authority.certificate;
+      expect(await statusOf('new token', good)).to.equal('vm-1');
+      expect(await statusOf('new token', other.certificate)).to.equal(
+        'unreachable',
+      );
+      expect(await statusOf('new token')).to.equal('unreachable');
+      current.set(await other.issue('vm-1'));
+      expect(await statusOf('new token', other.certificate)).to.equal('vm-1');
+    });
+  });
+
+  describe('strangers', () => {
+    const heardFrom = (text: string) =>
+      new Promise<string>(resolve => {
+        const socket = connect(ADDRESS.port, ADDRESS.host);
+        let heard = '';
+        socket.on('data', chunk => {
+          heard += chunk.toString();
+        });
+        socket.on('error', () => socket.destroy());
+        socket.on('close', () => resolve(heard));
+        socket.write(text);
+      });
+
+    it('are refused before their body is read', async () => {
+      await start();
+      const heard = await heardFrom(
+        'PUT /v1/catalogue HTTP/1.1\r\nhost: x\r\n' +
+          `content-type: application/json\r\ncontent-length: ${BODY_BYTES}` +
+          '\r\n\r\n{',
+      );
+      expect(heard).to.match(/^HTTP\/1.1 401 /);
+    });
+
+    it('that send slowly are cut off', async () => {
+      await start();
+      const startedAt = timer.now();
+      await heardFrom('GET /v1/status HTTP/1.1\r\nhost:');
+      expect(timer.now() - startedAt).to.be.lessThan(CUT_LIMIT_MILLISECONDS);
+    });
+  });
+});
