--- a/packages/bench/src/system_under_test.ts
+++ b/packages/bench/src/system_under_test.ts
@@ -33,6 +33,7 @@
   private constructor(
     readonly layout: Layout,
     private readonly timer: TimerService,
+    private readonly environment: Readonly<Record<string, string>>,
   ) {
     for (const name of ['operator-token', 'peer-key', 'member-key']) {
       writeFileSync(join(this.folder, name), `${KEY_BYTES} ${name}`);
@@ -40,12 +41,13 @@
   }
 
   /** Starts every process of a layout, and waits until VMs and members know
-   * of each other. */
+   * of each other. VMs have `environment` besides their flags. */
   static async start(
     layout: Layout,
     timer: TimerService,
+    environment: Readonly<Record<string, string>> = {},
   ): Promise<SystemUnderTest> {
-    const system = new SystemUnderTest(layout, timer);
+    const system = new SystemUnderTest(layout, timer, environment);
     for (const member of layout.members) system.startMember(member);
     for (const machine of layout.machines) system.startMachine(machine);
     await system.until('the VMs', async () => {
@@ -91,6 +93,7 @@
         APRICOTLOCK_PEER_KEY_FILE: join(this.folder, 'peer-key'),
         APRICOTLOCK_MEMBER_KEY_FILE: join(this.folder, 'member-key'),
         APRICOTLOCK_OPERATOR_TOKEN_FILE: this.tokenFile,
+        ...this.environment,
       },
       logPath: this.logPath(machine.name),
     });
--- a/packages/peer/test/peer_security_test.ts
+++ b/packages/peer/test/peer_security_test.ts
@@ -164,6 +164,15 @@
       expect((await call(keyless)).isLeft()).to.equal(true);
     });
 
+    it('of two authorities are taken while both are trusted', async () => {
+      const authority = `${identity.authority}\n${foreign.authority}`;
+      await start({listen: ADDRESS, ...tls({...identity, authority})});
+      const changed = {...foreign, authority};
+      expect((await call(await start(tls(changed)))).extract()).to.equal(8);
+      const unchanged = {...identity, authority};
+      expect((await call(await start(tls(unchanged)))).extract()).to.equal(8);
+    });
+
     it('are renewed while links live on', async () => {
       const current = Observable.of<TestIdentity | undefined>(identity);
       await start({listen: ADDRESS, tls: current});
