--- a/packages/bench/src/system_under_test.ts
+++ b/packages/bench/src/system_under_test.ts
@@ -35,6 +35,7 @@
   private constructor(
     readonly layout: Layout,
     private readonly timer: TimerService,
+    private readonly environment: Readonly<Record<string, string>>,
   ) {
     for (const name of ['operator-token', 'peer-key', 'member-key']) {
       writeFileSync(join(this.folder, name), `${KEY_BYTES} ${name}`);
@@ -42,12 +43,13 @@
   }
 
   /** Starts every process of a layout, and waits until VMs and members know
-   * of each other. */
+   * of each other. VMs have `environment` besides their flags. */
   static async start(
     layout: Layout,
     timer: TimerService,
+    environment: Readonly<Record<string, string>> = {},
   ): Promise<SystemUnderTest> {
-    const system = new SystemUnderTest(layout, timer);
+    const system = new SystemUnderTest(layout, timer, environment);
     await system.startProcesses();
     return system;
   }
@@ -57,7 +59,7 @@
     layout: Layout,
     timer: TimerService,
   ): Promise<SystemUnderTest> {
-    const system = new SystemUnderTest(layout, timer);
+    const system = new SystemUnderTest(layout, timer, {});
     const {processes} = system;
     system.fabric = await FaultFabric.start(layout, processes, timer);
     await system.startProcesses();
@@ -116,6 +118,7 @@
         APRICOTLOCK_PEER_KEY_FILE: join(this.folder, 'peer-key'),
         APRICOTLOCK_MEMBER_KEY_FILE: join(this.folder, 'member-key'),
         APRICOTLOCK_OPERATOR_TOKEN_FILE: this.tokenFile,
+        ...this.environment,
       },
       logPath: this.logPath(machine.name),
     });
