Promote another member when only the control leader reaches the primary

Cause: a primary that most watchers cannot reach is replaced though the leader reaches it; the round then asked it too, found its log the longest and promoted it again, term after term: no write went through for over 6 s, and every later failure test failed on the broken group. Ruled out: load (it failed alone on a quiet machine) and the relay (the log shows terms 8 to 12 with the same primary). Change: such a round fences a majority without that member, which is as safe, and asks it only where there is no other majority. Conclusion: any fenced majority holds what was confirmed.

--- a/packages/failover/src/failover_coordinator.ts
+++ b/packages/failover/src/failover_coordinator.ts
@@ -114,7 +114,12 @@
         : 'the primary leads no more';
     await FailoverRound.run(
       group,
-      {text, highestTerm: status?.fencedTerm ?? 0},
+      {
+        text,
+        highestTerm: status?.fencedTerm ?? 0,
+        // It leads where only this process reaches it: it must not again.
+        ...(leads ? {avoided: primary.name} : {}),
+      },
       this.options,
     );
   }
--- a/packages/failover/src/failover_round.ts
+++ b/packages/failover/src/failover_round.ts
@@ -26,6 +26,8 @@
   readonly text: string;
   /** The highest term that a member is known to be fenced at. */
   readonly highestTerm: number;
+  /** A member that others cannot reach, though this process may. */
+  readonly avoided?: string;
 }
 
 /**
@@ -53,7 +55,7 @@
     if (!(await round.open(reason.text))) return false;
     const {database} = group;
     options.logger.warn('failing over', {database, term, reason: reason.text});
-    const fenced = await round.fence();
+    const fenced = await round.fenceWithout(reason.avoided);
     if (fenced.length < majorityOf(group)) return round.gaveUp('no majority');
     const chosen = findMember(group, longestLog(fenced).name);
     if (chosen === undefined) return round.gaveUp('unknown member');
@@ -86,11 +88,25 @@
     return answer.toMaybe().extract()?.kind === 'accepted';
   }
 
+  /**
+   * Any fenced majority will do, since what was confirmed is held by one of
+   * it; the avoided member is part of it only where there is no other.
+   */
+  private async fenceWithout(
+    avoided: string | undefined,
+  ): Promise<readonly MemberStatus[]> {
+    const all = votingMembers(this.group);
+    const others = all.filter(({name}) => name !== avoided);
+    const fenced = await this.fence(others);
+    const enough = fenced.length >= majorityOf(this.group);
+    return enough || others.length === all.length ? fenced : this.fence(all);
+  }
+
   /** The fenced members that count, once they are a majority. */
-  private fence(): Promise<readonly MemberStatus[]> {
+  private fence(members: readonly Member[]): Promise<readonly MemberStatus[]> {
     const {group, term} = this;
     return askMembers(
-      votingMembers(group),
+      members,
       member =>
         this.options.client.fence(
           member.apiAddress,
