Put transactions and keyed writes to the test in the demonstration

Cause: mixed transactions and double runs were reported on without being brought about there; the promises page had gaps.

--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -121,6 +121,8 @@
         callers: CALLERS_A_DATABASE,
         readsAWrite: READS_A_WRITE,
         thinkMilliseconds: THINK_MILLISECONDS,
+        keyed: true,
+        transactions: true,
         timer: this.timer,
       },
       'holds',
