Measure idle sessions before the heap has grown under load

Cause: sessions were measured after statements, and the slope came out as -1.7 kB a session: the heap that load had grown hid what they add.

--- a/packages/bench/src/measure_capacity_main.ts
+++ b/packages/bench/src/measure_capacity_main.ts
@@ -75,8 +75,9 @@
     const entries = system.catalogueEntries();
     await system.operator().putCatalogue('first', 0, entries, true);
     await system.untilWhole();
-    const statements = await measureStatementCost(system, timer);
-    return [...statements, await measureSessionMemory(system, timer)];
+    // A heap that load has grown would hide what the sessions add to it.
+    const sessions = await measureSessionMemory(system, timer);
+    return [sessions, ...(await measureStatementCost(system, timer))];
   } finally {
     await system.stop();
   }
