--- a/packages/control/src/apply_command.ts
+++ b/packages/control/src/apply_command.ts
@@ -1,6 +1,7 @@
 import {isDeepStrictEqual} from 'node:util';
 import {match} from 'ts-pattern';
 import {
+  Address,
   CatalogueEntry,
   ClusterView,
   DatabaseGroup,
@@ -12,6 +13,7 @@
   ChangeOrigin,
   CommandAnswer,
   ControlCommand,
+  MemberReport,
 } from './control_command.js';
 import {AuditRecord, ControlState} from './control_state.js';
 
@@ -21,6 +23,8 @@
 const MAXIMUM_AUDIT_AGE_MILLISECONDS = 30 * DAY_MILLISECONDS;
 const MAXIMUM_ANSWER_AGE_MILLISECONDS = 7 * DAY_MILLISECONDS;
 const MAXIMUM_NAMES_TOLD = 10;
+/** A late report of a member that left must still find that it left. */
+const MAXIMUM_REMOVED_MEMBERS = 32;
 const SYSTEM_ACTOR = 'apricotlock';
 
 /** The state after a command, and the command's answer. */
@@ -46,6 +50,7 @@
   return {
     answer,
     state: {
+      ...documentOf(state, command, change),
       view: {...(change.kind === 'changed' ? change.view : state.view), index},
       audit: withAudit(state, index, command, answer, change),
       answers: withAnswer(state, command, answer),
@@ -53,6 +58,18 @@
   };
 }
 
+/** The document goes with the catalogue: both change together or not at all. */
+function documentOf(
+  {document}: ControlState,
+  command: ControlCommand,
+  change: Change,
+): Pick<ControlState, 'document'> {
+  const replaced =
+    command.kind === 'replaceCatalogue' && change.kind === 'changed';
+  const current = replaced ? command.document : document;
+  return current === undefined ? {} : {document: current};
+}
+
 type Change =
   | {readonly kind: 'changed'; readonly view: ClusterView}
   /** All is as the command wants it already. */
@@ -65,6 +82,10 @@
     .with({kind: 'putCatalogue'}, put =>
       putCatalogue(view, put.baseVersion, put.entries),
     )
+    .with({kind: 'replaceCatalogue'}, ({version, entries}) =>
+      replaceCatalogue(view, version, entries),
+    )
+    .with({kind: 'reportMember'}, ({report}) => takeReport(view, report))
     .with({kind: 'registerMember'}, ({announcement}) =>
       registerMember(view, {...announcement, state: 'active'}),
     )
@@ -74,8 +95,11 @@
     .with({kind: 'beginTerm'}, ({database, expectedTerm, term}) =>
       beginTerm(view, database, expectedTerm, term),
     )
-    .with({kind: 'setPrimary'}, ({database, term, primary}) =>
-      setPrimary(view, database, term, primary),
+    .with({kind: 'orderPromotion'}, ({database, term, member}) =>
+      orderPromotion(view, database, term, member),
+    )
+    .with({kind: 'setPrimary'}, ({database, term, primary, holder}) =>
+      setPrimary(view, {database, term, primary, holder}),
     )
     .exhaustive();
 }
@@ -95,6 +119,24 @@
   return {kind: 'changed', view: {...view, catalogue, groups}};
 }
 
+/**
+ * An operator's version that is not above the one in force is taken for an
+ * order that came late or twice: it changes nothing and is not refused.
+ */
+function replaceCatalogue(
+  view: ClusterView,
+  version: number,
+  entries: readonly CatalogueEntry[],
+): Change {
+  if (version <= view.catalogue.version) return {kind: 'unchanged'};
+  const catalogue = {
+    version,
+    entries: sharedEntries(entries, view.catalogue.entries),
+  };
+  const groups = groupsFor(entries, view.groups);
+  return {kind: 'changed', view: {...view, catalogue, groups}};
+}
+
 /**
  * Entries by name, so that two catalogues with the same entries are equal;
  * what did not change stays the same object, so that it is found fast.
@@ -154,6 +196,65 @@
   return changedMember(view, group, {...member, state: known.state});
 }
 
+/**
+ * Takes over what a member says of itself, unless something newer is known:
+ * reports are ordered by incarnation, and by sequence within one. An address
+ * belongs to the incarnation that was started last, so that whoever had it
+ * before is gone.
+ */
+function takeReport(view: ClusterView, report: MemberReport): Change {
+  const group = findGroup(view, report.database);
+  if (group === undefined) {
+    return {kind: 'refused', reason: 'no catalogue entry names the database'};
+  }
+  const member: Member = {...report, apiAddress: report.address};
+  const known = findMember(group, member.name);
+  if (known !== undefined && !isNewerReport(report, known)) {
+    return {kind: 'unchanged'};
+  }
+  const atAddress = group.members.filter(
+    other =>
+      other.name !== member.name &&
+      other.state !== 'removed' &&
+      isSameAddress(other.address, member.address),
+  );
+  if (atAddress.some(other => other.incarnation > member.incarnation)) {
+    return {kind: 'unchanged'};
+  }
+  const others = group.members
+    .filter(({name}) => name !== member.name)
+    .map(other => (atAddress.includes(other) ? removed(other) : other));
+  return changedGroup(view, {...group, members: forgetOldest(member, others)});
+}
+
+function isNewerReport(report: MemberReport, known: Member): boolean {
+  if (report.incarnation !== known.incarnation) {
+    return report.incarnation > known.incarnation;
+  }
+  return report.reportSequence > (known.reportSequence ?? -1);
+}
+
+function isSameAddress(left: Address, right: Address): boolean {
+  return left.host === right.host && left.port === right.port;
+}
+
+function removed(member: Member): Member {
+  return {...member, state: 'removed'};
+}
+
+/** The group's members; of those that left, only the latest are remembered. */
+function forgetOldest(
+  member: Member,
+  others: readonly Member[],
+): readonly Member[] {
+  const all = [...others, member];
+  const gone = all
+    .filter(({state}) => state === 'removed')
+    .sort((left, right) => right.incarnation - left.incarnation);
+  const forgotten = new Set(gone.slice(MAXIMUM_REMOVED_MEMBERS));
+  return all.filter(each => !forgotten.has(each));
+}
+
 function setMemberState(
   view: ClusterView,
   name: string,
@@ -189,11 +290,34 @@
   return changedGroup(view, {...group, term, primary: undefined});
 }
 
-function setPrimary(
+function orderPromotion(
   view: ClusterView,
   database: string,
   term: number,
-  primary: string,
+  member: string,
+): Change {
+  const group = findGroup(view, database);
+  if (group === undefined || findMember(group, member) === undefined) {
+    return {kind: 'refused', reason: `no member "${member}" of "${database}"`};
+  }
+  if (group.term !== term || group.primary !== undefined) {
+    return {kind: 'conflict'};
+  }
+  if (group.promoting === member) return {kind: 'unchanged'};
+  return changedGroup(view, {...group, promoting: member});
+}
+
+/** Who leads a group in a term, and who may use it. */
+interface Appointment {
+  readonly database: string;
+  readonly term: number;
+  readonly primary: string;
+  readonly holder: string | undefined;
+}
+
+function setPrimary(
+  view: ClusterView,
+  {database, term, primary, holder}: Appointment,
 ): Change {
   const group = findGroup(view, database);
   if (group === undefined || findMember(group, primary) === undefined) {
@@ -203,7 +327,9 @@
   if (group.primary === primary) return {kind: 'unchanged'};
   // A term never has two primaries.
   if (group.primary !== undefined) return {kind: 'conflict'};
-  return changedGroup(view, {...group, primary});
+  const {holder: _former, promoting: _done, ...rest} = group;
+  const held = holder === undefined ? {} : {holder};
+  return changedGroup(view, {...rest, ...held, primary});
 }
 
 function changedMember(
@@ -316,15 +442,30 @@
         ? describeCatalogueChange(before, change.view)
         : `catalogue ${put.baseVersion}`,
     )
+    .with({kind: 'replaceCatalogue'}, put =>
+      change.kind === 'changed'
+        ? describeCatalogueChange(before, change.view)
+        : `catalogue ${put.version}`,
+    )
+    .with(
+      {kind: 'reportMember'},
+      ({report}) => `${report.name} ${report.state}`,
+    )
     .with({kind: 'registerMember'}, ({announcement}) => announcement.name)
     .with({kind: 'setMemberState'}, set => `${set.member} ${set.state}`)
     .with(
       {kind: 'beginTerm'},
       begin => `${begin.database} term ${begin.term}: ${begin.reason}`,
     )
+    .with(
+      {kind: 'orderPromotion'},
+      order => `${order.database} term ${order.term}: ${order.member}`,
+    )
     .with(
       {kind: 'setPrimary'},
-      set => `${set.database} term ${set.term}: ${set.primary}`,
+      set =>
+        `${set.database} term ${set.term}: ${set.primary}` +
+        (set.holder === undefined ? '' : `, used by ${set.holder}`),
     )
     .exhaustive();
 }
--- a/packages/control/src/control_client.ts
+++ b/packages/control/src/control_client.ts
@@ -6,7 +6,13 @@
 import {ClusterView, VirtualMachine} from '@apricotlock/topology';
 import {CommandAnswer, ControlCommand} from './control_command.js';
 import {ControlError, ControlLog} from './control_log.js';
-import {AuditRange, FETCH_AUDIT, PROPOSE} from './control_messages.js';
+import {
+  AuditRange,
+  CatalogueDocument,
+  FETCH_AUDIT,
+  FETCH_DOCUMENT,
+  PROPOSE,
+} from './control_messages.js';
 import {ControlReport, FETCH_REPORT} from './control_report.js';
 import {AuditTrail} from './control_state.js';
 import {packOutcome, unpackOutcome} from './propose_outcome.js';
@@ -63,6 +69,9 @@
         ? Left('not a control VM')
         : Right(packOutcome(await log.propose(command))),
     );
+    network.handle(FETCH_DOCUMENT, async () =>
+      log === undefined ? Left('not a control VM') : confirmedDocument(log),
+    );
     network.handle(FETCH_REPORT, async () =>
       log === undefined ? Left('not a control VM') : Right(log.report()),
     );
@@ -121,6 +130,30 @@
     return Left({kind: 'unavailable', reason: 'no control VM answered'});
   }
 
+  /**
+   * The operators' document of the newest catalogue, as a quorum confirms it;
+   * `Left` if no VM can be sure.
+   */
+  async document(): Promise<Either<ControlError, CatalogueDocument>> {
+    const {log, network, self} = this.options;
+    const own = log && (await confirmedDocument(log));
+    if (own?.isRight()) return Right(own.unsafeCoerce());
+    let reason = 'no control VM leads';
+    for (const voter of this.votersLeaderFirst()) {
+      const answer = await network.call(
+        voter.peerAddress,
+        FETCH_DOCUMENT,
+        {from: self},
+        FETCH_TIMEOUT_MILLISECONDS,
+      );
+      if (answer.isRight()) return Right(answer.unsafeCoerce());
+      answer.ifLeft(error => {
+        reason = describePeerError(error);
+      });
+    }
+    return Left({kind: 'unavailable', reason});
+  }
+
   /** How the log is doing, from its leader, or from nobody. */
   async report(): Promise<Either<ControlError, ControlReport>> {
     const {log, network, self} = this.options;
@@ -155,6 +188,13 @@
     return unpackOutcome(answer);
   }
 
+  /** The VM that is heard as the leader first: the others only refuse. */
+  private votersLeaderFirst(): readonly VirtualMachine[] {
+    const leader = this.options.log?.leader.current;
+    const rank = ({name}: VirtualMachine) => (name === leader ? 0 : 1);
+    return [...this.otherVoters()].sort((a, b) => rank(a) - rank(b));
+  }
+
   private otherVoters(): readonly VirtualMachine[] {
     const {machines, self} = this.options;
     return machines.current.filter(
@@ -163,6 +203,15 @@
   }
 }
 
+async function confirmedDocument(
+  log: ControlLog,
+): Promise<Either<string, CatalogueDocument>> {
+  if (!(await log.confirmLeading())) return Left('not leading for certain');
+  const {view, document} = log.state.current;
+  const {version} = view.catalogue;
+  return Right({version, document: document ?? null});
+}
+
 function auditOf(log: ControlLog, range: AuditRange): AuditTrail {
   const {view, audit} = log.state.current;
   const {afterIndex, from} = range;
--- a/packages/control/src/control_command.ts
+++ b/packages/control/src/control_command.ts
@@ -1,5 +1,5 @@
 import {Announcement} from '@apricotlock/member';
-import {CatalogueEntry, MemberState} from '@apricotlock/topology';
+import {CatalogueEntry, Member, MemberState} from '@apricotlock/topology';
 
 /** Who asked for a change, and by which id it can be asked for again. */
 export interface ChangeOrigin {
@@ -19,6 +19,22 @@
       readonly baseVersion: number;
       readonly entries: readonly CatalogueEntry[];
     }
+  /** Puts a whole catalogue whose version operators number themselves. */
+  | {
+      readonly kind: 'replaceCatalogue';
+      /** Only a version above the one in force changes anything. */
+      readonly version: number;
+      readonly entries: readonly CatalogueEntry[];
+      /** The operators' own document, given back when they ask for it. */
+      readonly document: string;
+      readonly at: number;
+    }
+  /** What a member says of itself, with the order of its reports. */
+  | {
+      readonly kind: 'reportMember';
+      readonly report: MemberReport;
+      readonly at: number;
+    }
   | {
       readonly kind: 'registerMember';
       readonly announcement: Announcement;
@@ -39,14 +55,29 @@
       readonly reason: string;
       readonly at: number;
     }
+  /** Says that a member's promotion is about to be ordered. */
+  | {
+      readonly kind: 'orderPromotion';
+      readonly database: string;
+      readonly term: number;
+      readonly member: string;
+      readonly at: number;
+    }
   | {
       readonly kind: 'setPrimary';
       readonly database: string;
       readonly term: number;
       readonly primary: string;
+      /** The entry VM that alone may use it, where one is to be named. */
+      readonly holder?: string | undefined;
       readonly at: number;
     };
 
+/** A member as it reports itself; `removed` says that it has left. */
+export type MemberReport = Omit<Member, 'reportSequence' | 'apiAddress'> & {
+  readonly reportSequence: number;
+};
+
 /** What became of a command. */
 export type CommandAnswer =
   | {
--- a/packages/control/src/control_log.ts
+++ b/packages/control/src/control_log.ts
@@ -25,6 +25,18 @@
   /** How long ago this process was last known to be in touch with a quorum. */
   abstract readonly ageMilliseconds: number;
 
+  /**
+   * The term of the quorum in which this process leads; `undefined` unless
+   * all that was decided before is known here.
+   */
+  abstract readonly leadingTerm: number | undefined;
+
+  /**
+   * Whether this process led, with a quorum behind it, at some moment after
+   * the call. What `state` shows then was the newest at the time of the call.
+   */
+  abstract confirmLeading(): Promise<boolean>;
+
   /** How the log is doing; complete only where this process leads. */
   abstract report(): ControlReport;
 
--- a/packages/control/src/control_messages.ts
+++ b/packages/control/src/control_messages.ts
@@ -68,6 +68,23 @@
   checkOf(z.object({index})),
 );
 
+/** The operators' document of the catalogue, from the VM that leads. */
+export interface CatalogueDocument {
+  readonly version: number;
+  /** `null` before the first catalogue. */
+  readonly document: string | null;
+}
+
+/** Asks the leader for the newest catalogue; others refuse. */
+export const FETCH_DOCUMENT = PeerCall.define<
+  {readonly from: string},
+  CatalogueDocument
+>(
+  'control.fetchDocument',
+  checkOf(z.object({from: name})),
+  checkOf(z.object({version: index, document: z.string().nullable()})),
+);
+
 /** Asks a control VM for a part of the audit trail. */
 export const FETCH_AUDIT = PeerCall.define(
   'control.fetchAudit',
--- a/packages/control/src/control_schemas.ts
+++ b/packages/control/src/control_schemas.ts
@@ -6,6 +6,7 @@
 import {ViewUpdate} from './view_history.js';
 
 const MAXIMUM_TEXT_CHARACTERS = 1_000;
+const MAXIMUM_DOCUMENT_CHARACTERS = 8 << 20;
 const MAXIMUM_PORT = 65_535;
 
 const text = z.string().max(MAXIMUM_TEXT_CHARACTERS);
@@ -41,6 +42,27 @@
     baseVersion: count,
     entries: z.array(catalogueEntrySchema),
   }),
+  replaceCatalogue: z.object({
+    kind: z.literal('replaceCatalogue'),
+    version: count,
+    entries: z.array(catalogueEntrySchema),
+    document: z.string().max(MAXIMUM_DOCUMENT_CHARACTERS),
+    at: time,
+  }),
+  reportMember: z.object({
+    kind: z.literal('reportMember'),
+    report: z.object({
+      name: text,
+      database: text,
+      dataCentre: text,
+      address,
+      incarnation: count,
+      capacity: z.object({connections: count, slots: count}).optional(),
+      state: z.enum(['active', 'draining', 'removed']),
+      reportSequence: count,
+    }),
+    at: time,
+  }),
   registerMember: z.object({
     kind: z.literal('registerMember'),
     announcement,
@@ -60,11 +82,19 @@
     reason: text,
     at: time,
   }),
+  orderPromotion: z.object({
+    kind: z.literal('orderPromotion'),
+    database: text,
+    term: count,
+    member: text,
+    at: time,
+  }),
   setPrimary: z.object({
     kind: z.literal('setPrimary'),
     database: text,
     term: count,
     primary: text,
+    holder: text.optional(),
     at: time,
   }),
 };
@@ -164,6 +194,7 @@
   view,
   audit: z.array(z.looseObject({index: count})),
   answers: z.array(z.looseObject({changeId: text})),
+  document: z.string().optional(),
 }) as unknown as z.ZodType<ControlState>;
 
 /** Checks a snapshot. */
--- a/packages/control/src/control_state.ts
+++ b/packages/control/src/control_state.ts
@@ -33,6 +33,8 @@
   readonly view: ClusterView;
   readonly audit: readonly AuditRecord[];
   readonly answers: readonly RememberedAnswer[];
+  /** The operators' own document of the catalogue in force, if it has one. */
+  readonly document?: string | undefined;
 }
 
 /** The state before the first command. */
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -12,8 +12,9 @@
   type ChangeOrigin,
   type CommandAnswer,
   type ControlCommand,
+  type MemberReport,
 } from './control_command.js';
-export {type AuditRange} from './control_messages.js';
+export {type AuditRange, type CatalogueDocument} from './control_messages.js';
 export {ControlLog, type ControlError} from './control_log.js';
 export {
   type ControlMemberReport,
--- a/packages/control/src/replicated_control_log.ts
+++ b/packages/control/src/replicated_control_log.ts
@@ -29,6 +29,8 @@
 
 const ENTRIES_A_SNAPSHOT = 500;
 const RETRY_MILLISECONDS = 40;
+const CONFIRM_LIMIT_MILLISECONDS = 700;
+const CONFIRM_POLL_MILLISECONDS = 10;
 
 type Outcome = Either<ControlError, CommandAnswer>;
 
@@ -48,6 +50,8 @@
   /** The disk failed: the process must end, it can promise nothing. */
   readonly failed: (error: StorageError) => void;
   readonly timings?: Partial<ConsensusTimings>;
+  /** How many voters there should be; as many as there were at first. */
+  readonly wantedVoters?: number;
 }
 
 /** The log of decisions, held by a quorum of control VMs on their disks. */
@@ -85,7 +89,7 @@
     this.bootstrap = Bootstrap.start(shared, () => this.consensus.stand());
     this.repair = VoterRepair.start({
       ...shared,
-      wantedVoters: initialVoters.length,
+      wantedVoters: options.wantedVoters ?? initialVoters.length,
       leadership: () => this.currentLeadership(),
       committedIndex: () => this.appliedIndex,
     });
@@ -129,6 +133,24 @@
     }
   }
 
+  override get leadingTerm(): number | undefined {
+    return this.currentLeadership()?.start.term;
+  }
+
+  override async confirmLeading(): Promise<boolean> {
+    const {timer} = this.options;
+    const askedAt = timer.now();
+    const leadership = this.currentLeadership();
+    if (leadership === undefined) return false;
+    const deadline = askedAt + CONFIRM_LIMIT_MILLISECONDS;
+    while (leadership.quorumHeardAt < askedAt) {
+      if (timer.now() >= deadline) return false;
+      await timer.sleep(CONFIRM_POLL_MILLISECONDS);
+      if (this.currentLeadership() !== leadership) return false;
+    }
+    return true;
+  }
+
   /** How the log is doing; complete only where this VM leads. */
   override report(): ControlReport {
     const {log, options, consensus, decided: configuration} = this;
--- a/packages/control/src/sole_control_log.ts
+++ b/packages/control/src/sole_control_log.ts
@@ -23,6 +23,15 @@
     return new SoleControlLog(self);
   }
 
+  /** A log without others always leads, in its only term. */
+  override get leadingTerm(): number {
+    return 1;
+  }
+
+  override async confirmLeading(): Promise<boolean> {
+    return true;
+  }
+
   override report(): ControlReport {
     return {
       leading: true,
--- /dev/null
+++ b/packages/dispatch/src/index.ts
@@ -0,0 +1,33 @@
+/**
+ * Sessions of callers, and the way of their statements to members: which
+ * member may run one, how fresh it has to be, how long to wait for it.
+ *
+ * @packageDocumentation
+ */
+export {FreshnessBook, type Evidence} from './freshness_book.js';
+export {
+  FreshnessKeeper,
+  type FreshnessKeeperOptions,
+} from './freshness_keeper.js';
+export {MemberStandings} from './member_standing.js';
+export {
+  appointmentPatience,
+  queueMilliseconds,
+  type Patience,
+} from './patience.js';
+export {readOrder, type ReadNeeds} from './read_order.js';
+export {SessionHost, type SessionHostOptions} from './session_host.js';
+export {SessionObserver} from './session_observer.js';
+export {
+  StatementRouter,
+  type OwnWrite,
+  type RoutedStatement,
+  type RouteOutcome,
+  type StatementRouterOptions,
+} from './statement_router.js';
+export {
+  StatementSession,
+  type StatementSessionOptions,
+} from './statement_session.js';
+export {WorkGate, type OpenWork, type WorkGateOptions} from './work_gate.js';
+export {WorkHolder, type WorkResult} from './work_holder.js';
--- /dev/null
+++ b/packages/dispatch/src/session_host.ts
@@ -0,0 +1,70 @@
+import {Observable} from '@apricotlock/flow';
+import {Logger} from '@apricotlock/logging';
+import {CallerLink} from '@apricotlock/statement';
+import {TimerService} from '@apricotlock/timer';
+import {ClusterView} from '@apricotlock/topology';
+import {SessionObserver} from './session_observer.js';
+import {StatementRouter} from './statement_router.js';
+import {StatementSession} from './statement_session.js';
+
+const DRAIN_POLL_MILLISECONDS = 20;
+
+/** What hosting sessions needs. */
+export interface SessionHostOptions {
+  readonly view: Observable<ClusterView>;
+  readonly router: StatementRouter;
+  readonly timer: TimerService;
+  readonly logger: Logger;
+  readonly observer: SessionObserver;
+}
+
+/** The sessions of this VM's callers. */
+export class SessionHost {
+  private readonly sessions = new Set<StatementSession>();
+  private draining = false;
+
+  private constructor(private readonly options: SessionHostOptions) {}
+
+  /** A host without sessions. */
+  static create(options: SessionHostOptions): SessionHost {
+    return new SessionHost(options);
+  }
+
+  /** How many callers are connected. */
+  get count(): number {
+    return this.sessions.size;
+  }
+
+  /** Serves a caller's connection until it ends. */
+  async serve(link: CallerLink): Promise<void> {
+    const session = StatementSession.create({...this.options, link});
+    this.sessions.add(session);
+    if (this.draining) session.drain();
+    try {
+      await session.run();
+    } catch (failure) {
+      this.options.logger.error('a session failed', {
+        failure: failure instanceof Error ? failure.stack : String(failure),
+      });
+      link.close();
+    } finally {
+      this.sessions.delete(session);
+    }
+  }
+
+  /** Ends idle sessions, and the others as they become idle; gives the rest. */
+  async drain(milliseconds: number): Promise<number> {
+    const {timer} = this.options;
+    this.draining = true;
+    for (const session of this.sessions) session.drain();
+    const deadline = timer.now() + milliseconds;
+    while (this.busyCount > 0 && timer.now() < deadline) {
+      await timer.sleep(DRAIN_POLL_MILLISECONDS);
+    }
+    return this.busyCount;
+  }
+
+  private get busyCount(): number {
+    return [...this.sessions].filter(({busy}) => busy).length;
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/statement_router.ts
@@ -0,0 +1,386 @@
+import {Observable} from '@apricotlock/flow';
+import {Logger} from '@apricotlock/logging';
+import {LogPosition, StatementAnswer, wasNotRun} from '@apricotlock/statement';
+import {TimerService} from '@apricotlock/timer';
+import {
+  CatalogueEntry,
+  ClusterView,
+  DatabaseGroup,
+  findGroup,
+  Member,
+  ServiceTerms,
+} from '@apricotlock/topology';
+import {Opens, WorkRequest, WorkStatement, WorkText} from '@apricotlock/work';
+import {FreshnessKeeper} from './freshness_keeper.js';
+import {MemberStandings} from './member_standing.js';
+import {appointmentPatience, queueMilliseconds} from './patience.js';
+import {ReadNeeds, readOrder} from './read_order.js';
+import {WorkGate} from './work_gate.js';
+import {WorkHolder, WorkResult} from './work_holder.js';
+
+/** Between two attempts on the same primary. */
+const RETRY_PAUSE_MILLISECONDS = 15;
+/** Evidence this much younger than needed makes up for timers that fire late. */
+const AGE_MARGIN_MILLISECONDS = 40;
+/** How long a read waits to learn how far the primary is. */
+const EVIDENCE_WAIT_MILLISECONDS = 250;
+/** A read without an answer for so long is tried on another member. */
+const READ_ATTEMPT_MILLISECONDS = 450;
+/** Below this there is no time for another attempt. */
+const MINIMUM_ATTEMPT_MILLISECONDS = 10;
+const RETRY_HINT_MILLISECONDS = 100;
+
+/** A statement that goes to a member, and what its session demands of it. */
+export interface RoutedStatement {
+  readonly requestId: string;
+  readonly text: WorkText;
+  readonly opens: Opens;
+  readonly values: WorkStatement['values'];
+  /** Whether it may run on a replica. */
+  readonly readOnly: boolean;
+  readonly entry: CatalogueEntry;
+  readonly terms: ServiceTerms;
+  /** When the caller's first byte of it was read, on the timer's clock. */
+  readonly receivedAt: number;
+  /** What the session itself wrote, and when that was acknowledged. */
+  readonly ownWrite: OwnWrite | undefined;
+}
+
+/** The last write of a session. */
+export interface OwnWrite {
+  readonly position: LogPosition;
+  readonly at: number;
+}
+
+/** What became of a statement. */
+export type RouteOutcome =
+  | {
+      readonly kind: 'answered';
+      readonly answer: StatementAnswer;
+      /** Kept for the rest of the transaction, if one is open. */
+      readonly holder: WorkHolder;
+      readonly member: string;
+    }
+  | {
+      readonly kind: 'notRun';
+      readonly reason: string;
+      readonly retryAfterMilliseconds: number;
+    }
+  | {
+      readonly kind: 'unknown';
+      readonly timedOut: boolean;
+      readonly reason: string;
+    };
+
+type Attempt = RouteOutcome | {readonly kind: 'next'; readonly reason: string};
+
+/** What routing needs. */
+export interface StatementRouterOptions {
+  readonly dataCentre: string;
+  readonly view: Observable<ClusterView>;
+  readonly gate: WorkGate;
+  readonly freshness: FreshnessKeeper;
+  readonly timer: TimerService;
+  readonly logger: Logger;
+}
+
+/** Finds the member that runs a statement, or the first of a transaction. */
+export class StatementRouter {
+  private readonly standings: MemberStandings;
+  /** Since when this VM knows of no primary, by database. */
+  private readonly missingSince = new Map<string, number>();
+
+  private constructor(private readonly options: StatementRouterOptions) {
+    this.standings = MemberStandings.create(options.timer);
+    this.noteMissing(options.view.current);
+    options.view.subscribe(view => this.noteMissing(view));
+  }
+
+  /** A router for the callers of one VM. */
+  static create(options: StatementRouterOptions): StatementRouter {
+    return new StatementRouter(options);
+  }
+
+  /** Runs a statement on a member that may, waiting for one as long as useful. */
+  async route(statement: RoutedStatement): Promise<RouteOutcome> {
+    const anyMember =
+      statement.readOnly && statement.terms.consistency !== 'primary';
+    return anyMember ? this.read(statement) : this.onPrimary(statement);
+  }
+
+  /** Tries the primary until it answers or there is no time left. */
+  private async onPrimary(statement: RoutedStatement): Promise<RouteOutcome> {
+    const {database} = statement.entry;
+    const missing = this.missingMilliseconds(database);
+    const patience = appointmentPatience(statement.terms, missing);
+    const deadline = statement.receivedAt + patience.holdMilliseconds;
+    for (;;) {
+      const attempt = await this.tryPrimary(statement);
+      if (attempt.kind !== 'next') return attempt;
+      const left = deadline - this.options.timer.now();
+      if (left < MINIMUM_ATTEMPT_MILLISECONDS) {
+        const {reason} = attempt;
+        const {retryAfterMilliseconds} = patience;
+        return {kind: 'notRun', reason, retryAfterMilliseconds};
+      }
+      await this.options.timer.sleep(Math.min(left, RETRY_PAUSE_MILLISECONDS));
+    }
+  }
+
+  private async tryPrimary(statement: RoutedStatement): Promise<Attempt> {
+    const group = this.groupOf(statement);
+    if (group?.primary === undefined) {
+      return next('the database has no primary now');
+    }
+    const primaryTerm = group.term;
+    return this.attempt(statement, group, {
+      member: group.primary,
+      primaryTerm,
+      floor: undefined,
+      repeatable: isRepeatable(statement),
+      timeoutMilliseconds: this.timeLeft(statement),
+    });
+  }
+
+  /** Tries members in order of what they promise, until one can. */
+  private async read(statement: RoutedStatement): Promise<RouteOutcome> {
+    const patience = appointmentPatience(statement.terms, 0);
+    const deadline = statement.receivedAt + patience.holdMilliseconds;
+    let reason = 'no member can be reached';
+    for (;;) {
+      const group = this.groupOf(statement);
+      const needs = await this.needsOf(statement);
+      if (group !== undefined && needs !== undefined) {
+        const attempt = await this.tryMembers(statement, group, needs);
+        if (attempt.kind !== 'next') return attempt;
+        reason = attempt.reason;
+      } else if (needs === undefined) {
+        reason = 'nobody can say how far the primary is';
+      }
+      const left = deadline - this.options.timer.now();
+      if (left < MINIMUM_ATTEMPT_MILLISECONDS) {
+        const retryAfterMilliseconds = RETRY_HINT_MILLISECONDS;
+        return {kind: 'notRun', reason, retryAfterMilliseconds};
+      }
+      await this.options.timer.sleep(Math.min(left, RETRY_PAUSE_MILLISECONDS));
+    }
+  }
+
+  private async tryMembers(
+    statement: RoutedStatement,
+    group: DatabaseGroup,
+    needs: ReadNeeds,
+  ): Promise<Attempt> {
+    const {dataCentre} = this.options;
+    const order = readOrder(group, dataCentre, needs, this.standings);
+    let last: Attempt = next('the database has no member that takes work');
+    for (const member of order) {
+      const left = this.timeLeft(statement);
+      if (left < MINIMUM_ATTEMPT_MILLISECONDS) break;
+      last = await this.tryRead(statement, group, member, needs);
+      if (last.kind !== 'next') return last;
+    }
+    return last;
+  }
+
+  private tryRead(
+    statement: RoutedStatement,
+    group: DatabaseGroup,
+    {name}: Member,
+    needs: ReadNeeds,
+  ): Promise<Attempt> {
+    const limit = this.timeLeft(statement);
+    return this.attempt(statement, group, {
+      member: name,
+      primaryTerm: 0,
+      floor: needs.floor,
+      floorAgeMilliseconds: needs.floorAgeMilliseconds,
+      repeatable: isRepeatable(statement),
+      timeoutMilliseconds: Math.min(limit, READ_ATTEMPT_MILLISECONDS),
+    });
+  }
+
+  /** One try on one member. */
+  private async attempt(
+    statement: RoutedStatement,
+    group: DatabaseGroup,
+    choice: Choice,
+  ): Promise<Attempt> {
+    const {gate, timer} = this.options;
+    const work = gate.open(group, workRequest(statement, choice));
+    if (work === undefined) return next('the VM of the primary is not there');
+    const holder = WorkHolder.of(work, gate, timer);
+    const result = await holder.result(choice.timeoutMilliseconds);
+    this.logAttempt(statement, choice, result, holder);
+    if (result.kind === 'answered') {
+      return this.judgeAnswer(choice, result, holder);
+    }
+    holder.end();
+    if (result.kind === 'refused') return this.judgeRefusal(choice, result);
+    this.standings.failed(choice.member);
+    const {mayHaveRun, timedOut, reason} = result;
+    if (!mayHaveRun || choice.repeatable) return next(reason);
+    return {kind: 'unknown', timedOut, reason};
+  }
+
+  private judgeAnswer(
+    choice: Choice,
+    {answer, expectedWaitMilliseconds}: Extract<WorkResult, {kind: 'answered'}>,
+    holder: WorkHolder,
+  ): Attempt {
+    const {member} = choice;
+    const {position, end} = answer;
+    this.standings.answered(member, position, expectedWaitMilliseconds);
+    if (end.kind === 'complete' || !wasNotRun(end.error)) {
+      return {kind: 'answered', answer, holder, member};
+    }
+    holder.end();
+    if (end.error.kind === 'behind') {
+      this.standings.wasBehind(member, choice.floorAgeMilliseconds ?? 0);
+    }
+    return next(`${member} answered ${end.error.code}`);
+  }
+
+  private judgeRefusal(
+    {member}: Choice,
+    {refusal}: Extract<WorkResult, {kind: 'refused'}>,
+  ): Attempt {
+    const {reason, retryAfterMilliseconds} = refusal;
+    if (reason === 'overloaded') {
+      this.standings.refused(member, retryAfterMilliseconds);
+    } else {
+      this.standings.failed(member);
+    }
+    return next(`${member}: ${reason}`);
+  }
+
+  /** What the log of a member must hold for this read; waits to learn it. */
+  private async needsOf(
+    statement: RoutedStatement,
+  ): Promise<ReadNeeds | undefined> {
+    const {terms, entry, receivedAt, ownWrite} = statement;
+    const allowed = terms.maximumStalenessMilliseconds ?? 0;
+    const margin = Math.min(AGE_MARGIN_MILLISECONDS, allowed / 2);
+    const evidence = await this.options.freshness.coverSince(
+      entry.database,
+      receivedAt - allowed + margin,
+      EVIDENCE_WAIT_MILLISECONDS,
+    );
+    if (evidence === undefined) return undefined;
+    const now = this.options.timer.now();
+    const own = terms.consistency === 'readYourWrites' ? ownWrite : undefined;
+    return strictest(
+      {
+        floor: evidence.position,
+        floorAgeMilliseconds: now - evidence.askedAt,
+      },
+      own && {
+        floor: own.position,
+        floorAgeMilliseconds: now - own.at,
+      },
+    );
+  }
+
+  private timeLeft({receivedAt, terms}: RoutedStatement): number {
+    const spent = this.options.timer.now() - receivedAt;
+    return Math.max(0, Math.round(terms.statementMilliseconds - spent));
+  }
+
+  private groupOf({entry}: RoutedStatement): DatabaseGroup | undefined {
+    return findGroup(this.options.view.current, entry.database);
+  }
+
+  private noteMissing({groups}: ClusterView): void {
+    const now = this.options.timer.now();
+    for (const {database, primary} of groups) {
+      if (primary !== undefined) this.missingSince.delete(database);
+      else if (!this.missingSince.has(database)) {
+        this.missingSince.set(database, now);
+      }
+    }
+  }
+
+  private missingMilliseconds(database: string): number {
+    const since = this.missingSince.get(database);
+    return since === undefined ? 0 : this.options.timer.now() - since;
+  }
+
+  private logAttempt(
+    {requestId, receivedAt}: RoutedStatement,
+    {member, primaryTerm, floor, floorAgeMilliseconds}: Choice,
+    result: WorkResult,
+    {machine}: WorkHolder,
+  ): void {
+    const {logger, timer, view} = this.options;
+    const fields = {
+      request: requestId,
+      member,
+      through: machine,
+      primaryTerm,
+      floor: floor && `${floor.term}.${floor.number}`,
+      floorAge: floorAgeMilliseconds && Math.round(floorAgeMilliseconds),
+      view: view.current.index,
+      spent: Math.round(timer.now() - receivedAt),
+    };
+    if (result.kind === 'answered') {
+      logger.debug('answered', {...fields, end: result.answer.end.kind});
+    } else if (result.kind === 'refused') {
+      logger.info('not run', {...fields, why: result.refusal.reason});
+    } else {
+      logger.info('lost', {...fields, why: result.reason});
+    }
+  }
+}
+
+/** Which member is tried, and under what conditions. */
+interface Choice {
+  readonly member: string;
+  readonly primaryTerm: number;
+  readonly floor: LogPosition | undefined;
+  readonly floorAgeMilliseconds?: number;
+  /** Whether it may be tried again elsewhere, even if it has run. */
+  readonly repeatable: boolean;
+  readonly timeoutMilliseconds: number;
+}
+
+function workRequest(
+  {requestId, text, opens, values, terms, entry}: RoutedStatement,
+  {member, primaryTerm, floor, repeatable, timeoutMilliseconds}: Choice,
+): WorkRequest {
+  return {
+    database: entry.database,
+    member,
+    primaryTerm,
+    priority: terms.priority,
+    waitMilliseconds: Math.min(queueMilliseconds(terms), timeoutMilliseconds),
+    first: {
+      kind: 'run',
+      requestId,
+      text,
+      opens,
+      floor,
+      values,
+      timeoutMilliseconds,
+      repeatable,
+    },
+  };
+}
+
+/** A read that opens no transaction leaves nothing behind. */
+function isRepeatable({readOnly, opens}: RoutedStatement): boolean {
+  return readOnly && opens !== 'transaction';
+}
+
+function strictest(left: ReadNeeds, right: ReadNeeds | undefined): ReadNeeds {
+  if (right?.floor === undefined) return left;
+  if (left.floor === undefined) return right;
+  const {term, number} = right.floor;
+  const later =
+    term > left.floor.term ||
+    (term === left.floor.term && number > left.floor.number);
+  return later ? right : left;
+}
+
+function next(reason: string): Attempt {
+  return {kind: 'next', reason};
+}
--- /dev/null
+++ b/packages/dispatch/src/statement_session.ts
@@ -0,0 +1,475 @@
+import {Either, Left, Right} from 'purify-ts';
+import {Observable, TIMED_OUT, withTimeout} from '@apricotlock/flow';
+import {Logger} from '@apricotlock/logging';
+import {
+  CallerAnswer,
+  CallerFailure,
+  CallerLink,
+  CallerRequest,
+  laterPosition,
+  PreparedStatement,
+  SessionState,
+  Statement,
+  StatementAnswer,
+} from '@apricotlock/statement';
+import {TimerService} from '@apricotlock/timer';
+import {
+  CatalogueEntry,
+  ClusterView,
+  findEntry,
+  ServiceTerms,
+} from '@apricotlock/topology';
+import {Opens, WorkText} from '@apricotlock/work';
+import {OwnWrite, RouteOutcome, StatementRouter} from './statement_router.js';
+import {SessionObserver} from './session_observer.js';
+import {WorkHolder, WorkResult} from './work_holder.js';
+
+const MAXIMUM_VALUES = 1_000;
+const MAXIMUM_PREPARED = 10_000;
+/** The terms of an entry that states none. */
+const DEFAULT_TERMS: ServiceTerms = {
+  consistency: 'primary',
+  statementMilliseconds: 30_000,
+  priority: 0,
+};
+
+/** What a session needs. */
+export interface StatementSessionOptions {
+  readonly link: CallerLink;
+  readonly view: Observable<ClusterView>;
+  readonly router: StatementRouter;
+  readonly timer: TimerService;
+  readonly logger: Logger;
+  readonly observer: SessionObserver;
+}
+
+/** Where the session's transaction stands. */
+type Transaction =
+  | {readonly kind: 'none'}
+  /** Begun for the caller, and not yet on any member. */
+  | {readonly kind: 'begun'; readonly readOnly: boolean}
+  /** On a member, until it ends. */
+  | {
+      readonly kind: 'open';
+      readonly holder: WorkHolder;
+      readonly terms: ServiceTerms;
+      readonly wrote: boolean;
+    }
+  /** Failed on a member, which still has it; only its end is accepted. */
+  | {
+      readonly kind: 'failed';
+      readonly holder: WorkHolder;
+      readonly terms: ServiceTerms;
+    };
+
+const NONE: Transaction = {kind: 'none'};
+
+/** A statement that a member has to run. */
+interface Forwarded {
+  readonly text: WorkText;
+  readonly readOnly: boolean;
+  readonly commits: boolean;
+}
+
+/** One caller's session, from its first message to its last. */
+export class StatementSession {
+  private database = '';
+  private values: ReadonlyMap<string, string> = new Map();
+  private prepared: ReadonlyMap<string, PreparedStatement> = new Map();
+  private transaction: Transaction = NONE;
+  private ownWrite: OwnWrite | undefined;
+  private answering = false;
+  private draining = false;
+
+  private constructor(private readonly options: StatementSessionOptions) {}
+
+  /** A session that has not begun. */
+  static create(options: StatementSessionOptions): StatementSession {
+    return new StatementSession(options);
+  }
+
+  /** Whether a request or a transaction is under way. */
+  get busy(): boolean {
+    return this.answering || this.transaction.kind !== 'none';
+  }
+
+  /** Serves the caller until it goes. */
+  async run(): Promise<void> {
+    const {link} = this.options;
+    const database = await link.start();
+    if (database === undefined) return link.close();
+    if (this.entryOf(database) === undefined) {
+      this.options.observer.failed('unknownDatabase');
+      this.options.logger.info('no such database', {
+        database,
+        catalogue: this.options.view.current.catalogue.version,
+      });
+      return link.reject({kind: 'unknownDatabase', database});
+    }
+    this.database = database;
+    link.accept();
+    await this.serve();
+    this.endTransaction();
+    link.close();
+  }
+
+  /** Ends the session as soon as nothing is under way. */
+  drain(): void {
+    this.draining = true;
+    if (!this.busy) this.options.link.close();
+  }
+
+  private async serve(): Promise<void> {
+    for (;;) {
+      const request = await this.nextRequest();
+      if (request === undefined) return;
+      this.answering = true;
+      const receivedAt = this.options.timer.now();
+      const answer = await this.answerTo(request, receivedAt);
+      this.note(request, answer, receivedAt);
+      this.options.link.answer(answer);
+      this.answering = false;
+      if (this.draining && !this.busy) return;
+    }
+  }
+
+  /** The next request; ends a transaction that stays idle for too long. */
+  private async nextRequest(): Promise<CallerRequest | undefined> {
+    const {link, timer} = this.options;
+    const request = link.receive();
+    const limit = this.idleLimit();
+    if (limit === undefined) return request;
+    const inTime = await withTimeout(timer, limit, request);
+    if (inTime !== TIMED_OUT) return inTime;
+    this.options.logger.info('ending an idle transaction', {idle: limit});
+    this.endTransaction();
+    this.transaction = NONE;
+    this.idleEnded = true;
+    return request;
+  }
+
+  /** Whether the last transaction was ended behind the caller's back. */
+  private idleEnded = false;
+
+  private idleLimit(): number | undefined {
+    const {transaction} = this;
+    if (transaction.kind !== 'open' && transaction.kind !== 'failed') {
+      return undefined;
+    }
+    return transaction.terms.idleTransactionMilliseconds;
+  }
+
+  private async answerTo(
+    {id, statement}: CallerRequest,
+    receivedAt: number,
+  ): Promise<CallerAnswer> {
+    if (this.idleEnded) {
+      this.idleEnded = false;
+      return this.fail({
+        kind: 'rolledBack',
+        reason: 'the transaction was idle for too long',
+      });
+    }
+    if (statement.isLeft()) {
+      return this.fail({
+        kind: 'malformed',
+        reason: statement.extract() as string,
+      });
+    }
+    const wanted = statement.unsafeCoerce();
+    const local = this.answerHere(wanted);
+    if (local !== undefined) return local;
+    const forwarded = this.forwardedOf(wanted);
+    return forwarded.isLeft()
+      ? this.fail(forwarded.extract() as CallerFailure)
+      : this.forward(id, forwarded.unsafeCoerce(), receivedAt);
+  }
+
+  /** The answer to what needs no member. */
+  private answerHere(statement: Statement): CallerAnswer | undefined {
+    const failed = this.transaction.kind === 'failed';
+    const ends = statement.kind === 'commit' || statement.kind === 'rollback';
+    if (failed && !ends) {
+      const reason = 'the transaction has failed and must be ended';
+      return this.fail({kind: 'malformed', reason});
+    }
+    switch (statement.kind) {
+      case 'setValue':
+        return this.setValue(statement.name, statement.value);
+      case 'prepare':
+        return this.prepare(statement.name, statement.prepared);
+      case 'deallocate':
+        return this.deallocate(statement.name);
+      case 'begin':
+        return this.begin(statement.readOnly);
+      case 'rollback':
+        this.endTransaction();
+        this.transaction = NONE;
+        return this.done();
+      case 'commit':
+        if (this.transaction.kind !== 'none') return undefined;
+        return this.fail({kind: 'malformed', reason: 'no transaction is open'});
+      default:
+        return undefined;
+    }
+  }
+
+  private setValue(name: string, value: string): CallerAnswer {
+    if (!this.values.has(name) && this.values.size >= MAXIMUM_VALUES) {
+      return this.fail({kind: 'malformed', reason: 'too many values are set'});
+    }
+    this.values = new Map([...this.values, [name, value]]);
+    return this.done();
+  }
+
+  private prepare(name: string, prepared: PreparedStatement): CallerAnswer {
+    if (this.prepared.size >= MAXIMUM_PREPARED) {
+      const reason = 'too many statements are prepared';
+      return this.fail({kind: 'malformed', reason});
+    }
+    this.prepared = new Map([...this.prepared, [name, prepared]]);
+    return this.done();
+  }
+
+  private deallocate(name: string): CallerAnswer {
+    if (!this.prepared.has(name)) {
+      return this.fail({kind: 'unknownStatement', name});
+    }
+    this.prepared = new Map(
+      [...this.prepared].filter(([known]) => known !== name),
+    );
+    return this.done();
+  }
+
+  private begin(readOnly: boolean): CallerAnswer {
+    if (this.transaction.kind !== 'none') {
+      return this.fail({
+        kind: 'malformed',
+        reason: 'a transaction is open already',
+      });
+    }
+    this.transaction = {kind: 'begun', readOnly};
+    return this.done();
+  }
+
+  /** What a member has to be sent for a statement. */
+  private forwardedOf(statement: Statement): Either<CallerFailure, Forwarded> {
+    switch (statement.kind) {
+      case 'plain': {
+        const {text, access} = statement;
+        return forwarded({kind: 'plain', text}, access === 'read', false);
+      }
+      case 'commit': {
+        const {text} = statement;
+        return forwarded({kind: 'plain', text}, true, true);
+      }
+      case 'execute': {
+        const {name, parameters} = statement;
+        const prepared = this.prepared.get(name);
+        if (prepared === undefined) {
+          return Left({kind: 'unknownStatement', name});
+        }
+        const {access, shape} = prepared;
+        return forwarded(
+          {kind: 'prepared', access, shape, parameters},
+          access === 'read',
+          false,
+        );
+      }
+      default:
+        return Left({kind: 'malformed', reason: 'not a statement'});
+    }
+  }
+
+  private forward(
+    id: string,
+    statement: Forwarded,
+    receivedAt: number,
+  ): Promise<CallerAnswer> {
+    const {transaction} = this;
+    return transaction.kind === 'open' || transaction.kind === 'failed'
+      ? this.goOn(id, statement, transaction, receivedAt)
+      : this.start(id, statement, transaction, receivedAt);
+  }
+
+  /** A statement by itself, or the first of a transaction. */
+  private async start(
+    id: string,
+    statement: Forwarded,
+    transaction: Extract<Transaction, {kind: 'none' | 'begun'}>,
+    receivedAt: number,
+  ): Promise<CallerAnswer> {
+    const {database} = this;
+    const entry = this.entryOf(database);
+    if (entry === undefined) {
+      this.transaction = NONE;
+      return this.fail({kind: 'unknownDatabase', database});
+    }
+    const terms = entry.terms ?? DEFAULT_TERMS;
+    const opens = opensFor(transaction);
+    const outcome = await this.options.router.route({
+      requestId: id,
+      text: statement.text,
+      opens,
+      values: [...this.values],
+      readOnly: opens === 'none' ? statement.readOnly : opens !== 'transaction',
+      entry,
+      terms,
+      receivedAt,
+      ownWrite: this.ownWrite,
+    });
+    if (outcome.kind !== 'answered') {
+      this.transaction = NONE;
+      return this.fail(failureOf(outcome));
+    }
+    return this.take(outcome.answer, outcome.holder, terms, statement);
+  }
+
+  /** The next statement of a transaction that a member has. */
+  private async goOn(
+    id: string,
+    statement: Forwarded,
+    {holder, terms, kind}: Extract<Transaction, {kind: 'open' | 'failed'}>,
+    receivedAt: number,
+  ): Promise<CallerAnswer> {
+    const spent = this.options.timer.now() - receivedAt;
+    const result = await holder.goOn({
+      kind: 'run',
+      requestId: id,
+      text: statement.text,
+      opens: 'none',
+      floor: undefined,
+      values: [...this.values],
+      timeoutMilliseconds: Math.round(terms.statementMilliseconds - spent),
+      repeatable: false,
+    });
+    if (result.kind === 'answered') {
+      return this.take(result.answer, holder, terms, statement);
+    }
+    holder.end();
+    this.transaction = NONE;
+    const committing = statement.commits && kind === 'open';
+    return this.fail(lossOf(result, committing));
+  }
+
+  /** Takes a member's answer into the session. */
+  private take(
+    answer: StatementAnswer,
+    holder: WorkHolder,
+    terms: ServiceTerms,
+    statement: Forwarded,
+  ): CallerAnswer {
+    const {transaction} = this;
+    const wrote =
+      !statement.readOnly || (transaction.kind === 'open' && transaction.wrote);
+    const changed = wrote && (statement.commits || answer.state === 'idle');
+    const {position, end} = answer;
+    if (changed && end.kind === 'complete' && position !== undefined) {
+      const at = this.options.timer.now();
+      const later = laterPosition(this.ownWrite?.position, position);
+      this.ownWrite = {position: later ?? position, at};
+    }
+    switch (answer.state) {
+      case 'idle':
+        holder.end();
+        this.transaction = NONE;
+        break;
+      case 'transaction':
+        this.transaction = {kind: 'open', holder, terms, wrote};
+        break;
+      case 'failed':
+        this.transaction = {kind: 'failed', holder, terms};
+        break;
+    }
+    return {kind: 'member', answer, state: this.state};
+  }
+
+  private endTransaction(): void {
+    const {transaction} = this;
+    if (transaction.kind === 'open' || transaction.kind === 'failed') {
+      transaction.holder.end();
+    }
+  }
+
+  private entryOf(database: string): CatalogueEntry | undefined {
+    return findEntry(this.options.view.current.catalogue, database);
+  }
+
+  private get state(): SessionState {
+    switch (this.transaction.kind) {
+      case 'none':
+        return 'idle';
+      case 'failed':
+        return 'failed';
+      default:
+        return 'transaction';
+    }
+  }
+
+  private done(): CallerAnswer {
+    return {kind: 'done', state: this.state};
+  }
+
+  private fail(failure: CallerFailure): CallerAnswer {
+    return {kind: 'failure', failure, state: this.state, position: undefined};
+  }
+
+  private note(
+    {id}: CallerRequest,
+    answer: CallerAnswer,
+    receivedAt: number,
+  ): void {
+    const {observer, logger, timer} = this.options;
+    const spent = timer.now() - receivedAt;
+    const entry = this.database;
+    if (answer.kind !== 'failure') {
+      if (answer.kind === 'member') observer.answered(entry, spent);
+      return;
+    }
+    const {failure} = answer;
+    observer.failed(failure.kind);
+    logger.info('failed', {
+      request: id,
+      entry,
+      outcome: failure.kind,
+      reason: 'reason' in failure ? failure.reason : undefined,
+      spent: Math.round(spent),
+      view: this.options.view.current.index,
+    });
+  }
+}
+
+function opensFor(
+  transaction: Extract<Transaction, {kind: 'none' | 'begun'}>,
+): Opens {
+  if (transaction.kind === 'none') return 'none';
+  return transaction.readOnly ? 'readOnlyTransaction' : 'transaction';
+}
+
+function forwarded(
+  text: WorkText,
+  readOnly: boolean,
+  commits: boolean,
+): Either<CallerFailure, Forwarded> {
+  return Right({text, readOnly, commits});
+}
+
+function failureOf(
+  outcome: Exclude<RouteOutcome, {kind: 'answered'}>,
+): CallerFailure {
+  if (outcome.kind === 'notRun') return outcome;
+  const {timedOut, reason} = outcome;
+  return {kind: timedOut ? 'timeout' : 'unknown', reason};
+}
+
+/** What the loss of an open transaction means to the caller. */
+function lossOf(
+  result: Exclude<WorkResult, {kind: 'answered'}>,
+  committing: boolean,
+): CallerFailure {
+  const reason = result.kind === 'lost' ? result.reason : result.refusal.reason;
+  const mayHaveRun = result.kind === 'lost' && result.mayHaveRun;
+  // Without its COMMIT at the member, the transaction can only be rolled back.
+  if (!committing || !mayHaveRun) return {kind: 'rolledBack', reason};
+  return {kind: result.timedOut ? 'timeout' : 'unknown', reason};
+}
--- a/packages/logging/src/logger.ts
+++ b/packages/logging/src/logger.ts
@@ -1,4 +1,11 @@
-import {createConsola, type ConsolaInstance, type LogObject} from 'consola';
+import {performance} from 'node:perf_hooks';
+import {
+  createConsola,
+  type ConsolaInstance,
+  type LogObject,
+} from 'consola/core';
+import {LineLimit} from './line_limit.js';
+import {LogOutput, StandardOutput} from './log_output.js';
 
 /** Named values that belong to a log line. */
 export type LogFields = Readonly<
@@ -8,7 +15,10 @@
 /** How lines are written: for people, or one JSON object a line. */
 export type LogFormat = 'text' | 'json';
 
-/** Writes structured lines to standard error. */
+/**
+ * Writes structured lines to standard output. Lines of one message are bounded
+ * in number; the field `suppressed` says how many were left out before one.
+ */
 export class Logger {
   private constructor(
     private readonly sink: ConsolaInstance,
@@ -16,8 +26,15 @@
   ) {}
 
   /** A logger for a process; `level` is consola's (3 is information). */
-  static create(format: LogFormat, level: number): Logger {
-    const sink = createConsola({level, reporters: [reporterFor(format)]});
+  static create(
+    format: LogFormat,
+    level: number,
+    output: LogOutput = StandardOutput.create(),
+  ): Logger {
+    const reporters = [reporterFor(format, output)];
+    const throttle = 0;
+    const sink = createConsola({level, reporters, throttle});
+    process.once('exit', () => output.flush());
     return new Logger(sink, {});
   }
 
@@ -56,9 +73,18 @@
   log(line: LogObject): void;
 }
 
-function reporterFor(format: LogFormat): Reporter {
+function reporterFor(format: LogFormat, output: LogOutput): Reporter {
   const render = format === 'json' ? renderJson : renderText;
-  return {log: line => process.stderr.write(`${render(line)}\n`)};
+  const limit = LineLimit.create(() => performance.now());
+  return {
+    log: line => {
+      const [message, fields] = line.args as [string, LogFields];
+      const suppressed = limit.admit(message);
+      if (suppressed === undefined) return;
+      const told = suppressed > 0 ? {...fields, suppressed} : fields;
+      output.line(render({...line, args: [message, told]}));
+    },
+  };
 }
 
 function renderJson(line: LogObject): string {
--- a/packages/topology/src/catalogue.ts
+++ b/packages/topology/src/catalogue.ts
@@ -1,7 +1,9 @@
 import {z} from 'zod';
 import {Either, Left, Right} from 'purify-ts';
 
-const NAME_PATTERN = /^[a-z][a-z0-9-]{0,62}$/;
+const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,252}$/;
+const MAXIMUM_MILLISECONDS = 3_600_000;
+const LOWEST_PRIORITY = 1_000;
 const MAXIMUM_MEMBERS = 9;
 const MAXIMUM_ENTRIES = 20_000;
 const MAXIMUM_CONNECTIONS = 10_000;
@@ -10,7 +12,10 @@
 
 const nameSchema = z
   .string()
-  .regex(NAME_PATTERN, 'a name is lower case letters, digits and hyphens');
+  .regex(
+    NAME_PATTERN,
+    'a name is letters, digits, dots, underscores and hyphens',
+  );
 
 const limitsSchema = z.strictObject({
   connections: z.int().min(1).max(MAXIMUM_CONNECTIONS),
@@ -26,6 +31,17 @@
   serverKey: z.string(),
 });
 
+const milliseconds = z.number().min(0).max(MAXIMUM_MILLISECONDS);
+
+const termsSchema = z.strictObject({
+  consistency: z.enum(['primary', 'boundedStaleness', 'readYourWrites']),
+  maximumStalenessMilliseconds: milliseconds.optional(),
+  statementMilliseconds: milliseconds,
+  objectiveMilliseconds: milliseconds.optional(),
+  idleTransactionMilliseconds: milliseconds.optional(),
+  priority: z.int().min(0).max(LOWEST_PRIORITY),
+});
+
 /** Checks one entry. */
 export const catalogueEntrySchema = z.strictObject({
   name: nameSchema,
@@ -35,6 +51,7 @@
   members: z.int().min(1).max(MAXIMUM_MEMBERS),
   limits: limitsSchema,
   verifier: verifierSchema.optional(),
+  terms: termsSchema.optional(),
 });
 
 const entriesSchema = z
@@ -77,6 +94,30 @@
   readonly serverKey: string;
 }
 
+/** What reads of an entry's callers have to show. */
+export type Consistency =
+  /** Every write that was acknowledged before the read began. */
+  | 'primary'
+  /** Every write acknowledged longer ago than the maximum staleness. */
+  | 'boundedStaleness'
+  /** The same, and all that the session itself wrote. */
+  | 'readYourWrites';
+
+/** What an entry's callers are promised for each statement. */
+export interface ServiceTerms {
+  readonly consistency: Consistency;
+  /** How old what a read shows may be. */
+  readonly maximumStalenessMilliseconds?: number | undefined;
+  /** How long one statement may take. */
+  readonly statementMilliseconds: number;
+  /** Within what time callers want a whole operation answered. */
+  readonly objectiveMilliseconds?: number | undefined;
+  /** After how long without a statement a transaction may be ended. */
+  readonly idleTransactionMilliseconds?: number | undefined;
+  /** 0 goes before all others. */
+  readonly priority: number;
+}
+
 /** One database service: who owns it, how much it matters, what it may use. */
 export interface CatalogueEntry {
   readonly name: string;
@@ -89,6 +130,8 @@
   readonly limits: EntryLimits;
   /** Without one, the entry's callers need no password. */
   readonly verifier?: EntryVerifier | undefined;
+  /** Without them, sessions state what they want themselves. */
+  readonly terms?: ServiceTerms | undefined;
 }
 
 /** All entries, under one version that only goes up. */
--- a/packages/topology/src/database_group.ts
+++ b/packages/topology/src/database_group.ts
@@ -25,6 +25,8 @@
   readonly state: MemberState;
   /** Unless it says so, only the catalogue's limits count. */
   readonly capacity?: MemberCapacity | undefined;
+  /** Which of its own reports of this incarnation was taken over last. */
+  readonly reportSequence?: number | undefined;
 }
 
 /** One database: a primary and its replicas. */
@@ -36,6 +38,16 @@
   readonly term: number;
   /** The term's primary; `undefined` while one is being chosen. */
   readonly primary: string | undefined;
+  /**
+   * The entry VM that may use the term's primary, where one is named; while a
+   * primary is being chosen, the one that might the last one.
+   */
+  readonly holder?: string | undefined;
+  /**
+   * The member whose promotion was ordered in this term. Until a primary is
+   * named it may take effect at any moment.
+   */
+  readonly promoting?: string | undefined;
   readonly members: readonly Member[];
 }
 
--- a/packages/topology/src/index.ts
+++ b/packages/topology/src/index.ts
@@ -18,9 +18,11 @@
   type Catalogue,
   type CatalogueEntry,
   type CatalogueFault,
+  type Consistency,
   type EntryLimits,
   type EntryVerifier,
   type ServiceClass,
+  type ServiceTerms,
 } from './catalogue.js';
 export {EMPTY_VIEW, findGroup, type ClusterView} from './cluster_view.js';
 export {
