--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,7 +4,9 @@
 // The Google TypeScript Style Guide, as far as a linter can check it; prettier
 // checks the layout. docs/STYLE.md says what goes before what.
 export default tseslint.config(
-  {ignores: ['**/dist/**', '**/node_modules/**']},
+  {
+    ignores: ['**/dist/**', '**/node_modules/**', 'target/**', 'journal/**'],
+  },
   eslint.configs.recommended,
   ...tseslint.configs.recommended,
   ...tseslint.configs.stylistic,
--- a/packages/appointment/src/appointer.ts
+++ b/packages/appointment/src/appointer.ts
@@ -71,7 +71,7 @@
     for (const group of log.state.current.view.groups) {
       const cause = this.causeFor(group);
       if (cause !== undefined)
-        this.exclusively(group, () => this.round(group, cause));
+        {this.exclusively(group, () => this.round(group, cause));}
     }
   }
 
