--- a/packages/appointment/src/appointer.ts
+++ b/packages/appointment/src/appointer.ts
@@ -1,4 +1,4 @@
-import {Right} from 'purify-ts';
+import {Left, Right} from 'purify-ts';
 import {
   DatabaseGroup,
   findGroup,
@@ -15,7 +15,7 @@
 
 const TICK_MILLISECONDS = 50;
 /** A holder that asks for no lease for so long is replaced. */
-const HOLDER_SILENCE_MILLISECONDS = 1_100;
+const HOLDER_SILENCE_MILLISECONDS = 750;
 /** How long a VM that could not use a primary is passed over as its holder. */
 const AVOID_HOLDER_MILLISECONDS = 5_000;
 /** Reports of other VMs than the holder's count together for so long. */
@@ -59,6 +59,7 @@
     const appointer = new Appointer(options);
     options.timer.every(TICK_MILLISECONDS, () => appointer.tick());
     options.network.handle(REPORT_PRIMARY, async report => {
+      if (!options.log.leading.current) return Left('not leading');
       appointer.reported(report.database, report.term, report);
       return Right({heard: true as const});
     });
@@ -70,8 +71,9 @@
     if (!log.leading.current) return;
     for (const group of log.state.current.view.groups) {
       const cause = this.causeFor(group);
-      if (cause !== undefined)
-        {this.exclusively(group, () => this.round(group, cause));}
+      if (cause !== undefined) {
+        this.exclusively(group, () => this.round(group, cause));
+      }
     }
   }
 
@@ -86,7 +88,7 @@
     if (primary.state === 'draining' && hasSuccessor(group)) return 'planned';
     const holder = entryMachines().find(({name}) => name === group.holder);
     if (holder?.state === 'draining') return 'holderLost';
-    const silent = grantor.silentMilliseconds(group.database);
+    const silent = grantor.silentMilliseconds(group);
     return silent > HOLDER_SILENCE_MILLISECONDS ? 'holderLost' : undefined;
   }
 
--- a/packages/appointment/src/appointment_round.ts
+++ b/packages/appointment/src/appointment_round.ts
@@ -94,11 +94,13 @@
     const round = new AppointmentRound(database, term, cause, options);
     round.note('appointing a primary', {cause, former: group.primary, holder});
     if ((opens || group.term === 0) && !(await round.open(group))) return false;
+    // Members are asked while the old holder stops: neither changes the other.
+    const reports = round.options.panel.reports(presentMembers(group));
     if (holder !== undefined) await round.stopHolder(holder);
     const current = round.group();
     if (current === undefined) return false;
     if (current.promoting !== undefined) return round.finish(current);
-    return round.choose(current, group.primary);
+    return round.choose(current, group.primary, await reports);
   }
 
   /** Opens the term in the log: no lease of an earlier one is prolonged. */
@@ -154,9 +156,8 @@
   private async choose(
     group: DatabaseGroup,
     former: string | undefined,
+    known: readonly KnownMember[],
   ): Promise<boolean> {
-    const {panel} = this.options;
-    const known = await panel.reports(presentMembers(group));
     const leading = leaderAmong(known);
     const mayStay = this.cause === 'noPrimary' || this.cause === 'holderLost';
     if (leading !== undefined && mayStay && isActive(leading)) {
--- a/packages/appointment/src/lease_grantor.ts
+++ b/packages/appointment/src/lease_grantor.ts
@@ -6,7 +6,7 @@
 import {GroupTerm, RENEW_LEASES} from '@apricotlock/work';
 
 /** How long an entry VM may use a primary after it asked. */
-export const LEASE_MILLISECONDS = 2_200;
+export const LEASE_MILLISECONDS = 1_400;
 /** Steady clocks of two VMs may differ in rate by this part at most. */
 const CLOCK_RATE_ERROR = 0.02;
 
@@ -30,6 +30,8 @@
  */
 export class LeaseGrantor {
   private readonly grantedAt = new Map<string, number>();
+  /** When each term of each group was first seen to have a primary. */
+  private readonly termSeenAt = new Map<string, number>();
   private leadingTerm: number | undefined;
   private leadingSince = 0;
 
@@ -47,17 +49,25 @@
     return grantor;
   }
 
-  /** How long ago a group's holder last got a lease, or could have. */
-  silentMilliseconds(database: string): number {
+  /** How long a group's holder has asked for nothing, though it could. */
+  silentMilliseconds({database, term}: GroupTerm): number {
+    const key = `${database} ${term}`;
     const {timer} = this.options;
-    const granted = this.grantedAt.get(database) ?? -Infinity;
-    return timer.now() - Math.max(granted, this.leadingSince);
+    // A term that is seen for the first time has only just begun.
+    const since = this.termSeenAt.get(key) ?? timer.now();
+    this.termSeenAt.set(key, since);
+    return Math.min(timer.now() - since, this.ungrantedMilliseconds(database));
   }
 
   /** How long some VM may still hold a lease of a group's earlier terms. */
   leaseLeftMilliseconds(database: string): number {
     const longest = LEASE_MILLISECONDS * (1 + CLOCK_RATE_ERROR);
-    return Math.max(0, longest - this.silentMilliseconds(database));
+    return Math.max(0, longest - this.ungrantedMilliseconds(database));
+  }
+
+  private ungrantedMilliseconds(database: string): number {
+    const granted = this.grantedAt.get(database) ?? -Infinity;
+    return this.options.timer.now() - Math.max(granted, this.leadingSince);
   }
 
   private async renew(
@@ -84,6 +94,7 @@
     this.leadingTerm = term;
     this.leadingSince = timer.now();
     this.grantedAt.clear();
+    this.termSeenAt.clear();
   }
 }
 
--- a/packages/control/src/consensus.ts
+++ b/packages/control/src/consensus.ts
@@ -55,13 +55,11 @@
   /** The name of the leader that is heard now. */
   readonly leader = Observable.of<string | undefined>(undefined);
   private leadershipHeld: Leadership | undefined;
-  private heardAt: number;
+  private heardAt = -Infinity;
   private readonly election: Election;
   private stopped = false;
 
   private constructor(private readonly options: ConsensusOptions) {
-    const {timer} = options;
-    this.heardAt = timer.now();
     this.election = Election.start({
       ...options,
       leaderHeardAt: () => this.heardAt,
--- a/packages/control/src/control_client.ts
+++ b/packages/control/src/control_client.ts
@@ -42,6 +42,8 @@
   readonly log: ControlLog | undefined;
   /** Where the newest view is kept, on a VM with a disk. */
   readonly folder: StorageFolder | undefined;
+  /** How often each VM asks another one for what it may have missed. */
+  readonly fetchMilliseconds?: number;
 }
 
 /**
--- a/packages/control/src/election.ts
+++ b/packages/control/src/election.ts
@@ -11,6 +11,9 @@
 import {DurableLog} from './durable_log.js';
 import {RandomSource} from './random_source.js';
 
+/** How long a VM that has just started waits for a leader at most. */
+const FIRST_WAIT_MILLISECONDS = 250;
+
 /** What an election needs of its control VM. */
 export interface ElectionContext {
   readonly log: DurableLog;
@@ -68,6 +71,10 @@
 
   private async watch(): Promise<void> {
     const {timer, random, timings, leaderHeardAt} = this.context;
+    // Nobody has been heard yet: a leader, if there is one, has time to speak.
+    await timer.sleep(
+      random.between(timings.heartbeatMilliseconds, FIRST_WAIT_MILLISECONDS),
+    );
     while (!this.stopped) {
       const patience = random.between(
         timings.electionMinimumMilliseconds,
--- a/packages/control/src/view_distributor.ts
+++ b/packages/control/src/view_distributor.ts
@@ -27,6 +27,8 @@
   readonly log: ControlLog | undefined;
   /** Where the newest view is kept, on a VM with a disk. */
   readonly store: ViewStore | undefined;
+  /** How often each VM asks another one for what it may have missed. */
+  readonly fetchMilliseconds?: number;
 }
 
 /**
@@ -219,7 +221,9 @@
       if (other !== undefined) void this.fetchFrom(other);
       const first = this.currentAt === -Infinity;
       await timer.sleep(
-        first ? FIRST_FETCH_PERIOD_MILLISECONDS : FETCH_PERIOD_MILLISECONDS,
+        first
+          ? FIRST_FETCH_PERIOD_MILLISECONDS
+          : (this.options.fetchMilliseconds ?? FETCH_PERIOD_MILLISECONDS),
       );
     }
   }
--- a/packages/dispatch/src/freshness_keeper.ts
+++ b/packages/dispatch/src/freshness_keeper.ts
@@ -41,6 +41,21 @@
     return new FreshnessKeeper(options);
   }
 
+  /** How long ago the holder of any primary answered, in milliseconds. */
+  get evidenceAgeMilliseconds(): number {
+    const newest = this.options.view.current.groups.map(
+      ({database}) => this.book.newest(database)?.askedAt ?? -Infinity,
+    );
+    return this.options.timer.now() - Math.max(-Infinity, ...newest);
+  }
+
+  /** How long ago a group's holder answered; 0 if it was not asked lately. */
+  silentMilliseconds(database: string): number {
+    if (!this.readAt.has(database)) return 0;
+    const answered = this.book.newest(database)?.askedAt;
+    return answered === undefined ? 0 : this.options.timer.now() - answered;
+  }
+
   /** Ends the task. */
   stop(): void {
     this.stopTicking();
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -9,12 +9,14 @@
   FreshnessKeeper,
   type FreshnessKeeperOptions,
 } from './freshness_keeper.js';
+export {isCutOff, shouldCloseIdle, type Contact} from './isolation.js';
 export {MemberStandings} from './member_standing.js';
 export {
   appointmentPatience,
   queueMilliseconds,
   type Patience,
 } from './patience.js';
+export {PathHealth, type PathHealthOptions} from './path_health.js';
 export {readOrder, type ReadNeeds} from './read_order.js';
 export {SessionHost, type SessionHostOptions} from './session_host.js';
 export {SessionObserver} from './session_observer.js';
--- a/packages/dispatch/src/session_host.ts
+++ b/packages/dispatch/src/session_host.ts
@@ -52,6 +52,13 @@
     }
   }
 
+  /** Closes the sessions that are idle now; those callers connect anew. */
+  closeIdle(): number {
+    const idle = [...this.sessions].filter(({busy}) => !busy);
+    for (const session of idle) session.drain();
+    return idle.length;
+  }
+
   /** Ends idle sessions, and the others as they become idle; gives the rest. */
   async drain(milliseconds: number): Promise<number> {
     const {timer} = this.options;
--- a/packages/dispatch/src/statement_router.ts
+++ b/packages/dispatch/src/statement_router.ts
@@ -72,7 +72,15 @@
       readonly reason: string;
     };
 
-type Attempt = RouteOutcome | {readonly kind: 'next'; readonly reason: string};
+type Attempt = RouteOutcome | Next;
+
+/** An attempt that came to nothing; another one may be made. */
+interface Next {
+  readonly kind: 'next';
+  readonly reason: string;
+  /** Whether a member may have run it; only a read is then tried again. */
+  readonly mayHaveRun: boolean;
+}
 
 /** What routing needs. */
 export interface StatementRouterOptions {
@@ -114,14 +122,14 @@
     const missing = this.missingMilliseconds(database);
     const patience = appointmentPatience(statement.terms, missing);
     const deadline = statement.receivedAt + patience.holdMilliseconds;
+    let last: Next | undefined;
     for (;;) {
       const attempt = await this.tryPrimary(statement);
       if (attempt.kind !== 'next') return attempt;
+      last = after(last, attempt);
       const left = deadline - this.options.timer.now();
       if (left < MINIMUM_ATTEMPT_MILLISECONDS) {
-        const {reason} = attempt;
-        const {retryAfterMilliseconds} = patience;
-        return {kind: 'notRun', reason, retryAfterMilliseconds};
+        return gaveUp(last, patience.retryAfterMilliseconds);
       }
       await this.options.timer.sleep(Math.min(left, RETRY_PAUSE_MILLISECONDS));
     }
@@ -144,28 +152,33 @@
 
   /** Tries members in order of what they promise, until one can. */
   private async read(statement: RoutedStatement): Promise<RouteOutcome> {
-    const patience = appointmentPatience(statement.terms, 0);
+    const {database} = statement.entry;
+    const missing = this.missingMilliseconds(database);
+    const patience = appointmentPatience(statement.terms, missing);
     const deadline = statement.receivedAt + patience.holdMilliseconds;
-    let reason = 'no member can be reached';
+    let last: Next | undefined;
     for (;;) {
-      const group = this.groupOf(statement);
-      const needs = await this.needsOf(statement);
-      if (group !== undefined && needs !== undefined) {
-        const attempt = await this.tryMembers(statement, group, needs);
-        if (attempt.kind !== 'next') return attempt;
-        reason = attempt.reason;
-      } else if (needs === undefined) {
-        reason = 'nobody can say how far the primary is';
-      }
+      const attempt = await this.tryRead(statement);
+      if (attempt.kind !== 'next') return attempt;
+      last = after(last, attempt);
       const left = deadline - this.options.timer.now();
       if (left < MINIMUM_ATTEMPT_MILLISECONDS) {
-        const retryAfterMilliseconds = RETRY_HINT_MILLISECONDS;
-        return {kind: 'notRun', reason, retryAfterMilliseconds};
+        return gaveUp(last, RETRY_HINT_MILLISECONDS);
       }
       await this.options.timer.sleep(Math.min(left, RETRY_PAUSE_MILLISECONDS));
     }
   }
 
+  private async tryRead(statement: RoutedStatement): Promise<Attempt> {
+    const needs = await this.needsOf(statement);
+    if (needs === undefined) {
+      return next('nobody can say how far the primary is');
+    }
+    const group = this.groupOf(statement);
+    if (group === undefined) return next('the database is not known yet');
+    return this.tryMembers(statement, group, needs);
+  }
+
   private async tryMembers(
     statement: RoutedStatement,
     group: DatabaseGroup,
@@ -173,17 +186,18 @@
   ): Promise<Attempt> {
     const {dataCentre} = this.options;
     const order = readOrder(group, dataCentre, needs, this.standings);
-    let last: Attempt = next('the database has no member that takes work');
+    let last = next('the database has no member that takes work');
     for (const member of order) {
       const left = this.timeLeft(statement);
       if (left < MINIMUM_ATTEMPT_MILLISECONDS) break;
-      last = await this.tryRead(statement, group, member, needs);
-      if (last.kind !== 'next') return last;
+      const attempt = await this.readFrom(statement, group, member, needs);
+      if (attempt.kind !== 'next') return attempt;
+      last = after(last, attempt);
     }
     return last;
   }
 
-  private tryRead(
+  private readFrom(
     statement: RoutedStatement,
     group: DatabaseGroup,
     {name}: Member,
@@ -208,18 +222,22 @@
   ): Promise<Attempt> {
     const {gate, timer} = this.options;
     const work = gate.open(group, workRequest(statement, choice));
-    if (work === undefined) return next('the VM of the primary is not there');
+    if (work === undefined) return next('no VM can reach the member now');
     const holder = WorkHolder.of(work, gate, timer);
-    const result = await holder.result(choice.timeoutMilliseconds);
+    const {timeoutMilliseconds, repeatable} = choice;
+    const result = await holder.result(timeoutMilliseconds, repeatable);
     this.logAttempt(statement, choice, result, holder);
     if (result.kind === 'answered') {
       return this.judgeAnswer(choice, result, holder);
     }
     holder.end();
-    if (result.kind === 'refused') return this.judgeRefusal(choice, result);
-    this.standings.failed(choice.member);
+    if (result.kind === 'refused') {
+      return this.judgeRefusal(choice, result, holder);
+    }
     const {mayHaveRun, timedOut, reason} = result;
-    if (!mayHaveRun || choice.repeatable) return next(reason);
+    // A VM that is lost says nothing of the member.
+    if (!timedOut) this.standings.failed(choice.member);
+    if (!mayHaveRun || choice.repeatable) return next(reason, mayHaveRun);
     return {kind: 'unknown', timedOut, reason};
   }
 
@@ -244,12 +262,13 @@
   private judgeRefusal(
     {member}: Choice,
     {refusal}: Extract<WorkResult, {kind: 'refused'}>,
+    {machine}: WorkHolder,
   ): Attempt {
     const {reason, retryAfterMilliseconds} = refusal;
     if (reason === 'overloaded') {
       this.standings.refused(member, retryAfterMilliseconds);
-    } else {
-      this.standings.failed(member);
+    } else if (reason === 'unreachable') {
+      this.options.gate.cannotReach(machine, member);
     }
     return next(`${member}: ${reason}`);
   }
@@ -301,8 +320,10 @@
   }
 
   private missingMilliseconds(database: string): number {
-    const since = this.missingSince.get(database);
-    return since === undefined ? 0 : this.options.timer.now() - since;
+    const {timer, freshness} = this.options;
+    const since = this.missingSince.get(database) ?? timer.now();
+    const silent = freshness.silentMilliseconds(database);
+    return Math.max(timer.now() - since, silent);
   }
 
   private logAttempt(
@@ -381,6 +402,22 @@
   return later ? right : left;
 }
 
-function next(reason: string): Attempt {
-  return {kind: 'next', reason};
+function next(reason: string, mayHaveRun = false): Next {
+  return {kind: 'next', reason, mayHaveRun};
+}
+
+/** The last answer to a caller after attempts that led to nothing. */
+function gaveUp(
+  {reason, mayHaveRun}: Next,
+  retryAfterMilliseconds: number,
+): RouteOutcome {
+  return mayHaveRun
+    ? {kind: 'unknown', timedOut: true, reason}
+    : {kind: 'notRun', reason, retryAfterMilliseconds};
+}
+
+/** Once an attempt may have run, no later one can undo that. */
+function after(earlier: Next | undefined, attempt: Next): Next {
+  const mayHaveRun = attempt.mayHaveRun || earlier?.mayHaveRun === true;
+  return {...attempt, mayHaveRun};
 }
--- a/packages/dispatch/src/statement_session.ts
+++ b/packages/dispatch/src/statement_session.ts
@@ -24,6 +24,8 @@
 import {SessionObserver} from './session_observer.js';
 import {WorkHolder, WorkResult} from './work_holder.js';
 
+/** How long a caller waits for a VM that knows nothing yet. */
+const CATALOGUE_WAIT_MILLISECONDS = 1_000;
 const MAXIMUM_VALUES = 1_000;
 const MAXIMUM_PREPARED = 10_000;
 /** The terms of an entry that states none. */
@@ -98,7 +100,8 @@
     const {link} = this.options;
     const database = await link.start();
     if (database === undefined) return link.close();
-    if (this.entryOf(database) === undefined) {
+    await this.catalogueKnown();
+    if (this.hasCatalogue && this.entryOf(database) === undefined) {
       this.options.observer.failed('unknownDatabase');
       this.options.logger.info('no such database', {
         database,
@@ -303,7 +306,7 @@
     const entry = this.entryOf(database);
     if (entry === undefined) {
       this.transaction = NONE;
-      return this.fail({kind: 'unknownDatabase', database});
+      return this.fail(this.unknownDatabase(database));
     }
     const terms = entry.terms ?? DEFAULT_TERMS;
     const opens = opensFor(transaction);
@@ -391,6 +394,27 @@
     }
   }
 
+  /** Before the first view has come nobody can say which databases exist. */
+  private get hasCatalogue(): boolean {
+    return this.options.view.current.catalogue.version > 0;
+  }
+
+  private async catalogueKnown(): Promise<void> {
+    const {timer, view} = this.options;
+    if (this.hasCatalogue) return;
+    const known = view.until(({catalogue}) => catalogue.version > 0);
+    await withTimeout(timer, CATALOGUE_WAIT_MILLISECONDS, known);
+  }
+
+  private unknownDatabase(database: string): CallerFailure {
+    if (this.hasCatalogue) return {kind: 'unknownDatabase', database};
+    return {
+      kind: 'notRun',
+      reason: 'this VM has only just started',
+      retryAfterMilliseconds: CATALOGUE_WAIT_MILLISECONDS,
+    };
+  }
+
   private entryOf(database: string): CatalogueEntry | undefined {
     return findEntry(this.options.view.current.catalogue, database);
   }
--- a/packages/dispatch/src/work_gate.ts
+++ b/packages/dispatch/src/work_gate.ts
@@ -14,10 +14,11 @@
   WorkService,
   WorkUp,
 } from '@apricotlock/work';
+import {PathHealth} from './path_health.js';
 
 /** VMs that are considered for the work on one member. */
 const CANDIDATES = 3;
-/** How long a VM that did not answer is passed over. */
+/** How long a VM that can't reach a member is passed over for it. */
 const AVOID_MILLISECONDS = 1_000;
 
 /** A conversation with the VM that works on a member. */
@@ -30,6 +31,7 @@
   readonly machines: Observable<readonly VirtualMachine[]>;
   readonly network: PeerNetwork;
   readonly work: WorkService;
+  readonly health: PathHealth;
   readonly timer: TimerService;
 }
 
@@ -68,11 +70,20 @@
     return {channel: pair.caller, machine: self};
   }
 
-  /** Notes that a VM did not answer. */
-  failed(machine: string): void {
-    const {self, timer} = this.options;
-    if (machine === self) return;
-    this.avoidUntil.set(machine, timer.now() + AVOID_MILLISECONDS);
+  /** Asks a VM for a sign of life; `false` if none comes. */
+  check(machine: string): Promise<boolean> {
+    return this.options.health.check(machine);
+  }
+
+  /** The link to a VM broke while it worked. */
+  broken(machine: string): void {
+    this.options.health.broken(machine);
+  }
+
+  /** Notes that a VM can't reach a member. */
+  cannotReach(machine: string, member: string): void {
+    const until = this.options.timer.now() + AVOID_MILLISECONDS;
+    this.avoidUntil.set(pathKey(machine, member), until);
   }
 
   private machineFor(
@@ -80,8 +91,10 @@
     {member, primaryTerm}: WorkRequest,
   ): VirtualMachine | undefined {
     const {machines, self} = this.options;
+    const {health} = this.options;
     if (primaryTerm > 0) {
-      return machines.current.find(({name}) => name === group.holder);
+      const holder = machines.current.find(({name}) => name === group.holder);
+      return holder && health.isGood(holder.name) ? holder : undefined;
     }
     const dataCentre = findMember(group, member)?.dataCentre ?? '';
     const ranking = ownerRanking(
@@ -90,12 +103,17 @@
       machines.current,
       CANDIDATES,
     );
-    const answering = ranking.find(({name}) => !this.isAvoided(name));
-    return answering ?? machines.current.find(({name}) => name === self);
+    const own = machines.current.filter(({name}) => name === self);
+    return [...ranking, ...own].find(({name}) => this.mayReach(name, member));
   }
 
-  private isAvoided(machine: string): boolean {
-    const until = this.avoidUntil.get(machine) ?? -Infinity;
-    return this.options.timer.now() < until;
+  private mayReach(machine: string, member: string): boolean {
+    const {health, timer} = this.options;
+    const until = this.avoidUntil.get(pathKey(machine, member)) ?? -Infinity;
+    return health.isGood(machine) && timer.now() >= until;
   }
 }
+
+function pathKey(machine: string, member: string): string {
+  return `${machine} ${member}`;
+}
--- a/packages/dispatch/src/work_holder.ts
+++ b/packages/dispatch/src/work_holder.ts
@@ -1,9 +1,12 @@
-import {TIMED_OUT, withTimeout} from '@apricotlock/flow';
+import {Deferred, TIMED_OUT, withTimeout} from '@apricotlock/flow';
 import {StatementAnswer} from '@apricotlock/statement';
 import {TimerService} from '@apricotlock/timer';
-import {WorkRefusal, WorkStatement} from '@apricotlock/work';
+import {WorkDown, WorkRefusal, WorkStatement} from '@apricotlock/work';
 import {OpenWork, WorkGate} from './work_gate.js';
 
+/** Work that takes longer raises the question whether its VM is there. */
+const PATIENCE_MILLISECONDS = 80;
+
 /** How a statement ended, as far as this VM knows. */
 export type WorkResult =
   | {
@@ -22,6 +25,8 @@
 
 /** Work on a member, as the session that asked for it sees it. */
 export class WorkHolder {
+  private ended = false;
+
   private constructor(
     private readonly work: OpenWork,
     private readonly gate: WorkGate,
@@ -38,23 +43,37 @@
     return this.work.machine;
   }
 
-  /** Waits for what becomes of the statement that was sent last. */
-  async result(timeoutMilliseconds: number): Promise<WorkResult> {
+  /**
+   * Waits for what becomes of the statement that was sent last. One that can be
+   * repeated is given up as soon as the VM seems lost; for any other the answer
+   * may still come, and is worth the wait.
+   */
+  async result(
+    timeoutMilliseconds: number,
+    repeatable: boolean,
+  ): Promise<WorkResult> {
+    const {timer, gate} = this;
     const {channel, machine} = this.work;
-    const received = channel.receive();
-    const message = await withTimeout(
-      this.timer,
-      timeoutMilliseconds,
-      received,
-    );
-    if (message === TIMED_OUT) {
-      this.gate.failed(machine);
-      this.end();
-      const reason = `${machine} did not answer in time`;
-      return {kind: 'lost', mayHaveRun: true, timedOut: true, reason};
-    }
+    const received = channel.receive().then(message => this.taken(message));
+    const first = Math.min(timeoutMilliseconds, PATIENCE_MILLISECONDS);
+    const early = await withTimeout(timer, first, received);
+    if (early !== TIMED_OUT) return early;
+    const lostPath = Deferred.create<typeof TIMED_OUT>();
+    void gate.check(machine).then(alive => {
+      if (!alive && repeatable) lostPath.resolve(TIMED_OUT);
+    });
+    const rest = withTimeout(timer, timeoutMilliseconds - first, received);
+    const late = await Promise.race([rest, lostPath.promise]);
+    if (late !== TIMED_OUT) return late;
+    this.end();
+    const reason = `${machine} did not answer in time`;
+    return {kind: 'lost', mayHaveRun: true, timedOut: true, reason};
+  }
+
+  private taken(message: WorkDown | undefined): WorkResult {
+    const {machine} = this.work;
     if (message === undefined) {
-      this.gate.failed(machine);
+      if (!this.ended) this.gate.broken(machine);
       const reason = `the link to ${machine} was lost`;
       return {kind: 'lost', mayHaveRun: true, timedOut: false, reason};
     }
@@ -67,11 +86,12 @@
       const reason = 'the work had ended';
       return {kind: 'lost', mayHaveRun: false, timedOut: false, reason};
     }
-    return this.result(statement.timeoutMilliseconds);
+    return this.result(statement.timeoutMilliseconds, false);
   }
 
   /** Gives the work up; an open transaction is rolled back. */
   end(): void {
+    this.ended = true;
     this.work.channel.send({kind: 'release'});
     this.work.channel.end();
   }
--- a/packages/membership/src/swim_membership.ts
+++ b/packages/membership/src/swim_membership.ts
@@ -39,6 +39,8 @@
 const PUBLISH_DELAY_MILLISECONDS = 10;
 const SYNCHRONIZE_EVERY_PERIODS = 20;
 const RECONNECT_EVERY_PERIODS = 8;
+/** For so long after its start a process greets every seed it misses. */
+const JOINING_PERIODS = 40;
 const SETTLED_AFTER_MILLISECONDS = 10_000;
 const FORGET_EVERY_PERIODS = 240;
 const MAXIMUM_SYNCHRONIZATION_DATAGRAMS = 16;
@@ -138,6 +140,8 @@
     }
     if (this.isAlone() || this.rounds % RECONNECT_EVERY_PERIODS === 0) {
       this.reconnect();
+    } else if (this.rounds <= JOINING_PERIODS) {
+      this.greetSeeds();
     }
     if (this.rounds % FORGET_EVERY_PERIODS === 0) {
       this.link.forget(this.table.forget());
@@ -318,6 +322,16 @@
     if (answers) this.sendDigest(from, false);
   }
 
+  /**
+   * Processes that start together find some others first, and would stay
+   * apart from the rest until one of them happened to greet it.
+   */
+  private greetSeeds(): void {
+    for (const seed of this.unknownSeeds()) {
+      this.sendDigest(seed, true, [this.own]);
+    }
+  }
+
   /** Greets a process that is thought dead, or a seed that is not known. */
   private reconnect(): void {
     const dead = this.table.dead();
--- a/packages/work/src/connection_set.ts
+++ b/packages/work/src/connection_set.ts
@@ -6,20 +6,30 @@
 import {TimerService, Unsubscribe} from '@apricotlock/timer';
 import {WorkConnection} from './work_connection.js';
 
-const CONNECT_TIMEOUT_MILLISECONDS = 700;
-const RETRY_MILLISECONDS = 100;
+const CONNECT_TIMEOUT_MILLISECONDS = 350;
+const RETRY_MILLISECONDS = 150;
 const CHECK_TIMEOUT_MILLISECONDS = 200;
 const MAXIMUM_OPENING = 2;
 const IDLE_LIMIT_MILLISECONDS = 20_000;
-const IDLE_CHECK_MILLISECONDS = 5_000;
+/** The same for a member that another VM works on as a rule. */
+const SHORT_IDLE_LIMIT_MILLISECONDS = 1_500;
+const IDLE_CHECK_MILLISECONDS = 1_000;
+/** After a refusal for want of room, others may need it more. */
+const FULL_RETRY_MILLISECONDS = 500;
+
+/** How many connections there may be. */
+export interface ConnectionLimits {
+  /** At once, those being opened included. */
+  readonly maximum: number;
+  /** Kept open ahead of need. */
+  readonly warm: number;
+}
 
 /** What a set of connections needs. */
 export interface ConnectionSetOptions {
   readonly target: MemberTarget;
   readonly connector: MemberConnector;
   readonly timer: TimerService;
-  /** How many may be open at once, those being opened included. */
-  readonly maximum: number;
   /** A connection has become free. */
   readonly changed: () => void;
   /** A connection could not be opened. */
@@ -34,7 +44,7 @@
   private readonly lent = new Set<WorkConnection>();
   private opening = 0;
   private wanted = 0;
-  private warm = 0;
+  private limits: ConnectionLimits = {maximum: 0, warm: 0};
   private closed = false;
   private pausedUntil = 0;
   private readonly stopChecking: Unsubscribe;
@@ -66,9 +76,9 @@
     this.openMore();
   }
 
-  /** Keeps this many open ahead of need. */
-  keepWarm(count: number): void {
-    this.warm = count;
+  /** Takes over limits; what is over them goes once it is idle. */
+  setLimits(limits: ConnectionLimits): void {
+    this.limits = limits;
     this.openMore();
   }
 
@@ -84,7 +94,7 @@
   /** Takes a lent connection back, for the next one who needs it. */
   put(connection: WorkConnection): void {
     this.lent.delete(connection);
-    if (this.closed || !connection.member.usable) {
+    if (this.closed || !connection.member.usable || this.isOverFull) {
       connection.member.close();
       this.openMore();
       return;
@@ -109,12 +119,17 @@
     await Promise.all(idle.map(connection => this.check(connection)));
   }
 
-  /** Closes every connection, lent ones too, and opens no more. */
+  /** Closes every connection, lent ones too. */
+  closeAll(): void {
+    for (const {member} of [...this.idle, ...this.lent]) member.close();
+    this.idle = [];
+  }
+
+  /** Closes every connection and opens no more. */
   close(): void {
     this.closed = true;
     this.stopChecking();
-    for (const {member} of [...this.idle, ...this.lent]) member.close();
-    this.idle = [];
+    this.closeAll();
   }
 
   private async check(connection: WorkConnection): Promise<void> {
@@ -123,12 +138,17 @@
     else this.discard(connection);
   }
 
+  private get isOverFull(): boolean {
+    return this.count >= this.limits.maximum;
+  }
+
   private openMore(): void {
-    const {timer, maximum} = this.options;
+    const {timer} = this.options;
+    const {maximum, warm} = this.limits;
     if (this.closed || timer.now() < this.pausedUntil) return;
     while (this.opening < MAXIMUM_OPENING && this.count < maximum) {
       const ready = this.idle.length + this.opening;
-      if (ready >= this.wanted && this.count >= this.warm) return;
+      if (ready >= this.wanted && this.count >= warm) return;
       void this.openOne();
     }
   }
@@ -156,8 +176,10 @@
   private connectFailed(error: ConnectError): void {
     if (this.closed) return;
     const {timer} = this.options;
-    this.pausedUntil = timer.now() + RETRY_MILLISECONDS;
-    timer.once(RETRY_MILLISECONDS + 1, () => this.openMore());
+    const full = error.kind === 'tooManyConnections';
+    const pause = full ? FULL_RETRY_MILLISECONDS : RETRY_MILLISECONDS;
+    this.pausedUntil = timer.now() + pause;
+    timer.once(pause + 1, () => this.openMore());
     this.options.failed(error);
   }
 
@@ -167,9 +189,12 @@
   }
 
   private closeUnused(): void {
-    const oldest = this.options.timer.now() - IDLE_LIMIT_MILLISECONDS;
+    const {warm} = this.limits;
+    const limit =
+      warm > 0 ? IDLE_LIMIT_MILLISECONDS : SHORT_IDLE_LIMIT_MILLISECONDS;
+    const oldest = this.options.timer.now() - limit;
     const unused = this.idle.filter(({usedAt}) => usedAt < oldest);
-    const excess = Math.max(0, this.count - this.warm);
+    const excess = Math.max(0, this.count - warm);
     const gone = unused.slice(0, excess);
     this.idle = this.idle.filter(each => !gone.includes(each));
     for (const {member} of gone) member.close();
--- a/packages/work/src/index.ts
+++ b/packages/work/src/index.ts
@@ -4,6 +4,7 @@
  *
  * @packageDocumentation
  */
+export {type ConnectionLimits} from './connection_set.js';
 export {
   ConnectionContext,
   preparedName,
@@ -22,6 +23,7 @@
 export {PrimaryLeases, type RenewalStart} from './primary_leases.js';
 export {
   CURRENT_POSITION,
+  PING,
   WORK,
   type Opens,
   type WorkDown,
--- a/packages/work/src/member_worker.ts
+++ b/packages/work/src/member_worker.ts
@@ -11,7 +11,7 @@
   StatementAnswer,
 } from '@apricotlock/statement';
 import {TimerService, Unsubscribe} from '@apricotlock/timer';
-import {ConnectionSet} from './connection_set.js';
+import {ConnectionLimits, ConnectionSet} from './connection_set.js';
 import {preparedName} from './connection_context.js';
 import {Symptom} from './lease_messages.js';
 import {WorkConnection} from './work_connection.js';
@@ -29,14 +29,12 @@
 const PROBE_TIMEOUT_MILLISECONDS = 300;
 const UNREACHABLE_RETRY_MILLISECONDS = 200;
 const ROLLBACK_TIMEOUT_MILLISECONDS = 500;
-/** How long a member counts as unreachable after an attempt has failed. */
-const UNREACHABLE_MEMORY_MILLISECONDS = 300;
 
 /** What the worker of a member needs. */
 export interface MemberWorkerOptions {
   readonly target: MemberTarget;
   readonly slots: number;
-  readonly maximumConnections: number;
+  readonly connections: ConnectionLimits;
   readonly connector: MemberConnector;
   readonly timer: TimerService;
   readonly logger: Logger;
@@ -57,21 +55,20 @@
 export class MemberWorker {
   private readonly connections: ConnectionSet;
   private readonly queue: WorkQueue<WorkConnection>;
-  private unreachableUntil = 0;
+  private reachable = true;
+  private usedAt: number;
   private runningStatements = 0;
 
   private constructor(private readonly options: MemberWorkerOptions) {
-    const {target, connector, timer, maximumConnections, slots} = options;
+    const {target, connector, timer, slots} = options;
+    this.usedAt = timer.now();
     this.connections = ConnectionSet.create({
       target,
       connector,
       timer,
-      maximum: maximumConnections,
       changed: () => this.queue.connectionsChanged(),
       failed: error => this.connectFailed(error),
-      opened: () => {
-        this.unreachableUntil = 0;
-      },
+      opened: () => this.setReachable(true),
     });
     this.queue = WorkQueue.create({
       slots,
@@ -79,6 +76,7 @@
       take: () => this.connections.take(),
       wanted: count => this.connections.want(count),
     });
+    this.connections.setLimits(options.connections);
   }
 
   /** A worker without connections. */
@@ -106,9 +104,14 @@
     return this.queue.expectedWaitMilliseconds;
   }
 
-  /** Keeps connections open ahead of need. */
-  keepWarm(count: number): void {
-    this.connections.keepWarm(count);
+  /** How long nobody has asked for anything, in milliseconds. */
+  get unusedMilliseconds(): number {
+    return this.busy ? 0 : this.options.timer.now() - this.usedAt;
+  }
+
+  /** Takes over how many connections there may be. */
+  setConnections(limits: ConnectionLimits): void {
+    this.connections.setLimits(limits);
   }
 
   /** Closes every connection; what is under way on them is lost. */
@@ -121,7 +124,10 @@
   async serve(request: WorkRequest, channel: Channel): Promise<void> {
     const {timer, mayUse} = this.options;
     if (!mayUse(request.primaryTerm)) return this.refuse(channel, 'notHolder');
-    if (timer.now() < this.unreachableUntil) {
+    this.usedAt = timer.now();
+    if (!this.reachable) {
+      // A try in the background finds out when that changes.
+      this.connections.want(1);
       return this.refuse(channel, 'unreachable');
     }
     const inbox = WorkInbox.over(channel);
@@ -131,8 +137,7 @@
       inbox.gone,
     );
     if (turn.isLeft()) {
-      const reason =
-        timer.now() < this.unreachableUntil ? 'unreachable' : 'overloaded';
+      const reason = this.reachable ? 'overloaded' : 'unreachable';
       const wait = turn.extract() as {expectedWaitMilliseconds: number};
       return this.refuse(channel, reason, wait.expectedWaitMilliseconds);
     }
@@ -322,7 +327,7 @@
   }
 
   private connectFailed(error: ConnectError): void {
-    const {timer, logger, target, trouble} = this.options;
+    const {logger, target, trouble} = this.options;
     logger.warn('no connection to the member', {
       member: target.name,
       database: target.database,
@@ -330,11 +335,27 @@
       reason: error.reason,
     });
     if (error.kind === 'tooManyConnections') return;
-    this.unreachableUntil = timer.now() + UNREACHABLE_MEMORY_MILLISECONDS;
-    this.queue.refuseAll();
+    this.setReachable(false);
     trouble(symptomOf(error));
   }
 
+  /** What waits for a member that can't be reached is better off elsewhere. */
+  private setReachable(reachable: boolean): void {
+    const {logger, target} = this.options;
+    if (this.reachable !== reachable) {
+      const {name: member, database} = target;
+      logger.info(reachable ? 'reached a member' : 'lost a member', {
+        member,
+        database,
+      });
+    }
+    this.reachable = reachable;
+    if (!reachable) {
+      this.queue.refuseAll();
+      this.connections.closeAll();
+    }
+  }
+
   private noteRefusedRole(
     {primaryTerm}: WorkRequest,
     {end}: StatementAnswer,
--- a/packages/work/src/work_messages.ts
+++ b/packages/work/src/work_messages.ts
@@ -93,6 +93,19 @@
       : undefined,
 );
 
+/** Asks a VM for a sign of life. */
+export const PING = PeerCall.define<
+  Readonly<Record<string, never>>,
+  {readonly alive: boolean}
+>(
+  'work.ping',
+  candidate => (hasFields(candidate, {}) ? {} : undefined),
+  candidate =>
+    hasFields(candidate, {alive: 'boolean'})
+      ? (candidate as {alive: boolean})
+      : undefined,
+);
+
 /** Asks the VM that may use a primary up to where its log has come. */
 export const CURRENT_POSITION = PeerCall.define<
   {readonly database: string; readonly term: number},
--- a/packages/work/src/work_service.ts
+++ b/packages/work/src/work_service.ts
@@ -15,7 +15,10 @@
   findGroup,
   findMember,
   Member,
+  ownerOf,
+  VirtualMachine,
 } from '@apricotlock/topology';
+import {ConnectionLimits} from './connection_set.js';
 import {LeaderClient} from './leader_client.js';
 import {REPORT_PRIMARY, STOP_USING, Symptom} from './lease_messages.js';
 import {LeaseRenewer} from './lease_renewer.js';
@@ -23,6 +26,7 @@
 import {PrimaryLeases} from './primary_leases.js';
 import {
   CURRENT_POSITION,
+  PING,
   WORK,
   WorkDown,
   WorkRequest,
@@ -31,10 +35,13 @@
 
 const DEFAULT_SLOTS = 2;
 const DEFAULT_CONNECTIONS = 16;
-/** Connections of a member that control may need. */
-const CONTROL_RESERVE = 3;
-/** The part of a member's connections for a VM that shares it. */
-const SHARED_PART = 0.4;
+/** The part of a primary's connections for the VM that holds it. */
+const HOLDER_PART = 0.7;
+/** The part of a replica's connections for the VM that works on it as a rule. */
+const REGULAR_PART = 0.5;
+/** After how long without work a member is let go. */
+const UNUSED_LIMIT_MILLISECONDS = 5_000;
+const UNUSED_CHECK_MILLISECONDS = 1_000;
 const REPORT_TIMEOUT_MILLISECONDS = 600;
 /** Between two reports of the same symptom. */
 const REPORT_PAUSE_MILLISECONDS = 150;
@@ -48,6 +55,8 @@
 export interface WorkServiceOptions {
   readonly self: string;
   readonly view: Observable<ClusterView>;
+  /** The VMs that work on members. */
+  readonly machines: Observable<readonly VirtualMachine[]>;
   readonly network: PeerNetwork;
   readonly connector: MemberConnector;
   readonly leader: LeaderClient;
@@ -90,6 +99,7 @@
     network.handleConversation(WORK, (request, channel) =>
       service.serve(request, channel),
     );
+    network.handle(PING, async () => Right({alive: true}));
     network.handle(CURRENT_POSITION, async ({database, term}) => {
       const position = service.currentPosition(database, term);
       return position === undefined ? Left('not the holder') : Right(position);
@@ -98,6 +108,8 @@
       service.stopUsing(database, term, graceMilliseconds),
     );
     view.subscribe(() => service.viewChanged());
+    options.machines.subscribe(() => service.viewChanged());
+    options.timer.every(UNUSED_CHECK_MILLISECONDS, () => service.dropUnused());
     return service;
   }
 
@@ -147,20 +159,33 @@
     return this.workers.get(member)?.expectedWaitMilliseconds;
   }
 
+  /** Lets go of members that are gone, and takes over others' new parts. */
   private viewChanged(): void {
-    const members = new Map(
-      this.options.view.current.groups.flatMap(group =>
-        group.members.map(member => [member.name, member] as const),
-      ),
-    );
+    const {groups} = this.options.view.current;
     for (const [name, worker] of this.workers) {
-      const member = members.get(name);
-      if (member !== undefined && isSameTarget(member, worker)) continue;
-      worker.close();
-      this.workers.delete(name);
+      const group = groups.find(each => findMember(each, name) !== undefined);
+      const member = group && findMember(group, name);
+      if (group === undefined || member === undefined) this.drop(worker);
+      else if (!isSameTarget(member, worker)) this.drop(worker);
+      else {
+        const limits = this.connectionsFor(group, member, slotsOf(member));
+        worker.setConnections(limits);
+      }
     }
   }
 
+  private dropUnused(): void {
+    for (const worker of this.workers.values()) {
+      const unused = worker.unusedMilliseconds;
+      if (unused > UNUSED_LIMIT_MILLISECONDS) this.drop(worker);
+    }
+  }
+
+  private drop(worker: MemberWorker): void {
+    worker.close();
+    this.workers.delete(worker.target.name);
+  }
+
   private workerFor(database: string, name: string): MemberWorker | undefined {
     const group = findGroup(this.options.view.current, database);
     const member = group && findMember(group, name);
@@ -174,19 +199,14 @@
   }
 
   private createWorker(group: DatabaseGroup, member: Member): MemberWorker {
-    const {connector, timer, logger, self} = this.options;
+    const {connector, timer, logger} = this.options;
     const {database} = group;
-    const {name, address, capacity} = member;
-    const slots = capacity?.slots ?? DEFAULT_SLOTS;
-    const all = this.connectionLimit(member);
-    const holds = group.primary === name && group.holder === self;
-    const maximumConnections = holds
-      ? Math.max(1, all - CONTROL_RESERVE)
-      : Math.max(1, Math.floor(all * SHARED_PART));
+    const {name, address} = member;
+    const slots = slotsOf(member);
     const worker = MemberWorker.create({
       target: {database, name, host: address.host, port: address.port},
       slots,
-      maximumConnections,
+      connections: this.connectionsFor(group, member, slots),
       connector,
       timer,
       logger,
@@ -194,10 +214,30 @@
       trouble: symptom => void this.report(database, name, symptom),
       answered: answer => this.noteAnswer(database, name, answer),
     });
-    worker.keepWarm(Math.min(maximumConnections, slots + SPARE_CONNECTIONS));
     return worker;
   }
 
+  /** How many connections this VM may have to a member, by its part in it. */
+  private connectionsFor(
+    group: DatabaseGroup,
+    member: Member,
+    slots: number,
+  ): ConnectionLimits {
+    const {self, machines} = this.options;
+    const all = this.connectionLimit(member);
+    const needed = slots + SPARE_CONNECTIONS;
+    const atLeast = (part: number) => Math.max(1, Math.floor(all * part));
+    if (group.primary === member.name) {
+      return group.holder === self
+        ? {maximum: atLeast(HOLDER_PART), warm: needed}
+        : {maximum: 1, warm: 0};
+    }
+    const regular = ownerOf(member.name, member.dataCentre, machines.current);
+    return regular?.name === self
+      ? {maximum: atLeast(REGULAR_PART), warm: needed}
+      : {maximum: needed, warm: 0};
+  }
+
   /** How many connections a member takes from all VMs together. */
   private connectionLimit({database, capacity}: Member): number {
     const {entries} = this.options.view.current.catalogue;
@@ -230,9 +270,6 @@
     const group = findGroup(this.options.view.current, database);
     const primary = group?.primary;
     if (primary === undefined) return;
-    // Its limits differ from those of a replica's worker.
-    this.workers.get(primary)?.close();
-    this.workers.delete(primary);
     void this.learnPosition(database, term, primary);
   }
 
@@ -314,6 +351,10 @@
   }
 }
 
+function slotsOf({capacity}: Member): number {
+  return capacity?.slots ?? DEFAULT_SLOTS;
+}
+
 function isSameTarget(
   {address, state}: Member,
   {target}: MemberWorker,
