--- a/packages/checks/src/tree_main.ts
+++ b/packages/checks/src/tree_main.ts
@@ -1,6 +1,7 @@
 import {readFileSync, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
 import {importCycle, importFaults} from './import_graph.js';
+import {platformWordFaults} from './platform_words.js';
 import {promisesFaults} from './promises_page.js';
 import {referencePage} from './reference_page.js';
 import {readWorkspace, WorkspacePackage} from './workspace_package.js';
@@ -16,6 +17,7 @@
 } else {
   const faults = [...importFaults(packages), ...cycleFault(), ...pageFault()];
   faults.push(...shareFault(packages), ...promisesFaults(root));
+  faults.push(...platformWordFaults(root));
   for (const fault of faults) process.stdout.write(`${fault}\n`);
   process.stdout.write(`the tree has ${faults.length} faults\n`);
   process.exitCode = faults.length === 0 ? 0 : 1;
--- a/packages/checks/src/workspace_package.ts
+++ b/packages/checks/src/workspace_package.ts
@@ -21,11 +21,11 @@
   readonly dependencies?: Readonly<Record<string, string>>;
 }
 
-/** Reads every package below `packages/`. */
+/** Reads every package below `packages/`, and the one in `platform/`. */
 export function readWorkspace(root: string): readonly WorkspacePackage[] {
   const folder = join(root, 'packages');
-  return readdirSync(folder)
-    .map(name => join(folder, name))
+  const below = readdirSync(folder).map(name => join(folder, name));
+  return [...below, join(root, 'platform')]
     .filter(path => existsSync(join(path, 'package.json')))
     .map(readPackage);
 }
--- /dev/null
+++ b/packages/work/test/member_worker_test.ts
@@ -0,0 +1,207 @@
+import {expect} from 'chai';
+import {Logger} from '@apricotlock/logging';
+import {createChannelPair, PeerChannel} from '@apricotlock/peer';
+import {ConnectError, StatementAnswer} from '@apricotlock/statement';
+import {ManualTimerService} from '@apricotlock/timer';
+import {
+  MemberWorker,
+  Symptom,
+  WorkDown,
+  WorkRequest,
+  WorkStatement,
+  WorkUp,
+} from '../src/index.js';
+import {Answering, complete, FakeMemberConnector} from './fake_member.js';
+
+const TARGET = {database: 'ledger', name: 'm1', host: '127.0.0.1', port: 1};
+
+/** A worker on a fake member, with what it told the rest of the process. */
+class Fixture {
+  readonly timer = ManualTimerService.create();
+  readonly connector: FakeMemberConnector;
+  readonly troubles: Symptom[] = [];
+  mayUse = true;
+  readonly worker: MemberWorker;
+
+  constructor(answering: Answering, failure?: ConnectError) {
+    this.connector = new FakeMemberConnector(answering);
+    this.connector.failure = failure;
+    this.worker = MemberWorker.create({
+      target: TARGET,
+      slots: 2,
+      connections: {maximum: 4, warm: 1},
+      connector: this.connector,
+      timer: this.timer,
+      logger: Logger.silent(),
+      mayUse: () => this.mayUse,
+      trouble: symptom => this.troubles.push(symptom),
+      answered: () => undefined,
+    });
+  }
+
+  start(request: WorkRequest): PeerChannel<WorkUp, WorkDown> {
+    const pair = createChannelPair<WorkUp, WorkDown>();
+    void this.worker.serve(request, pair.called).finally(() => {
+      pair.called.end();
+    });
+    return pair.caller;
+  }
+}
+
+function request(statement: Partial<WorkStatement> = {}): WorkRequest {
+  return {
+    database: 'ledger',
+    member: 'm1',
+    primaryTerm: 1,
+    priority: 1,
+    waitMilliseconds: 100,
+    first: statementOf(statement),
+  };
+}
+
+function statementOf(parts: Partial<WorkStatement>): WorkStatement {
+  return {
+    kind: 'run',
+    requestId: 'r1',
+    text: {kind: 'plain', text: 'WORK'},
+    opens: 'none',
+    floor: undefined,
+    values: [],
+    timeoutMilliseconds: 800,
+    repeatable: false,
+    ...parts,
+  };
+}
+
+function failed(kind: 'behind' | 'readOnly'): StatementAnswer {
+  const error = {kind, code: kind, text: ''};
+  return {...complete(), end: {kind: 'error', error}};
+}
+
+describe('MemberWorker', () => {
+  it('sends the text and id of a caller unchanged', async () => {
+    const fixture = new Fixture(async () => complete());
+    const answer = await fixture.start(request()).receive();
+    expect(answer?.kind).to.equal('answer');
+    expect(fixture.connector.commands).to.deep.equal([
+      {kind: 'caller', requestId: 'r1', text: 'WORK', floor: undefined},
+    ]);
+  });
+
+  describe('with a transaction', () => {
+    it('sends nothing behind a begin that failed', async () => {
+      const fixture = new Fixture(async () => failed('behind'));
+      const opens = 'readOnlyTransaction';
+      const answer = await fixture.start(request({opens})).receive();
+      expect(answer?.kind).to.equal('answer');
+      expect(fixture.connector.commands.map(({kind}) => kind)).to.deep.equal([
+        'begin',
+      ]);
+    });
+
+    it('keeps one connection to the end, and rolls back what is left', async () => {
+      const fixture = new Fixture(async command =>
+        complete(command.kind === 'rollback' ? 'idle' : 'transaction'),
+      );
+      const channel = fixture.start(request({opens: 'transaction'}));
+      await channel.receive();
+      channel.send(statementOf({requestId: 'r2'}));
+      await channel.receive();
+      channel.send({kind: 'release'});
+      await settle();
+      const [used] = fixture.connector.connections;
+      expect(used?.commands.map(({kind}) => kind)).to.deep.equal([
+        'begin',
+        'caller',
+        'caller',
+        'rollback',
+      ]);
+    });
+
+    it('loses it when the primary may not be used any more', async () => {
+      const fixture = new Fixture(async () => complete('transaction'));
+      const channel = fixture.start(request({opens: 'transaction'}));
+      await channel.receive();
+      fixture.mayUse = false;
+      channel.send(statementOf({requestId: 'r2'}));
+      const lost = await channel.receive();
+      expect(lost).to.deep.include({kind: 'lost', mayHaveRun: false});
+      expect(fixture.connector.connections[0]?.closed).to.equal(true);
+    });
+  });
+
+  it('runs nothing on a primary without a lease', async () => {
+    const fixture = new Fixture(async () => complete());
+    fixture.mayUse = false;
+    const answer = await fixture.start(request()).receive();
+    expect(answer?.kind).to.equal('refused');
+    expect(fixture.connector.commands).to.deep.equal([]);
+  });
+
+  it('reports a primary that says it is none', async () => {
+    const fixture = new Fixture(async () => failed('readOnly'));
+    await fixture.start(request()).receive();
+    expect(fixture.troubles).to.deep.equal(['notPrimary']);
+  });
+
+  it('says that a statement may have run when its answer is lost', async () => {
+    const fixture = new Fixture(async () => 'lost');
+    const answer = await fixture.start(request()).receive();
+    expect(answer).to.deep.include({kind: 'lost', mayHaveRun: true});
+  });
+
+  describe('of a member that cannot be reached', () => {
+    it('refuses at once, and reports it', async () => {
+      const fixture = new Fixture(async () => complete(), {
+        kind: 'refused',
+        reason: 'closed',
+      });
+      const first = await fixture.start(request()).receive();
+      expect(first?.kind).to.equal('refused');
+      const second = await fixture.start(request()).receive();
+      expect(second).to.deep.include({kind: 'refused'});
+      expect(fixture.troubles).to.include('refused');
+    });
+
+    it('works again once a connection in the background succeeds', async () => {
+      const fixture = new Fixture(async () => complete(), {
+        kind: 'unreachable',
+        reason: 'silent',
+      });
+      await fixture.start(request()).receive();
+      fixture.connector.failure = undefined;
+      await fixture.timer.advanceTasks(400);
+      const answer = await fixture.start(request()).receive();
+      expect(answer?.kind).to.equal('answer');
+    });
+  });
+
+  describe('with a connection that has gone silent', () => {
+    const silent: Answering = (command, connection) =>
+      command.kind === 'caller' && connection.commands.length === 1
+        ? new Promise(() => undefined)
+        : Promise.resolve(complete());
+
+    it('gives up a read that can be repeated', async () => {
+      const fixture = new Fixture(silent);
+      const channel = fixture.start(request({repeatable: true}));
+      await settle();
+      await fixture.timer.advanceTasks(400);
+      expect(await channel.receive()).to.deep.include({kind: 'lost'});
+    });
+
+    it('waits on with a write, and reports that commits stall', async () => {
+      const fixture = new Fixture(silent);
+      void fixture.start(request());
+      await settle();
+      await fixture.timer.advanceTasks(400);
+      expect(fixture.troubles).to.deep.equal(['commitsStall']);
+      expect(fixture.connector.connections[0]?.closed).to.equal(false);
+    });
+  });
+});
+
+async function settle(): Promise<void> {
+  await new Promise(resolve => setImmediate(resolve));
+  await new Promise(resolve => setImmediate(resolve));
+}
