--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -18,6 +18,7 @@
 } from './patience.js';
 export {PathHealth, type PathHealthOptions} from './path_health.js';
 export {readOrder, type ReadNeeds} from './read_order.js';
+export {SessionContext, type Forwarded} from './session_context.js';
 export {SessionHost, type SessionHostOptions} from './session_host.js';
 export {SessionObserver} from './session_observer.js';
 export {
--- a/packages/dispatch/src/statement_session.ts
+++ b/packages/dispatch/src/statement_session.ts
@@ -1,4 +1,4 @@
-import {Either, Left, Right} from 'purify-ts';
+import {Either} from 'purify-ts';
 import {Observable, TIMED_OUT, withTimeout} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
 import {
@@ -7,7 +7,6 @@
   CallerLink,
   CallerRequest,
   laterPosition,
-  PreparedStatement,
   SessionState,
   Statement,
   StatementAnswer,
@@ -19,15 +18,15 @@
   findEntry,
   ServiceTerms,
 } from '@apricotlock/topology';
-import {Opens, WorkText} from '@apricotlock/work';
-import {OwnWrite, RouteOutcome, StatementRouter} from './statement_router.js';
+import {Opens} from '@apricotlock/work';
+import {failureOf, lossOf} from './caller_failure.js';
+import {Forwarded, SessionContext} from './session_context.js';
+import {OwnWrite, StatementRouter} from './statement_router.js';
 import {SessionObserver} from './session_observer.js';
-import {WorkHolder, WorkResult} from './work_holder.js';
+import {WorkHolder} from './work_holder.js';
 
 /** How long a caller waits for a VM that knows nothing yet. */
 const CATALOGUE_WAIT_MILLISECONDS = 1_000;
-const MAXIMUM_VALUES = 1_000;
-const MAXIMUM_PREPARED = 10_000;
 /** The terms of an entry that states none. */
 const DEFAULT_TERMS: ServiceTerms = {
   consistency: 'primary',
@@ -66,21 +65,15 @@
 
 const NONE: Transaction = {kind: 'none'};
 
-/** A statement that a member has to run. */
-interface Forwarded {
-  readonly text: WorkText;
-  readonly readOnly: boolean;
-  readonly commits: boolean;
-}
-
 /** One caller's session, from its first message to its last. */
 export class StatementSession {
   private database = '';
-  private values: ReadonlyMap<string, string> = new Map();
-  private prepared: ReadonlyMap<string, PreparedStatement> = new Map();
+  private context = SessionContext.EMPTY;
   private transaction: Transaction = NONE;
   private ownWrite: OwnWrite | undefined;
   private answering = false;
+  /** Whether the last transaction was ended behind the caller's back. */
+  private idleEnded = false;
   private draining = false;
 
   private constructor(private readonly options: StatementSessionOptions) {}
@@ -151,9 +144,6 @@
     return request;
   }
 
-  /** Whether the last transaction was ended behind the caller's back. */
-  private idleEnded = false;
-
   private idleLimit(): number | undefined {
     const {transaction} = this;
     if (transaction.kind !== 'open' && transaction.kind !== 'failed') {
@@ -182,7 +172,7 @@
     const wanted = statement.unsafeCoerce();
     const local = this.answerHere(wanted);
     if (local !== undefined) return local;
-    const forwarded = this.forwardedOf(wanted);
+    const forwarded = this.context.forwarded(wanted);
     return forwarded.isLeft()
       ? this.fail(forwarded.extract() as CallerFailure)
       : this.forward(id, forwarded.unsafeCoerce(), receivedAt);
@@ -198,11 +188,15 @@
     }
     switch (statement.kind) {
       case 'setValue':
-        return this.setValue(statement.name, statement.value);
+        return this.change(
+          this.context.withValue(statement.name, statement.value),
+        );
       case 'prepare':
-        return this.prepare(statement.name, statement.prepared);
+        return this.change(
+          this.context.withPrepared(statement.name, statement.prepared),
+        );
       case 'deallocate':
-        return this.deallocate(statement.name);
+        return this.change(this.context.without(statement.name));
       case 'begin':
         return this.begin(statement.readOnly);
       case 'rollback':
@@ -217,31 +211,14 @@
     }
   }
 
-  private setValue(name: string, value: string): CallerAnswer {
-    if (!this.values.has(name) && this.values.size >= MAXIMUM_VALUES) {
-      return this.fail({kind: 'malformed', reason: 'too many values are set'});
-    }
-    this.values = new Map([...this.values, [name, value]]);
-    return this.done();
-  }
-
-  private prepare(name: string, prepared: PreparedStatement): CallerAnswer {
-    if (this.prepared.size >= MAXIMUM_PREPARED) {
-      const reason = 'too many statements are prepared';
-      return this.fail({kind: 'malformed', reason});
-    }
-    this.prepared = new Map([...this.prepared, [name, prepared]]);
-    return this.done();
-  }
-
-  private deallocate(name: string): CallerAnswer {
-    if (!this.prepared.has(name)) {
-      return this.fail({kind: 'unknownStatement', name});
-    }
-    this.prepared = new Map(
-      [...this.prepared].filter(([known]) => known !== name),
-    );
-    return this.done();
+  private change(changed: Either<CallerFailure, SessionContext>): CallerAnswer {
+    return changed.caseOf({
+      Left: failure => this.fail(failure),
+      Right: context => {
+        this.context = context;
+        return this.done();
+      },
+    });
   }
 
   private begin(readOnly: boolean): CallerAnswer {
@@ -255,35 +232,6 @@
     return this.done();
   }
 
-  /** What a member has to be sent for a statement. */
-  private forwardedOf(statement: Statement): Either<CallerFailure, Forwarded> {
-    switch (statement.kind) {
-      case 'plain': {
-        const {text, access} = statement;
-        return forwarded({kind: 'plain', text}, access === 'read', false);
-      }
-      case 'commit': {
-        const {text} = statement;
-        return forwarded({kind: 'plain', text}, true, true);
-      }
-      case 'execute': {
-        const {name, parameters} = statement;
-        const prepared = this.prepared.get(name);
-        if (prepared === undefined) {
-          return Left({kind: 'unknownStatement', name});
-        }
-        const {access, shape} = prepared;
-        return forwarded(
-          {kind: 'prepared', access, shape, parameters},
-          access === 'read',
-          false,
-        );
-      }
-      default:
-        return Left({kind: 'malformed', reason: 'not a statement'});
-    }
-  }
-
   private forward(
     id: string,
     statement: Forwarded,
@@ -314,7 +262,7 @@
       requestId: id,
       text: statement.text,
       opens,
-      values: [...this.values],
+      values: this.context.values,
       readOnly: opens === 'none' ? statement.readOnly : opens !== 'transaction',
       entry,
       terms,
@@ -342,7 +290,7 @@
       text: statement.text,
       opens: 'none',
       floor: undefined,
-      values: [...this.values],
+      values: this.context.values,
       timeoutMilliseconds: Math.round(terms.statementMilliseconds - spent),
       repeatable: false,
     });
@@ -469,31 +417,3 @@
   if (transaction.kind === 'none') return 'none';
   return transaction.readOnly ? 'readOnlyTransaction' : 'transaction';
 }
-
-function forwarded(
-  text: WorkText,
-  readOnly: boolean,
-  commits: boolean,
-): Either<CallerFailure, Forwarded> {
-  return Right({text, readOnly, commits});
-}
-
-function failureOf(
-  outcome: Exclude<RouteOutcome, {kind: 'answered'}>,
-): CallerFailure {
-  if (outcome.kind === 'notRun') return outcome;
-  const {timedOut, reason} = outcome;
-  return {kind: timedOut ? 'timeout' : 'unknown', reason};
-}
-
-/** What the loss of an open transaction means to the caller. */
-function lossOf(
-  result: Exclude<WorkResult, {kind: 'answered'}>,
-  committing: boolean,
-): CallerFailure {
-  const reason = result.kind === 'lost' ? result.reason : result.refusal.reason;
-  const mayHaveRun = result.kind === 'lost' && result.mayHaveRun;
-  // Without its COMMIT at the member, the transaction can only be rolled back.
-  if (!committing || !mayHaveRun) return {kind: 'rolledBack', reason};
-  return {kind: result.timedOut ? 'timeout' : 'unknown', reason};
-}
