Refuse at once on a VM that is cut off, and notice it sooner

Cause: callers of a VM behind a partition were held for 680 ms at a time, and the VM left the balancer's rotation only 2.5 s after the cut.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -4,6 +4,7 @@
  *
  * @packageDocumentation
  */
+export {ContactWatch, type ContactWatchOptions} from './contact_watch.js';
 export {FreshnessBook, type Evidence} from './freshness_book.js';
 export {
   FreshnessKeeper,
@@ -14,6 +15,7 @@
 export {
   appointmentPatience,
   queueMilliseconds,
+  type Missing,
   type Patience,
 } from './patience.js';
 export {PathHealth, type PathHealthOptions} from './path_health.js';
--- a/packages/dispatch/src/isolation.ts
+++ b/packages/dispatch/src/isolation.ts
@@ -1,9 +1,9 @@
 /** A VM whose view nobody has confirmed for so long may be cut off. */
 const STALE_VIEW_MILLISECONDS = 1_300;
 /** The same for what the holders of primaries say. */
-const STALE_EVIDENCE_MILLISECONDS = 1_000;
+const STALE_EVIDENCE_MILLISECONDS = 600;
 /** How long the balancer takes to send callers elsewhere. */
-const BALANCER_MILLISECONDS = 2_300;
+const BALANCER_MILLISECONDS = 2_100;
 
 /** What a VM knows of its own connection to the rest of the system. */
 export interface Contact {
--- a/packages/dispatch/src/patience.ts
+++ b/packages/dispatch/src/patience.ts
@@ -9,6 +9,8 @@
 /** When to come back while a primary is being appointed. */
 const APPOINTMENT_RETRY_MILLISECONDS = 150;
 const LONG_MISSING_RETRY_MILLISECONDS = 1_000;
+/** When to come back to a VM that is cut off: at once, for another one. */
+const CUT_OFF_RETRY_MILLISECONDS = 20;
 
 /** How long work of these terms may wait for a slot, in milliseconds. */
 export function queueMilliseconds(terms: ServiceTerms): number {
@@ -17,6 +19,14 @@
   return Math.min(limit, Math.max(objectiveMilliseconds ?? limit, limit / 2));
 }
 
+/** What is known of why a primary can't be used. */
+export interface Missing {
+  /** For how long it could not be used from here. */
+  readonly milliseconds: number;
+  /** Whether this VM is cut off from the others. */
+  readonly cutOff: boolean;
+}
+
 /** How long to hold work, and what to say if that was in vain. */
 export interface Patience {
   readonly holdMilliseconds: number;
@@ -29,13 +39,17 @@
  * is refused at once comes back too early, and more than once; one that is
  * held is served as soon as there is a primary. If none has come for long,
  * nothing is known of when it will, and holding would only cost the caller its
- * time.
+ * time. On a VM that is cut off, the sooner the caller goes elsewhere the better.
  */
 export function appointmentPatience(
   terms: ServiceTerms,
-  missingMilliseconds: number,
+  {milliseconds, cutOff}: Missing,
 ): Patience {
-  if (missingMilliseconds > LONG_MISSING_MILLISECONDS) {
+  if (cutOff) {
+    const retryAfterMilliseconds = CUT_OFF_RETRY_MILLISECONDS;
+    return {holdMilliseconds: 0, retryAfterMilliseconds};
+  }
+  if (milliseconds > LONG_MISSING_MILLISECONDS) {
     const retryAfterMilliseconds = LONG_MISSING_RETRY_MILLISECONDS;
     return {holdMilliseconds: 0, retryAfterMilliseconds};
   }
--- a/packages/dispatch/src/statement_router.ts
+++ b/packages/dispatch/src/statement_router.ts
@@ -13,7 +13,7 @@
 import {Opens, WorkRequest, WorkStatement, WorkText} from '@apricotlock/work';
 import {FreshnessKeeper} from './freshness_keeper.js';
 import {MemberStandings} from './member_standing.js';
-import {appointmentPatience, queueMilliseconds} from './patience.js';
+import {appointmentPatience, Missing, queueMilliseconds} from './patience.js';
 import {ReadNeeds, readOrder} from './read_order.js';
 import {WorkGate} from './work_gate.js';
 import {WorkHolder, WorkResult} from './work_holder.js';
@@ -88,6 +88,8 @@
   readonly view: Observable<ClusterView>;
   readonly gate: WorkGate;
   readonly freshness: FreshnessKeeper;
+  /** Whether this VM seems cut off from the others. */
+  readonly cutOff: () => boolean;
   readonly timer: TimerService;
   readonly logger: Logger;
 }
@@ -119,7 +121,7 @@
   /** Tries the primary until it answers or there is no time left. */
   private async onPrimary(statement: RoutedStatement): Promise<RouteOutcome> {
     const {database} = statement.entry;
-    const missing = this.missingMilliseconds(database);
+    const missing = this.missing(database);
     const patience = appointmentPatience(statement.terms, missing);
     const deadline = statement.receivedAt + patience.holdMilliseconds;
     let last: Next | undefined;
@@ -153,7 +155,7 @@
   /** Tries members in order of what they promise, until one can. */
   private async read(statement: RoutedStatement): Promise<RouteOutcome> {
     const {database} = statement.entry;
-    const missing = this.missingMilliseconds(database);
+    const missing = this.missing(database);
     const patience = appointmentPatience(statement.terms, missing);
     const deadline = statement.receivedAt + patience.holdMilliseconds;
     let last: Next | undefined;
@@ -319,11 +321,12 @@
     }
   }
 
-  private missingMilliseconds(database: string): number {
-    const {timer, freshness} = this.options;
+  private missing(database: string): Missing {
+    const {timer, freshness, cutOff} = this.options;
     const since = this.missingSince.get(database) ?? timer.now();
     const silent = freshness.silentMilliseconds(database);
-    return Math.max(timer.now() - since, silent);
+    const milliseconds = Math.max(timer.now() - since, silent);
+    return {milliseconds, cutOff: cutOff()};
   }
 
   private logAttempt(
--- a/packages/dispatch/test/decisions_test.ts
+++ b/packages/dispatch/test/decisions_test.ts
@@ -140,19 +140,31 @@
 
 describe('the decisions on waiting', () => {
   it('holds every write while a primary is appointed', () => {
-    const {holdMilliseconds} = appointmentPatience(TERMS, 900);
+    const {holdMilliseconds} = appointmentPatience(TERMS, {
+      milliseconds: 900,
+      cutOff: false,
+    });
     expect(holdMilliseconds).to.be.within(400, TERMS.statementMilliseconds);
   });
 
   it('refuses at once when nobody knows when one will be', () => {
     const {holdMilliseconds, retryAfterMilliseconds} = appointmentPatience(
       TERMS,
-      10_000,
+      {milliseconds: 10_000, cutOff: false},
     );
     expect(holdMilliseconds).to.equal(0);
     expect(retryAfterMilliseconds).to.be.at.least(500);
   });
 
+  it('sends callers of a VM that is cut off elsewhere at once', () => {
+    const patience = appointmentPatience(TERMS, {
+      milliseconds: 0,
+      cutOff: true,
+    });
+    expect(patience.holdMilliseconds).to.equal(0);
+    expect(patience.retryAfterMilliseconds).to.be.below(100);
+  });
+
   it('never waits for a slot as long as the statement may take', () => {
     expect(queueMilliseconds(TERMS)).to.be.below(TERMS.statementMilliseconds);
   });
