Let a call's timeout cover connecting, and fence before the old lease is over

Change: the timeout covers the dial; where commits wait for a replica, members are fenced and one is promoted at once, and only the new holder is named after the old lease.

--- a/packages/appointment/src/appointment_round.ts
+++ b/packages/appointment/src/appointment_round.ts
@@ -1,5 +1,5 @@
 import {ControlLog} from '@apricotlock/control';
-import {Observable} from '@apricotlock/flow';
+import {Observable, withTimeout} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
 import {PeerNetwork} from '@apricotlock/peer';
 import {comparePositions} from '@apricotlock/statement';
@@ -19,6 +19,7 @@
 import {
   fencedNeeded,
   highestTerm,
+  isSynchronous,
   leaderAmong,
   longestLog,
   presentMembers,
@@ -69,12 +70,17 @@
 
 /**
  * One attempt to give a group a primary and a VM that may use it, in a term of
- * its own. First nobody uses the old primary any more: its holder says so, or
- * its lease is waited out. Then either the old primary goes on, or all members
- * but one are fenced and the one with the longest log is promoted. A round
- * that ends half-way is taken up by the next one, on whatever VM.
+ * its own. Either the old primary goes on, or all members but one are fenced
+ * and the one with the longest log is promoted. A VM is named for it only when
+ * nobody uses the old primary any more: its holder says so, or its lease is
+ * waited out. Where commits wait for a replica, fencing need not wait for that,
+ * since from then on the old primary acknowledges nothing. A round that ends
+ * half-way is taken up by the next one, on whatever VM.
  */
 export class AppointmentRound {
+  /** Resolves once nobody uses the primary of an earlier term. */
+  private stopped: Promise<void> = Promise.resolve();
+
   private constructor(
     private readonly database: string,
     private readonly term: number,
@@ -94,13 +100,11 @@
     const round = new AppointmentRound(database, term, cause, options);
     round.note('appointing a primary', {cause, former: group.primary, holder});
     if ((opens || group.term === 0) && !(await round.open(group))) return false;
-    // Members are asked while the old holder stops: neither changes the other.
-    const reports = round.options.panel.reports(presentMembers(group));
-    if (holder !== undefined) await round.stopHolder(holder);
+    if (holder !== undefined) round.stopped = round.stopHolder(holder);
     const current = round.group();
     if (current === undefined) return false;
     if (current.promoting !== undefined) return round.finish(current);
-    return round.choose(current, group.primary, await reports);
+    return round.choose(current, group.primary);
   }
 
   /** Opens the term in the log: no lease of an earlier one is prolonged. */
@@ -124,9 +128,10 @@
     const {grantor, timer} = this.options;
     const startedAt = timer.now();
     for (;;) {
-      if (await this.askToStop(holder)) break;
       const left = grantor.leaseLeftMilliseconds(this.database);
       if (left <= 0) break;
+      const asked = this.askToStop(holder);
+      if ((await withTimeout(timer, left, asked)) === true) break;
       await timer.sleep(Math.min(left, STOP_RETRY_MILLISECONDS));
     }
     const waited = Math.round(timer.now() - startedAt);
@@ -156,14 +161,23 @@
   private async choose(
     group: DatabaseGroup,
     former: string | undefined,
-    known: readonly KnownMember[],
   ): Promise<boolean> {
+    const {panel, log} = this.options;
+    const present = presentMembers(group);
+    // A primary that was found lost would only hold the others up.
+    const asked =
+      this.cause === 'primaryLost'
+        ? present.filter(({name}) => name !== former)
+        : present;
+    const known = await panel.reports(asked);
     const leading = leaderAmong(known);
     const mayStay = this.cause === 'noPrimary' || this.cause === 'holderLost';
     if (leading !== undefined && mayStay && isActive(leading)) {
       return this.appoint(leading.member);
     }
+    if (!isSynchronous(log.state.current.view, group)) await this.stopped;
     if (leading !== undefined && this.cause !== 'primaryLost') {
+      await this.stopped;
       const successor = await this.successorOf(group, leading);
       if (successor !== undefined) return this.promote(group, successor, known);
     }
@@ -219,6 +233,7 @@
         needed,
       });
       await this.releaseAll(fenced);
+      await this.stopped;
       return false;
     }
     const others = all.filter(({member}) => member.name !== former);
@@ -325,6 +340,7 @@
   private async appoint(primary: Member): Promise<boolean> {
     const {log, timer} = this.options;
     const {database, term} = this;
+    await this.stopped;
     const holder = this.holderFor(primary);
     if (holder === undefined) {
       this.note('no entry VM can use the primary', {primary: primary.name});
--- a/packages/appointment/src/index.ts
+++ b/packages/appointment/src/index.ts
@@ -28,6 +28,7 @@
 export {
   fencedNeeded,
   highestTerm,
+  isSynchronous,
   leaderAmong,
   longestLog,
   presentMembers,
--- a/packages/appointment/src/member_panel.ts
+++ b/packages/appointment/src/member_panel.ts
@@ -9,7 +9,7 @@
 import {TimerService} from '@apricotlock/timer';
 import {Member} from '@apricotlock/topology';
 
-const CONNECT_TIMEOUT_MILLISECONDS = 400;
+const CONNECT_TIMEOUT_MILLISECONDS = 300;
 const COMMAND_TIMEOUT_MILLISECONDS = 400;
 /** A member that is too busy to answer is asked again this often. */
 const ATTEMPTS = 6;
--- a/packages/appointment/src/succession.ts
+++ b/packages/appointment/src/succession.ts
@@ -1,5 +1,10 @@
 import {comparePositions} from '@apricotlock/statement';
-import {DatabaseGroup, Member, votingMembers} from '@apricotlock/topology';
+import {
+  ClusterView,
+  DatabaseGroup,
+  Member,
+  votingMembers,
+} from '@apricotlock/topology';
 import {KnownMember} from './member_panel.js';
 
 /** A commit is acknowledged once its primary and one replica hold it. */
@@ -49,6 +54,22 @@
   return votingMembers(group);
 }
 
+/**
+ * Whether a commit of the group waits for a replica. Then fencing all members
+ * but one keeps the old primary from acknowledging anything more, before the
+ * lease of whoever uses it has run out.
+ */
+export function isSynchronous(
+  {catalogue}: ClusterView,
+  {database}: DatabaseGroup,
+): boolean {
+  const entries = catalogue.entries.filter(
+    entry => entry.database === database,
+  );
+  const least = entries.map(({terms}) => terms?.synchronousReplicas ?? 0);
+  return least.length > 0 && Math.min(...least) >= COPIES_OF_A_COMMIT - 1;
+}
+
 function compareSuccessors(left: KnownMember, right: KnownMember): number {
   const longer = comparePositions(right.report.received, left.report.received);
   if (longer !== 0) return longer;
--- a/packages/peer/src/peer_link.ts
+++ b/packages/peer/src/peer_link.ts
@@ -65,13 +65,21 @@
     const id = this.nextId++;
     const deferred = Deferred.create<PeerFrame | undefined>();
     this.calls.set(id, deferred);
-    const answer = await this.exchange(
-      {kind: 'request', id, name: call.name, body: request},
-      deferred,
+    // The time for connecting counts too: who calls must not wait for longer.
+    const answer = await withTimeout(
+      this.options.timer,
       timeoutMilliseconds,
+      this.exchange(
+        {kind: 'request', id, name: call.name, body: request},
+        deferred,
+      ),
     );
     this.calls.delete(id);
     this.usedAt = this.options.timer.now();
+    if (answer === TIMED_OUT) {
+      deferred.resolve(undefined);
+      return Left(NO_ANSWER_IN_TIME);
+    }
     return answer.chain(frame => readAnswer(call, frame));
   }
 
@@ -133,17 +141,13 @@
   private async exchange(
     request: PeerFrame,
     answer: Deferred<PeerFrame | undefined>,
-    timeoutMilliseconds: number,
   ): Promise<Either<PeerError, PeerFrame>> {
     const connected = await this.connected();
     if (connected.isLeft()) return connected as Either<PeerError, never>;
+    // Nobody waits any more for what was not sent in time.
+    if (!this.calls.has(request.id)) return Left(LINK_LOST);
     if (!this.send(request)) return Left(LINK_FULL);
-    const frame = await withTimeout(
-      this.options.timer,
-      timeoutMilliseconds,
-      answer.promise,
-    );
-    if (frame === TIMED_OUT) return Left(NO_ANSWER_IN_TIME);
+    const frame = await answer.promise;
     return frame === undefined ? Left(LINK_LOST) : Right(frame);
   }
 
--- a/packages/peer/test/peer_link_faults_test.ts
+++ b/packages/peer/test/peer_link_faults_test.ts
@@ -14,6 +14,7 @@
 const TARGET = {host: '127.0.0.1', port: testPort(700)};
 const RELAY = {host: '127.0.0.1', port: testPort(701)};
 const REPLACED_LIMIT_MILLISECONDS = 2_000;
+const SHORT_MILLISECONDS = 100;
 const CALL_TIMEOUT_MILLISECONDS = 300;
 const CHUNK_BYTES = 64 << 10;
 const MEMORY_LIMIT_BYTES = 48 << 20;
@@ -160,6 +161,18 @@
     expect(next.extract()).to.equal(2);
   });
 
+  it('do not make a call wait longer than it may for a connection', async () => {
+    const port = testPort(704);
+    const silent = createServer(() => undefined);
+    await new Promise<void>(resolve => silent.listen(port, resolve));
+    const to = {host: '127.0.0.1', port};
+    const calledAt = timer.now();
+    const answer = await client.call(to, DOUBLE, 1, SHORT_MILLISECONDS);
+    expect(answer.isLeft()).to.equal(true);
+    expect(timer.now() - calledAt).to.be.lessThan(5 * SHORT_MILLISECONDS);
+    silent.close();
+  });
+
   it('are closed when they have been idle for long', async () => {
     const clock = ManualTimerService.create();
     const idle = await start(testPort(703), clock as never);
--- a/packages/topology/src/catalogue.ts
+++ b/packages/topology/src/catalogue.ts
@@ -40,6 +40,7 @@
   objectiveMilliseconds: milliseconds.optional(),
   idleTransactionMilliseconds: milliseconds.optional(),
   priority: z.int().min(0).max(LOWEST_PRIORITY),
+  synchronousReplicas: z.int().min(0).max(MAXIMUM_MEMBERS).optional(),
 });
 
 /** Checks one entry. */
@@ -116,6 +117,8 @@
   readonly idleTransactionMilliseconds?: number | undefined;
   /** 0 goes before all others. */
   readonly priority: number;
+  /** How many replicas hold a commit before it is acknowledged. */
+  readonly synchronousReplicas?: number | undefined;
 }
 
 /** One database service: who owns it, how much it matters, what it may use. */
--- a/packages/work/src/member_worker.ts
+++ b/packages/work/src/member_worker.ts
@@ -25,7 +25,7 @@
 import {WorkQueue} from './work_queue.js';
 
 /** After this long without an answer it is asked whether the member lives. */
-const SILENCE_MILLISECONDS = 300;
+const SILENCE_MILLISECONDS = 250;
 const PROBE_TIMEOUT_MILLISECONDS = 300;
 const UNREACHABLE_RETRY_MILLISECONDS = 200;
 const ROLLBACK_TIMEOUT_MILLISECONDS = 500;
