Leave a primary in place when no other member could do better

The round made the successor a replica in order to count it as fenced, chose it again, and ordered its promotion: of a member that the platform holds for the primary already, which changes nothing. The group had no primary for 13 s. A promotion of a member that did not run was ordered again and again for 4 s at a time. Tests: appointment_round_test (failed before).

--- a/packages/appointment/src/appointer.ts
+++ b/packages/appointment/src/appointer.ts
@@ -4,6 +4,7 @@
   findGroup,
   findMember,
   VirtualMachine,
+  votingMembers,
 } from '@apricotlock/topology';
 import {REPORT_PRIMARY, Symptom} from '@apricotlock/work';
 import {
@@ -11,7 +12,8 @@
   RoundCause,
   RoundOptions,
 } from './appointment_round.js';
-import {PanelError} from './member_panel.js';
+import {KnownMember, PanelError} from './member_panel.js';
+import {fencedNeeded, haveStoodStill} from './succession.js';
 
 const TICK_MILLISECONDS = 50;
 /** A holder that asks for no lease for so long is replaced. */
@@ -189,40 +191,38 @@
     return this.round(group, 'primaryLost');
   }
 
-  /** Replaces a primary whose commits reach no replica. */
+  /**
+   * Replaces a primary whose commits reach no replica, if another one could do
+   * better: enough others have to be there for its own commits.
+   */
   private async examineStall(group: DatabaseGroup): Promise<void> {
     const {timer, logger} = this.options;
     const {database, term} = group;
     const last = this.stalledAt.get(database) ?? -Infinity;
     if (timer.now() - last < STALL_PAUSE_MILLISECONDS) return;
-    const before = await this.replicaPositions(group);
+    const before = await this.replicas(group);
     await timer.sleep(STALL_MILLISECONDS);
-    const after = await this.replicaPositions(group);
-    const moved = before !== after;
+    const after = await this.replicas(group);
+    const stalled = haveStoodStill(before, after);
+    const enough = after.length >= fencedNeeded(group);
     logger.info('examined stalled commits', {
       database,
       term,
-      moved,
-      replicas: after,
+      stalled,
+      enough,
+      replicas: after.map(({member}) => member.name).join(' '),
     });
-    if (moved) return;
+    if (!stalled || !enough) return;
     this.stalledAt.set(database, timer.now());
     return this.round(group, 'primaryLost');
   }
 
-  /** Where all replicas stand that answer, in one text to compare. */
-  private async replicaPositions(group: DatabaseGroup): Promise<string> {
-    const replicas = group.members.filter(
-      ({name, state}) => state !== 'removed' && name !== group.primary,
+  /** The members that answer and are not the primary. */
+  private replicas(group: DatabaseGroup): Promise<readonly KnownMember[]> {
+    const others = votingMembers(group).filter(
+      ({name}) => name !== group.primary,
     );
-    const known = await this.options.panel.reports(replicas);
-    return known
-      .map(
-        ({member, report: {received}}) =>
-          `${member.name}=${received.term}.${received.number}`,
-      )
-      .sort()
-      .join(' ');
+    return this.options.panel.reports(others);
   }
 }
 
--- a/packages/appointment/src/appointment_round.ts
+++ b/packages/appointment/src/appointment_round.ts
@@ -51,6 +51,9 @@
   /** The primary can't be reached, or can't have its commits confirmed. */
   | 'primaryLost';
 
+/** What became of the order to promote a member. */
+type OrderOutcome = 'accepted' | 'notRunning' | 'notAccepted';
+
 /** What a round needs. */
 export interface RoundOptions {
   readonly self: string;
@@ -181,7 +184,7 @@
       const successor = await this.successorOf(group, leading);
       if (successor !== undefined) return this.promote(group, successor, known);
     }
-    return this.replaceLost(group, known, former);
+    return this.replaceLost(group, known);
   }
 
   /** A member that stays and holds all that the leaving primary holds. */
@@ -210,57 +213,34 @@
     }
   }
 
-  /** Fences the members that can be reached, and promotes the best of them. */
+  /**
+   * Fences all replicas but one and promotes the best of them. A primary that
+   * answers is not made a replica for that: it may hold commits that no other
+   * member here holds, and could not be promoted again. Where too few others
+   * can be fenced it goes on.
+   */
   private async replaceLost(
     group: DatabaseGroup,
     known: readonly KnownMember[],
-    former: string | undefined,
   ): Promise<boolean> {
     const {panel} = this.options;
-    const fenceTerm = highestTerm(known) + 1;
-    const leading = known.filter(({report}) => report.role === 'primary');
     const replicas = known.filter(({report}) => report.role !== 'primary');
     const fenced = await panel.fence(
       replicas.map(({member}) => member),
-      fenceTerm,
+      highestTerm(known) + 1,
     );
-    const stepped = await this.stepDownAll(leading, fenceTerm);
-    const all = [...fenced, ...stepped];
     const needed = fencedNeeded(group);
-    if (all.length < needed) {
-      this.note('too few members can be fenced', {
-        fenced: all.map(({member}) => member.name).join(' '),
-        needed,
-      });
-      await this.releaseAll(fenced);
-      await this.stopped;
-      return false;
+    const successor = longestLog(fenced);
+    if (fenced.length >= needed && successor !== undefined) {
+      return this.promote(group, successor, known);
     }
-    const others = all.filter(({member}) => member.name !== former);
-    // The former primary may be cut off from those who have to use it.
-    const successor = preferOthers(others, longestLog(all));
-    if (successor === undefined) return false;
-    return this.promote(group, successor, known);
-  }
-
-  private async stepDownAll(
-    leading: readonly KnownMember[],
-    term: number,
-  ): Promise<readonly KnownMember[]> {
-    const {panel} = this.options;
-    const answers = await Promise.all(
-      leading.map(async ({member}) => ({
-        member,
-        answer: await panel.stepDown(member, term),
-      })),
-    );
-    return answers.flatMap(({member, answer}) =>
-      answer
-        .map((report): readonly KnownMember[] =>
-          report.role === 'replica' ? [{member, report}] : [],
-        )
-        .orDefault([]),
-    );
+    this.note('too few members can be fenced', {
+      fenced: fenced.map(({member}) => member.name).join(' '),
+      needed,
+    });
+    await this.releaseAll(fenced);
+    const leading = leaderAmong(known);
+    return leading === undefined ? false : this.appoint(leading.member);
   }
 
   private async promote(
@@ -294,7 +274,12 @@
     const deadline = timer.now() + PROMOTION_LIMIT_MILLISECONDS;
     let ordered = false;
     while (timer.now() < deadline) {
-      ordered ||= await this.order(member);
+      const order: OrderOutcome = ordered
+        ? 'accepted'
+        : await this.order(member);
+      // What does not run can't come to lead by an order of before.
+      if (order === 'notRunning') break;
+      ordered = order === 'accepted';
       const report = await panel.report(member);
       if (report.toMaybe().extract()?.role === 'primary') {
         void this.cleanUp(group, member, report.unsafeCoerce().term);
@@ -315,26 +300,30 @@
     const {panel} = this.options;
     const known = await panel.reports(presentMembers(group));
     const usable = known.filter(({member}) => member.name !== group.promoting);
-    return this.replaceLost(group, usable, group.promoting);
+    return this.replaceLost(group, usable);
   }
 
-  private async order(member: Member): Promise<boolean> {
+  private async order(member: Member): Promise<OrderOutcome> {
     const {log, promotions, publicName} = this.options;
     const fencingToken = log.leadingTerm;
     // A leader that is in doubt of itself gives no orders.
     const leads = await log.confirmLeading();
-    if (!leads || fencingToken === undefined) return false;
+    if (!leads || fencingToken === undefined) return 'notAccepted';
     const answer = await promotions.promote(this.database, member.name, {
       holder: publicName,
       fencingToken,
     });
-    answer.ifLeft(error =>
-      this.note('the promotion was not accepted', {
-        member: member.name,
-        failure: error.kind,
-      }),
-    );
-    return answer.isRight();
+    return answer.caseOf({
+      Left: ({kind}) => {
+        const {name} = member;
+        this.note('the promotion was not accepted', {
+          member: name,
+          failure: kind,
+        });
+        return kind === 'notRunning' ? kind : 'notAccepted';
+      },
+      Right: () => 'accepted',
+    });
   }
 
   private async appoint(primary: Member): Promise<boolean> {
@@ -424,14 +413,3 @@
 function isActive({member}: KnownMember): boolean {
   return member.state === 'active';
 }
-
-/** Among equally long logs, that of a member other than the former primary. */
-function preferOthers(
-  others: readonly KnownMember[],
-  longest: KnownMember | undefined,
-): KnownMember | undefined {
-  const best = longestLog(others);
-  if (longest === undefined || best === undefined) return longest;
-  const {received} = longest.report;
-  return comparePositions(best.report.received, received) >= 0 ? best : longest;
-}
--- a/packages/appointment/src/index.ts
+++ b/packages/appointment/src/index.ts
@@ -27,6 +27,7 @@
 } from './promotion_client.js';
 export {
   fencedNeeded,
+  haveStoodStill,
   highestTerm,
   isSynchronous,
   leaderAmong,
--- a/packages/appointment/src/succession.ts
+++ b/packages/appointment/src/succession.ts
@@ -70,6 +70,18 @@
   return least.length > 0 && Math.min(...least) >= COPIES_OF_A_COMMIT - 1;
 }
 
+/** Whether no member has received anything between two reports. */
+export function haveStoodStill(
+  before: readonly KnownMember[],
+  after: readonly KnownMember[],
+): boolean {
+  return after.every(({member, report}) => {
+    const earlier = before.find(known => known.member.name === member.name);
+    if (earlier === undefined) return true;
+    return comparePositions(earlier.report.received, report.received) >= 0;
+  });
+}
+
 function compareSuccessors(left: KnownMember, right: KnownMember): number {
   const longer = comparePositions(right.report.received, left.report.received);
   if (longer !== 0) return longer;
--- /dev/null
+++ b/packages/appointment/test/appointment_round_test.ts
@@ -0,0 +1,179 @@
+import {expect} from 'chai';
+import {SoleControlLog} from '@apricotlock/control';
+import {Observable} from '@apricotlock/flow';
+import {Logger} from '@apricotlock/logging';
+import {SystemTimerService} from '@apricotlock/timer';
+import {VirtualMachine} from '@apricotlock/topology';
+import {
+  AppointmentRound,
+  LEASE_MILLISECONDS,
+  LeaseGrantor,
+  MemberPanel,
+  RoundCause,
+} from '../src/index.js';
+import {groupIn, logWithGroup, reportMember} from './fake_control.js';
+import {FakeGroup, FakeMember, FakePromotions} from './fake_group.js';
+import {FakeNetwork} from './fake_network.js';
+
+const HOLDER = 'entry-1';
+const OTHER = 'entry-2';
+
+function machine(name: string): VirtualMachine {
+  const address = {host: '127.0.0.1', port: 1};
+  return {
+    name,
+    incarnation: 1,
+    dataCentre: 'here',
+    peerAddress: address,
+    operatorAddress: address,
+    controlVoter: false,
+    state: 'serving',
+  };
+}
+
+describe('AppointmentRound', function () {
+  this.timeout(10_000);
+  const timer = SystemTimerService.create();
+  let log: SoleControlLog;
+  let group: FakeGroup;
+  let network: FakeNetwork;
+  let promotions: FakePromotions;
+  let [a, b, c] = [] as unknown as [FakeMember, FakeMember, FakeMember];
+
+  beforeEach(async () => {
+    group = new FakeGroup();
+    a = group.add('a', 9);
+    b = group.add('b', 9);
+    c = group.add('c', 8);
+    a.role = 'primary';
+    network = new FakeNetwork();
+    promotions = new FakePromotions(group, a);
+    log = await logWithGroup(['a', 'b', 'c'], 'a', HOLDER);
+  });
+
+  function run(cause: RoundCause): Promise<boolean> {
+    const machines = [machine(HOLDER), machine(OTHER)];
+    return AppointmentRound.run(groupIn(log), cause, {
+      self: 'control-1',
+      publicName: 'control-1',
+      log,
+      network,
+      panel: MemberPanel.create(group, timer),
+      promotions,
+      grantor: LeaseGrantor.start({log, network, timer}),
+      holders: () => machines,
+      machines: Observable.of<readonly VirtualMachine[]>(machines),
+      timer,
+      logger: Logger.silent(),
+    });
+  }
+
+  describe('when the primary is lost', () => {
+    it('promotes the replica with the longest log', async () => {
+      a.reachable = false;
+      expect(await run('primaryLost')).to.equal(true);
+      expect(promotions.ordered).to.deep.equal(['b']);
+      expect(groupIn(log)).to.deep.include({primary: 'b', term: 2});
+    });
+
+    it('promotes nobody while only one copy can be fenced', async () => {
+      a.reachable = false;
+      c.reachable = false;
+      expect(await run('primaryLost')).to.equal(false);
+      expect(promotions.ordered).to.deep.equal([]);
+      expect(b.fencedTerm, 'released again').to.equal(0);
+    });
+
+    it('names no holder before the lease of the old one is over', async () => {
+      a.reachable = false;
+      network.reachable = false;
+      const startedAt = timer.now();
+      expect(await run('primaryLost')).to.equal(true);
+      expect(timer.now() - startedAt).to.be.at.least(LEASE_MILLISECONDS);
+    });
+
+    it('turns to another member when the chosen one does not run', async () => {
+      a.reachable = false;
+      const round = run('primaryLost');
+      // It dies after it was fenced, before the order reaches it.
+      b.reachable = true;
+      await round;
+      b.reachable = false;
+      a.reachable = true;
+      a.role = 'replica';
+      expect(await run('primaryLost')).to.equal(true);
+      expect(groupIn(log).primary).to.not.equal('b');
+    });
+  });
+
+  describe('when commits stall and too few others are there', () => {
+    it('leaves the primary what it is, and lets it go on', async () => {
+      b.reachable = false;
+      expect(await run('primaryLost')).to.equal(false);
+      expect(a.role, 'not made a replica').to.equal('primary');
+      expect(await run('noPrimary')).to.equal(true);
+      expect(groupIn(log).primary).to.equal('a');
+      expect(promotions.ordered).to.deep.equal([]);
+    });
+  });
+
+  describe('when only the holder is lost', () => {
+    it('keeps the primary and names another VM', async () => {
+      expect(await run('holderLost')).to.equal(true);
+      expect(groupIn(log)).to.deep.include({primary: 'a', term: 2});
+      expect(promotions.ordered).to.deep.equal([]);
+    });
+  });
+
+  describe('when the primary leaves', () => {
+    it('hands over to a replica that holds all it holds', async () => {
+      await reportMember(log, 'a', 'draining', 2);
+      expect(await run('planned')).to.equal(true);
+      expect(promotions.ordered).to.deep.equal(['b']);
+    });
+
+    it('never to one that leaves too', async () => {
+      await reportMember(log, 'a', 'draining', 2);
+      await reportMember(log, 'b', 'draining', 2);
+      c.number = a.number;
+      expect(await run('planned')).to.equal(true);
+      expect(promotions.ordered).to.deep.equal(['c']);
+    });
+  });
+
+  describe('when a round before it was broken off', () => {
+    beforeEach(async () => {
+      a.reachable = false;
+      await log.propose({
+        kind: 'beginTerm',
+        database: 'ledger',
+        expectedTerm: 1,
+        term: 2,
+        reason: 'test',
+        at: 0,
+      });
+      await log.propose({
+        kind: 'orderPromotion',
+        database: 'ledger',
+        term: 2,
+        member: 'c',
+        at: 0,
+      });
+    });
+
+    it('finishes the promotion that was ordered, and no other', async () => {
+      a.reachable = true;
+      expect(await run('noPrimary')).to.equal(true);
+      expect(promotions.ordered).to.deep.equal(['c']);
+      expect(groupIn(log)).to.deep.include({primary: 'c', term: 2});
+    });
+
+    it('chooses anew once that member does not run', async () => {
+      // The old primary is back, and leads since nobody else was promoted.
+      c.reachable = false;
+      a.reachable = true;
+      expect(await run('noPrimary')).to.equal(true);
+      expect(groupIn(log).primary).to.equal('a');
+    });
+  });
+});
--- /dev/null
+++ b/packages/appointment/test/fake_group.ts
@@ -0,0 +1,123 @@
+import {Either, Left, Right} from 'purify-ts';
+import {
+  ConnectError,
+  ConnectionError,
+  MemberConnection,
+  MemberConnector,
+  MemberReport,
+  MemberTarget,
+  StatementAnswer,
+} from '@apricotlock/statement';
+import {PromotionClient, PromotionError} from '../src/index.js';
+
+type Report = Promise<Either<ConnectionError, MemberReport>>;
+
+/** What a test decides of one member. */
+export class FakeMember {
+  role: 'primary' | 'replica' = 'replica';
+  fencedTerm = 0;
+  reachable = true;
+
+  constructor(
+    readonly name: string,
+    public number: number,
+    readonly group: FakeGroup,
+  ) {}
+
+  get report(): MemberReport {
+    const {term} = this.group;
+    const {role, fencedTerm, number} = this;
+    return {role, term, received: {term, number}, fencedTerm};
+  }
+}
+
+/** Members of one group, reached without a network. */
+export class FakeGroup extends MemberConnector {
+  readonly members: FakeMember[] = [];
+  term = 1;
+
+  add(name: string, number: number): FakeMember {
+    const member = new FakeMember(name, number, this);
+    this.members.push(member);
+    return member;
+  }
+
+  override async connect({
+    name,
+  }: MemberTarget): Promise<Either<ConnectError, MemberConnection>> {
+    const member = this.members.find(each => each.name === name);
+    if (member === undefined || !member.reachable) {
+      return Left({kind: 'unreachable', reason: 'silent'});
+    }
+    return Right(new FakeMemberConnection(member));
+  }
+}
+
+class FakeMemberConnection extends MemberConnection {
+  override readonly usable = true;
+  override readonly ended = new Promise<void>(() => undefined);
+
+  constructor(private readonly member: FakeMember) {
+    super();
+  }
+
+  override async run(): Promise<
+    Either<ConnectionError, readonly StatementAnswer[]>
+  > {
+    return Left({kind: 'connectionLost', reason: 'no statements here'});
+  }
+
+  override async report(): Report {
+    return Right(this.member.report);
+  }
+
+  override async fence(term: number): Report {
+    this.member.fencedTerm = term;
+    return Right(this.member.report);
+  }
+
+  override async release(): Report {
+    this.member.fencedTerm = 0;
+    return Right(this.member.report);
+  }
+
+  override async stepDown(): Report {
+    this.member.role = 'replica';
+    return Right(this.member.report);
+  }
+
+  override close(): void {
+    // Nothing is held.
+  }
+}
+
+/** Promotes at once; the present primary is not promoted again. */
+export class FakePromotions extends PromotionClient {
+  readonly ordered: string[] = [];
+  private present: string;
+
+  constructor(
+    private readonly group: FakeGroup,
+    primary: FakeMember,
+  ) {
+    super();
+    this.present = primary.name;
+  }
+
+  override async promote(
+    _database: string,
+    name: string,
+  ): Promise<Either<PromotionError, void>> {
+    this.ordered.push(name);
+    const member = this.group.members.find(each => each.name === name);
+    if (member === undefined || !member.reachable) {
+      return Left({kind: 'notRunning'});
+    }
+    if (this.present === name) return Right(undefined);
+    this.present = name;
+    this.group.term += 1;
+    for (const other of this.group.members) other.fencedTerm = 0;
+    member.role = 'primary';
+    return Right(undefined);
+  }
+}
--- a/packages/appointment/test/lease_grantor_test.ts
+++ b/packages/appointment/test/lease_grantor_test.ts
@@ -1,40 +1,11 @@
 import {expect} from 'chai';
 import {Either} from 'purify-ts';
 import {SoleControlLog} from '@apricotlock/control';
-import {PeerCall, PeerChannel, PeerNetwork} from '@apricotlock/peer';
 import {ManualTimerService} from '@apricotlock/timer';
 import {RENEW_LEASES} from '@apricotlock/work';
 import {LEASE_MILLISECONDS, LeaseGrantor} from '../src/index.js';
-
-const DATABASE = 'ledger';
-
-/** Keeps handlers, to be called by the test. */
-class FakeNetwork extends PeerNetwork {
-  readonly handlers = new Map<string, (request: never) => Promise<unknown>>();
-
-  override call(): never {
-    throw new Error('nobody is called here');
-  }
-
-  override converse(): PeerChannel<never, never> {
-    throw new Error('nobody is called here');
-  }
-
-  override handle<Request, Answer>(
-    call: PeerCall<Request, Answer>,
-    handler: (request: Request) => Promise<Either<string, Answer>>,
-  ): void {
-    this.handlers.set(call.name, handler as never);
-  }
-
-  override handleConversation(): void {
-    throw new Error('no conversations here');
-  }
-
-  override async close(): Promise<void> {
-    this.handlers.clear();
-  }
-}
+import {DATABASE, logWithGroup} from './fake_control.js';
+import {FakeNetwork} from './fake_network.js';
 
 describe('LeaseGrantor', () => {
   let timer: ManualTimerService;
@@ -45,59 +16,11 @@
   beforeEach(async () => {
     timer = ManualTimerService.create();
     timer.advance(100_000);
-    log = SoleControlLog.create('control-1');
     network = new FakeNetwork();
-    await appoint();
+    log = await logWithGroup(['m1'], 'm1', 'entry-1');
     grantor = LeaseGrantor.start({log, network, timer});
   });
 
-  async function appoint(): Promise<void> {
-    const limits = {
-      connections: 16,
-      slots: 2,
-      queueLength: 10,
-      queueMilliseconds: 100,
-    };
-    await log.propose({
-      kind: 'replaceCatalogue',
-      version: 7,
-      document: '{}',
-      at: 0,
-      entries: [
-        {
-          name: 'entry',
-          owner: 'test',
-          class: 'standard',
-          database: DATABASE,
-          members: 1,
-          limits,
-        },
-      ],
-    });
-    await log.propose({
-      kind: 'reportMember',
-      at: 0,
-      report: {
-        name: 'm1',
-        database: DATABASE,
-        dataCentre: 'here',
-        address: {host: '127.0.0.1', port: 1},
-        incarnation: 1,
-        state: 'active',
-        reportSequence: 1,
-      },
-    });
-    await beginTerm(0);
-    await log.propose({
-      kind: 'setPrimary',
-      database: DATABASE,
-      term: 1,
-      primary: 'm1',
-      holder: 'entry-1',
-      at: 0,
-    });
-  }
-
   async function beginTerm(expectedTerm: number): Promise<void> {
     await log.propose({
       kind: 'beginTerm',
