Repeat a command of a failover round in the same term while nothing comes back

Cause: 'replaces one that is cut off both ways' and 'acknowledges nothing on it, with an entry VM on its side' failed at times: the log shows rounds that came to nothing for 6 s while disks took 300 to 600 ms for a sync. A fence that took longer than 400 ms counted as no answer, the next round went one term up, and each member had to sync anew: no round could end while disks were slow. Ruled out: silent connections (commands use fresh ones), false suspicion (each failover in the log follows a fault of the test). Change: an unanswered fence or promotion is asked again in its own term, for 1.6 s; a member that has synced it meanwhile answers at once.

--- a/packages/failover/src/failover_round.ts
+++ b/packages/failover/src/failover_round.ts
@@ -10,8 +10,10 @@
   votingMembers,
 } from '@apricotlock/topology';
 import {askMembers} from './ask_members.js';
+import {repeatCommand} from './repeat_command.js';
 
-const COMMAND_TIMEOUT_MILLISECONDS = 400;
+/** How long a member may take to learn whom to follow. */
+const FOLLOW_TIMEOUT_MILLISECONDS = 400;
 
 /** What a round needs. */
 export interface RoundOptions {
@@ -105,24 +107,21 @@
   /** The fenced members that count, once they are a majority. */
   private fence(members: readonly Member[]): Promise<readonly MemberStatus[]> {
     const {group, term} = this;
+    const {client, timer} = this.options;
     return askMembers(
       members,
       member =>
-        this.options.client.fence(
-          member.apiAddress,
-          term,
-          COMMAND_TIMEOUT_MILLISECONDS,
+        repeatCommand(timer, timeoutMilliseconds =>
+          client.fence(member.apiAddress, term, timeoutMilliseconds),
         ),
       {enough: majorityOf(group), counts: status => hasHistory(group, status)},
     );
   }
 
   private async promote(chosen: Member): Promise<boolean> {
-    const {client} = this.options;
-    const answer = await client.promote(
-      chosen.apiAddress,
-      this.term,
-      COMMAND_TIMEOUT_MILLISECONDS,
+    const {client, timer} = this.options;
+    const answer = await repeatCommand(timer, timeoutMilliseconds =>
+      client.promote(chosen.apiAddress, this.term, timeoutMilliseconds),
     );
     const status = answer.toMaybe().extract();
     return status?.role === 'primary' && status.term === this.term;
@@ -159,7 +158,7 @@
         member.apiAddress,
         this.term,
         {name, apiAddress},
-        COMMAND_TIMEOUT_MILLISECONDS,
+        FOLLOW_TIMEOUT_MILLISECONDS,
       );
     }
   }
