Answer in time what can be, and stop asking full members in a tight loop

Members ran at full capacity on a first-come queue, so that the backlog of the outage made every newcomer late too, and up to 1,030 attempts in 200 ms asked full members again each 15 ms on cold processes. A line says how long opening the log took.

--- a/packages/control/src/replicated_control_log.ts
+++ b/packages/control/src/replicated_control_log.ts
@@ -103,6 +103,7 @@
     options: ReplicatedControlLogOptions,
   ): Promise<Either<StorageError, ReplicatedControlLog>> {
     const {folder, newDiskId, timer, failed, logger} = options;
+    const startedAt = timer.now();
     const opened = await DurableLog.open(folder, newDiskId, {
       timer,
       failed,
@@ -111,7 +112,14 @@
           milliseconds: Math.round(milliseconds),
         }),
     });
-    return opened.map(log => new ReplicatedControlLog(options, log));
+    return opened.map(log => {
+      logger.info('opened the log', {
+        index: log.last.index,
+        snapshot: log.snapshot.index,
+        milliseconds: Math.round(timer.now() - startedAt),
+      });
+      return new ReplicatedControlLog(options, log);
+    });
   }
 
   override get leader(): Observable<string | undefined> {
--- a/packages/dispatch/src/caller_failure.ts
+++ b/packages/dispatch/src/caller_failure.ts
@@ -1,5 +1,5 @@
 import {CallerFailure} from '@apricotlock/statement';
-import {RouteOutcome} from './statement_router.js';
+import {RouteOutcome} from './attempt.js';
 import {WorkResult} from './work_holder.js';
 
 /** What a statement that no member answered means to the caller. */
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -4,6 +4,7 @@
  *
  * @packageDocumentation
  */
+export {type RouteOutcome} from './attempt.js';
 export {ContactWatch, type ContactWatchOptions} from './contact_watch.js';
 export {FreshnessBook, type Evidence} from './freshness_book.js';
 export {
@@ -14,12 +15,14 @@
 export {MemberStandings} from './member_standing.js';
 export {
   appointmentPatience,
+  objectiveLeft,
   queueMilliseconds,
   type Missing,
   type Patience,
 } from './patience.js';
 export {PathHealth, type PathHealthOptions} from './path_health.js';
 export {readOrder, type ReadNeeds} from './read_order.js';
+export {retryPause, type Setback} from './retry_pause.js';
 export {SessionContext, type Forwarded} from './session_context.js';
 export {SessionHost, type SessionHostOptions} from './session_host.js';
 export {SessionObserver} from './session_observer.js';
@@ -27,7 +30,6 @@
   StatementRouter,
   type OwnWrite,
   type RoutedStatement,
-  type RouteOutcome,
   type StatementRouterOptions,
 } from './statement_router.js';
 export {
--- a/packages/dispatch/src/patience.ts
+++ b/packages/dispatch/src/patience.ts
@@ -14,9 +14,17 @@
 
 /** How long work of these terms may wait for a slot, in milliseconds. */
 export function queueMilliseconds(terms: ServiceTerms): number {
+  return terms.statementMilliseconds * QUEUE_SHARE;
+}
+
+/**
+ * How long work that is so old has until its answer is late, in milliseconds;
+ * 0 if it is late already. Without an objective the time limit is one.
+ */
+export function objectiveLeft(terms: ServiceTerms, spent: number): number {
   const {objectiveMilliseconds, statementMilliseconds} = terms;
-  const limit = statementMilliseconds * QUEUE_SHARE;
-  return Math.min(limit, Math.max(objectiveMilliseconds ?? limit, limit / 2));
+  const objective = objectiveMilliseconds ?? statementMilliseconds;
+  return Math.max(0, Math.round(objective - spent));
 }
 
 /** What is known of why a primary can't be used. */
--- a/packages/dispatch/src/statement_router.ts
+++ b/packages/dispatch/src/statement_router.ts
@@ -1,25 +1,38 @@
 import {Observable} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
-import {LogPosition, StatementAnswer, wasNotRun} from '@apricotlock/statement';
+import {LogPosition, wasNotRun} from '@apricotlock/statement';
 import {TimerService} from '@apricotlock/timer';
 import {
   CatalogueEntry,
   ClusterView,
   DatabaseGroup,
   findGroup,
-  Member,
   ServiceTerms,
 } from '@apricotlock/topology';
 import {Opens, WorkRequest, WorkStatement, WorkText} from '@apricotlock/work';
+import {
+  after,
+  Attempt,
+  gaveUp,
+  leastBusy,
+  Next,
+  next,
+  RouteOutcome,
+} from './attempt.js';
 import {FreshnessKeeper} from './freshness_keeper.js';
 import {MemberStandings} from './member_standing.js';
-import {appointmentPatience, Missing, queueMilliseconds} from './patience.js';
+import {
+  appointmentPatience,
+  Missing,
+  objectiveLeft,
+  Patience,
+  queueMilliseconds,
+} from './patience.js';
 import {ReadNeeds, readOrder} from './read_order.js';
+import {retryPause} from './retry_pause.js';
 import {WorkGate} from './work_gate.js';
 import {WorkHolder, WorkResult} from './work_holder.js';
 
-/** Between two attempts on the same primary. */
-const RETRY_PAUSE_MILLISECONDS = 15;
 /** Evidence this much younger than needed makes up for timers that fire late. */
 const AGE_MARGIN_MILLISECONDS = 40;
 /** How long a read waits to learn how far the primary is. */
@@ -28,7 +41,6 @@
 const READ_ATTEMPT_MILLISECONDS = 450;
 /** Below this there is no time for another attempt. */
 const MINIMUM_ATTEMPT_MILLISECONDS = 10;
-const RETRY_HINT_MILLISECONDS = 100;
 
 /** A statement that goes to a member, and what its session demands of it. */
 export interface RoutedStatement {
@@ -52,36 +64,6 @@
   readonly at: number;
 }
 
-/** What became of a statement. */
-export type RouteOutcome =
-  | {
-      readonly kind: 'answered';
-      readonly answer: StatementAnswer;
-      /** Kept for the rest of the transaction, if one is open. */
-      readonly holder: WorkHolder;
-      readonly member: string;
-    }
-  | {
-      readonly kind: 'notRun';
-      readonly reason: string;
-      readonly retryAfterMilliseconds: number;
-    }
-  | {
-      readonly kind: 'unknown';
-      readonly timedOut: boolean;
-      readonly reason: string;
-    };
-
-type Attempt = RouteOutcome | Next;
-
-/** An attempt that came to nothing; another one may be made. */
-interface Next {
-  readonly kind: 'next';
-  readonly reason: string;
-  /** Whether a member may have run it; only a read is then tried again. */
-  readonly mayHaveRun: boolean;
-}
-
 /** What routing needs. */
 export interface StatementRouterOptions {
   readonly dataCentre: string;
@@ -119,21 +101,35 @@
   }
 
   /** Tries the primary until it answers or there is no time left. */
-  private async onPrimary(statement: RoutedStatement): Promise<RouteOutcome> {
-    const {database} = statement.entry;
-    const missing = this.missing(database);
-    const patience = appointmentPatience(statement.terms, missing);
-    const deadline = statement.receivedAt + patience.holdMilliseconds;
+  private onPrimary(statement: RoutedStatement): Promise<RouteOutcome> {
+    const patience = this.patienceWith(statement);
+    return this.insist(statement, patience, () => this.tryPrimary(statement));
+  }
+
+  private patienceWith({terms, entry}: RoutedStatement): Patience {
+    return appointmentPatience(terms, this.missing(entry.database));
+  }
+
+  /** Makes attempts until one succeeds or the statement has waited enough. */
+  private async insist(
+    {receivedAt}: RoutedStatement,
+    {holdMilliseconds, retryAfterMilliseconds}: Patience,
+    attemptOnce: () => Promise<Attempt>,
+  ): Promise<RouteOutcome> {
+    const {timer} = this.options;
+    const deadline = receivedAt + holdMilliseconds;
     let last: Next | undefined;
-    for (;;) {
-      const attempt = await this.tryPrimary(statement);
+    for (let attempts = 1; ; attempts++) {
+      const attempt = await attemptOnce();
       if (attempt.kind !== 'next') return attempt;
       last = after(last, attempt);
-      const left = deadline - this.options.timer.now();
+      const left = deadline - timer.now();
       if (left < MINIMUM_ATTEMPT_MILLISECONDS) {
-        return gaveUp(last, patience.retryAfterMilliseconds);
+        return gaveUp(last, retryAfterMilliseconds);
       }
-      await this.options.timer.sleep(Math.min(left, RETRY_PAUSE_MILLISECONDS));
+      const {expectedWaitMilliseconds} = attempt;
+      const pause = retryPause({attempts, expectedWaitMilliseconds});
+      await timer.sleep(Math.min(left, pause));
     }
   }
 
@@ -149,26 +145,14 @@
       floor: undefined,
       repeatable: isRepeatable(statement),
       timeoutMilliseconds: this.timeLeft(statement),
+      waitMilliseconds: queueMilliseconds(statement.terms),
     });
   }
 
   /** Tries members in order of what they promise, until one can. */
-  private async read(statement: RoutedStatement): Promise<RouteOutcome> {
-    const {database} = statement.entry;
-    const missing = this.missing(database);
-    const patience = appointmentPatience(statement.terms, missing);
-    const deadline = statement.receivedAt + patience.holdMilliseconds;
-    let last: Next | undefined;
-    for (;;) {
-      const attempt = await this.tryRead(statement);
-      if (attempt.kind !== 'next') return attempt;
-      last = after(last, attempt);
-      const left = deadline - this.options.timer.now();
-      if (left < MINIMUM_ATTEMPT_MILLISECONDS) {
-        return gaveUp(last, RETRY_HINT_MILLISECONDS);
-      }
-      await this.options.timer.sleep(Math.min(left, RETRY_PAUSE_MILLISECONDS));
-    }
+  private read(statement: RoutedStatement): Promise<RouteOutcome> {
+    const patience = this.patienceWith(statement);
+    return this.insist(statement, patience, () => this.tryRead(statement));
   }
 
   private async tryRead(statement: RoutedStatement): Promise<Attempt> {
@@ -181,39 +165,52 @@
     return this.tryMembers(statement, group, needs);
   }
 
+  /**
+   * Tries members, first for an answer in time. Only where none has room for
+   * that does the statement wait behind others, and is late.
+   */
   private async tryMembers(
     statement: RoutedStatement,
     group: DatabaseGroup,
     needs: ReadNeeds,
   ): Promise<Attempt> {
-    const {dataCentre} = this.options;
-    const order = readOrder(group, dataCentre, needs, this.standings);
-    let last = next('the database has no member that takes work');
-    for (const member of order) {
-      const left = this.timeLeft(statement);
-      if (left < MINIMUM_ATTEMPT_MILLISECONDS) break;
-      const attempt = await this.readFrom(statement, group, member, needs);
-      if (attempt.kind !== 'next') return attempt;
-      last = after(last, attempt);
+    const inTime = this.objectiveLeft(statement);
+    const longest = queueMilliseconds(statement.terms);
+    const waits = inTime > 0 ? [Math.min(inTime, longest), longest] : [longest];
+    let last: Attempt = next('the database has no member that takes work');
+    for (const wait of waits) {
+      last = await this.tryEach(statement, group, needs, wait);
+      const full = last.kind === 'next' && last.expectedWaitMilliseconds;
+      if (!full) return last;
     }
     return last;
   }
 
-  private readFrom(
+  private async tryEach(
     statement: RoutedStatement,
     group: DatabaseGroup,
-    {name}: Member,
     needs: ReadNeeds,
+    waitMilliseconds: number,
   ): Promise<Attempt> {
-    const limit = this.timeLeft(statement);
-    return this.attempt(statement, group, {
-      member: name,
-      primaryTerm: 0,
-      floor: needs.floor,
-      floorAgeMilliseconds: needs.floorAgeMilliseconds,
-      repeatable: isRepeatable(statement),
-      timeoutMilliseconds: Math.min(limit, READ_ATTEMPT_MILLISECONDS),
-    });
+    const {dataCentre} = this.options;
+    const order = readOrder(group, dataCentre, needs, this.standings);
+    let last = next('the database has no member that takes work');
+    for (const {name} of order) {
+      const left = this.timeLeft(statement);
+      if (left < MINIMUM_ATTEMPT_MILLISECONDS) break;
+      const attempt = await this.attempt(statement, group, {
+        member: name,
+        primaryTerm: 0,
+        floor: needs.floor,
+        floorAgeMilliseconds: needs.floorAgeMilliseconds,
+        repeatable: isRepeatable(statement),
+        timeoutMilliseconds: Math.min(left, READ_ATTEMPT_MILLISECONDS),
+        waitMilliseconds,
+      });
+      if (attempt.kind !== 'next') return attempt;
+      last = leastBusy(last, after(last, attempt));
+    }
+    return last;
   }
 
   /** One try on one member. */
@@ -223,7 +220,9 @@
     choice: Choice,
   ): Promise<Attempt> {
     const {gate, timer} = this.options;
-    const work = gate.open(group, workRequest(statement, choice));
+    const objective = this.objectiveLeft(statement);
+    const request = workRequest(statement, choice, objective);
+    const work = gate.open(group, request);
     if (work === undefined) return next('no VM can reach the member now');
     const holder = WorkHolder.of(work, gate, timer);
     const {timeoutMilliseconds, repeatable} = choice;
@@ -272,7 +271,8 @@
     } else if (reason === 'unreachable') {
       this.options.gate.cannotReach(machine, member);
     }
-    return next(`${member}: ${reason}`);
+    const full = reason === 'overloaded' ? retryAfterMilliseconds : undefined;
+    return next(`${member}: ${reason}`, false, full);
   }
 
   /** What the log of a member must hold for this read; waits to learn it. */
@@ -307,6 +307,10 @@
     return Math.max(0, Math.round(terms.statementMilliseconds - spent));
   }
 
+  private objectiveLeft({receivedAt, terms}: RoutedStatement): number {
+    return objectiveLeft(terms, this.options.timer.now() - receivedAt);
+  }
+
   private groupOf({entry}: RoutedStatement): DatabaseGroup | undefined {
     return findGroup(this.options.view.current, entry.database);
   }
@@ -365,18 +369,27 @@
   /** Whether it may be tried again elsewhere, even if it has run. */
   readonly repeatable: boolean;
   readonly timeoutMilliseconds: number;
+  /** How long it may wait at the member. */
+  readonly waitMilliseconds: number;
 }
 
 function workRequest(
   {requestId, text, opens, values, terms, entry}: RoutedStatement,
-  {member, primaryTerm, floor, repeatable, timeoutMilliseconds}: Choice,
+  choice: Choice,
+  objectiveMilliseconds: number,
 ): WorkRequest {
+  const {member, primaryTerm, floor, repeatable, timeoutMilliseconds} = choice;
+  const waitMilliseconds = Math.min(
+    choice.waitMilliseconds,
+    timeoutMilliseconds,
+  );
   return {
     database: entry.database,
     member,
     primaryTerm,
     priority: terms.priority,
-    waitMilliseconds: Math.min(queueMilliseconds(terms), timeoutMilliseconds),
+    waitMilliseconds,
+    objectiveMilliseconds,
     first: {
       kind: 'run',
       requestId,
@@ -404,23 +417,3 @@
     (term === left.floor.term && number > left.floor.number);
   return later ? right : left;
 }
-
-function next(reason: string, mayHaveRun = false): Next {
-  return {kind: 'next', reason, mayHaveRun};
-}
-
-/** The last answer to a caller after attempts that led to nothing. */
-function gaveUp(
-  {reason, mayHaveRun}: Next,
-  retryAfterMilliseconds: number,
-): RouteOutcome {
-  return mayHaveRun
-    ? {kind: 'unknown', timedOut: true, reason}
-    : {kind: 'notRun', reason, retryAfterMilliseconds};
-}
-
-/** Once an attempt may have run, no later one can undo that. */
-function after(earlier: Next | undefined, attempt: Next): Next {
-  const mayHaveRun = attempt.mayHaveRun || earlier?.mayHaveRun === true;
-  return {...attempt, mayHaveRun};
-}
--- a/packages/dispatch/test/decisions_test.ts
+++ b/packages/dispatch/test/decisions_test.ts
@@ -6,6 +6,7 @@
   FreshnessBook,
   isCutOff,
   MemberStandings,
+  objectiveLeft,
   queueMilliseconds,
   readOrder,
   shouldCloseIdle,
@@ -165,6 +166,13 @@
     expect(patience.retryAfterMilliseconds).to.be.below(100);
   });
 
+  it('knows how long an answer can still be in time', () => {
+    expect(objectiveLeft(TERMS, 50)).to.equal(150);
+    expect(objectiveLeft(TERMS, 900)).to.equal(0);
+    const {objectiveMilliseconds: _none, ...without} = TERMS;
+    expect(objectiveLeft(without, 50)).to.equal(750);
+  });
+
   it('never waits for a slot as long as the statement may take', () => {
     expect(queueMilliseconds(TERMS)).to.be.below(TERMS.statementMilliseconds);
   });
--- /dev/null
+++ b/packages/dispatch/test/retry_pause_test.ts
@@ -0,0 +1,34 @@
+import {expect} from 'chai';
+import {retryPause} from '../src/index.js';
+
+describe('retryPause', () => {
+  describe('in the first seconds after an outage', () => {
+    const WAITING_STATEMENTS = 100;
+    const OUTAGE_MILLISECONDS = 500;
+
+    it('asks for a primary that nobody may use yet less and less', () => {
+      let attempts = 0;
+      let at = 0;
+      while (at < OUTAGE_MILLISECONDS) {
+        attempts += 1;
+        at += retryPause({attempts, expectedWaitMilliseconds: undefined});
+      }
+      // One question every 15 ms would be 34 of each statement.
+      expect(attempts * WAITING_STATEMENTS).to.be.below(1_300);
+      expect(at - OUTAGE_MILLISECONDS).to.be.below(61);
+    });
+
+    it('comes back to full queues when they should have emptied', () => {
+      const pause = (expectedWaitMilliseconds: number) =>
+        retryPause({attempts: 1, expectedWaitMilliseconds});
+      expect(pause(200)).to.equal(100);
+      expect(pause(2_000)).to.equal(150);
+      expect(pause(1)).to.equal(15);
+    });
+  });
+
+  it('asks again at once after a first failure', () => {
+    const setback = {attempts: 1, expectedWaitMilliseconds: undefined};
+    expect(retryPause(setback)).to.equal(15);
+  });
+});
--- a/packages/work/src/index.ts
+++ b/packages/work/src/index.ts
@@ -37,6 +37,7 @@
 export {
   WorkQueue,
   type QueueRefusal,
+  type WorkDemand,
   type WorkQueueOptions,
 } from './work_queue.js';
 export {WorkService, type WorkServiceOptions} from './work_service.js';
--- a/packages/work/src/member_worker.ts
+++ b/packages/work/src/member_worker.ts
@@ -131,11 +131,7 @@
       return this.refuse(channel, 'unreachable');
     }
     const inbox = WorkInbox.over(channel);
-    const turn = await this.queue.begin(
-      request.priority,
-      request.waitMilliseconds,
-      inbox.gone,
-    );
+    const turn = await this.queue.begin(request, inbox.gone);
     if (turn.isLeft()) {
       const reason = this.reachable ? 'overloaded' : 'unreachable';
       const wait = turn.extract() as {expectedWaitMilliseconds: number};
--- a/packages/work/src/work_messages.ts
+++ b/packages/work/src/work_messages.ts
@@ -40,6 +40,8 @@
   readonly priority: number;
   /** How long it may wait for a connection and a slot, in milliseconds. */
   readonly waitMilliseconds: number;
+  /** How long until its answer is late, in milliseconds; may be past. */
+  readonly objectiveMilliseconds: number;
   readonly first: WorkStatement;
 }
 
@@ -129,6 +131,7 @@
     primaryTerm: 'number',
     priority: 'number',
     waitMilliseconds: 'number',
+    objectiveMilliseconds: 'number',
     first: 'object',
   });
   if (!outer) return false;
--- a/packages/work/src/work_queue.ts
+++ b/packages/work/src/work_queue.ts
@@ -10,9 +10,21 @@
 const OPEN_TRANSACTION = -1;
 const NEVER = new Promise<never>(() => undefined);
 
+/** What new work asks of a queue. */
+export interface WorkDemand {
+  /** 0 goes before all others. */
+  readonly priority: number;
+  /** How long it may wait for a slot, in milliseconds. */
+  readonly waitMilliseconds: number;
+  /** How long until its answer is late, in milliseconds; may be past. */
+  readonly objectiveMilliseconds: number;
+}
+
 /** Work that waits for a slot, and for a connection too if it has none. */
 interface Waiting<Connection> {
   readonly priority: number;
+  /** When its answer becomes late, on the timer's clock. */
+  readonly lateAt: number;
   readonly needsConnection: boolean;
   readonly turn: Deferred<Either<QueueRefusal, Connection | undefined>>;
 }
@@ -35,9 +47,12 @@
 /**
  * Decides whose statement a member runs next. The load it answers: more
  * statements than slots, of several priorities, among them statements of open
- * transactions. Those go first, for they hold locks and connections; then the
- * higher priority, and within one the older. What would wait longer than it
- * may is refused at once, and never after it has waited in vain for long.
+ * transactions, and the backlog of an outage that arrives all at once. Open
+ * transactions go first, for they hold locks and connections; then the higher
+ * priority. Within one, what can still be answered in time goes before what is
+ * late already, so that a backlog does not make everything behind it late too;
+ * then the older. What would wait longer than it may is refused at once, and
+ * never after it has waited in vain for long.
  *
  * It does no input or output: it is told of connections, and of ends.
  */
@@ -71,17 +86,18 @@
 
   /** Waits for a slot and a connection. */
   async begin(
-    priority: number,
-    waitMilliseconds: number,
+    {priority, waitMilliseconds, objectiveMilliseconds}: WorkDemand,
     abandoned: Promise<unknown>,
   ): Promise<Either<QueueRefusal, Connection>> {
-    const ahead = this.waiting.filter(each => each.priority <= priority);
-    const expectedWaitMilliseconds = this.expectedWait(ahead.length);
+    const lateAt = this.options.timer.now() + objectiveMilliseconds;
+    const expectedWaitMilliseconds = this.expectedWait(
+      this.ahead(priority, lateAt),
+    );
     if (expectedWaitMilliseconds > waitMilliseconds) {
       return Left(refusal(expectedWaitMilliseconds));
     }
     const turn = await this.wait(
-      {priority, needsConnection: true},
+      {priority, lateAt, needsConnection: true},
       waitMilliseconds,
       abandoned,
     );
@@ -90,7 +106,8 @@
 
   /** Waits for a slot for the next statement of an open transaction. */
   async goOn(waitMilliseconds: number): Promise<Either<QueueRefusal, void>> {
-    const kind = {priority: OPEN_TRANSACTION, needsConnection: false};
+    const lateAt = this.options.timer.now() + waitMilliseconds;
+    const kind = {priority: OPEN_TRANSACTION, lateAt, needsConnection: false};
     const turn = await this.wait(kind, waitMilliseconds, NEVER);
     return turn.map(() => undefined);
   }
@@ -118,17 +135,12 @@
   }
 
   private async wait(
-    kind: Pick<Waiting<Connection>, 'priority' | 'needsConnection'>,
+    kind: Omit<Waiting<Connection>, 'turn'>,
     waitMilliseconds: number,
     abandoned: Promise<unknown>,
   ): Promise<Either<QueueRefusal, Connection | undefined>> {
     const waiting: Waiting<Connection> = {...kind, turn: Deferred.create()};
-    const {priority} = kind;
-    this.waiting = [
-      ...this.waiting.filter(each => each.priority <= priority),
-      waiting,
-      ...this.waiting.filter(each => each.priority > priority),
-    ];
+    this.waiting = [...this.waiting, waiting];
     const withdraw = () => this.withdraw(waiting);
     const stop = this.options.timer.once(waitMilliseconds, withdraw);
     void abandoned.then(withdraw);
@@ -151,7 +163,7 @@
   }
 
   private startNext(): boolean {
-    for (const waiting of this.waiting) {
+    for (const waiting of this.inOrder()) {
       const {needsConnection, turn} = waiting;
       const connection = needsConnection ? this.options.take() : undefined;
       if (needsConnection && connection === undefined) continue;
@@ -167,6 +179,32 @@
     this.waiting = this.waiting.filter(each => each !== waiting);
   }
 
+  /** What waits, the next one first; of equals the older. */
+  private inOrder(): ReadonlyArray<Waiting<Connection>> {
+    if (this.waiting.length < 2) return this.waiting;
+    const lateness = (each: Waiting<Connection>) =>
+      this.isLate(each.lateAt) ? 1 : 0;
+    return [...this.waiting].sort(
+      (left, right) =>
+        left.priority - right.priority || lateness(left) - lateness(right),
+    );
+  }
+
+  /** How much that waits now would go before new work. */
+  private ahead(priority: number, lateAt: number): number {
+    const more = this.waiting.filter(each => each.priority < priority).length;
+    const equals = this.waiting.filter(each => each.priority === priority);
+    const inTime = equals.filter(each => !this.isLate(each.lateAt)).length;
+    const wait = this.expectedWait(more + inTime);
+    const late = this.isLate(lateAt - wait);
+    return more + (late ? equals.length : inTime);
+  }
+
+  /** Whether work that starts now ends too late for its caller's objective. */
+  private isLate(lateAt: number): boolean {
+    return this.options.timer.now() + this.meanMilliseconds > lateAt;
+  }
+
   private expectedWait(ahead: number): number {
     const busy = Math.max(0, this.running + ahead + 1 - this.slots);
     return (busy * this.meanMilliseconds) / Math.max(1, this.slots);
--- a/packages/work/test/member_worker_test.ts
+++ b/packages/work/test/member_worker_test.ts
@@ -55,6 +55,7 @@
     primaryTerm: 1,
     priority: 1,
     waitMilliseconds: 100,
+    objectiveMilliseconds: 100,
     first: statementOf(statement),
   };
 }
--- a/packages/work/test/work_queue_test.ts
+++ b/packages/work/test/work_queue_test.ts
@@ -27,8 +27,13 @@
     });
   }
 
-  begin(name: string, priority: number, wait: number) {
-    const outcome = this.queue.begin(priority, wait, NEVER);
+  begin(name: string, priority: number, wait: number, objective = wait) {
+    const demand = {
+      priority,
+      waitMilliseconds: wait,
+      objectiveMilliseconds: objective,
+    };
+    const outcome = this.queue.begin(demand, NEVER);
     void outcome.then(turn => {
       if (turn.isRight()) this.started.push(name);
     });
@@ -130,6 +135,48 @@
     });
   });
 
+  describe('under the backlog of an outage', () => {
+    const MEAN_MILLISECONDS = 12;
+    const OBJECTIVE_MILLISECONDS = 100;
+    const BACKLOG = 40;
+    const NEWCOMERS = 20;
+
+    it('answers newcomers in time, and the backlog after them', async () => {
+      const member = new FakeMember(2, 200);
+      for (let index = 0; index < BACKLOG; index++) {
+        void member.begin(`backlog ${index}`, LOW, 1_000, 0);
+      }
+      const inTime: string[] = [];
+      // Newcomers take two thirds of what the member can do.
+      for (let step = 0; step < NEWCOMERS; step++) {
+        const arrivedAt = member.timer.now();
+        const name = `new ${step}`;
+        const begun = member.begin(name, LOW, 480, OBJECTIVE_MILLISECONDS);
+        void begun.then(() => {
+          const spent = member.timer.now() - arrivedAt + MEAN_MILLISECONDS;
+          if (spent <= OBJECTIVE_MILLISECONDS) inTime.push(name);
+        });
+        await member.timer.advanceTasks(9);
+        await member.end(MEAN_MILLISECONDS);
+        if (step % 2 === 0) await member.end(MEAN_MILLISECONDS);
+      }
+      expect(inTime).to.have.lengthOf(NEWCOMERS);
+      const served = member.started.filter(name => name.startsWith('backlog'));
+      expect(served.length).to.be.above(5);
+    });
+
+    it('puts work that has become late behind what can be in time', async () => {
+      const member = new FakeMember(1, 10);
+      void member.begin('running', LOW, 1_000);
+      void member.begin('overtaken', LOW, 1_000, 50);
+      await member.timer.advanceTasks(60);
+      void member.begin('fresh', LOW, 1_000, OBJECTIVE_MILLISECONDS);
+      await member.end(60);
+      await member.end(MEAN_MILLISECONDS);
+      expect(member.started).to.deep.equal(['running', 'fresh', 'overtaken']);
+    });
+  });
+
   describe('without a free connection', () => {
     it('says how many it waits for, and starts when one is free', async () => {
       const member = new FakeMember(2, 0);
