--- a/packages/control/src/durable_log.ts
+++ b/packages/control/src/durable_log.ts
@@ -15,6 +15,12 @@
 const GENERATION_DIGITS = 8;
 /** Entries kept behind a snapshot, for voters that are a little behind. */
 const ENTRIES_KEPT_BEHIND = 200;
+const BYTES_KEPT_BEHIND = 256 << 10;
+/** A restart reads what was added since the snapshot, and it is held in memory. */
+const ENTRIES_A_SNAPSHOT = 500;
+const BYTES_A_SNAPSHOT = 1 << 20;
+/** A snapshot is not written again before so much of its size was added. */
+const GROWTH_A_SNAPSHOT = 2;
 const SLOW_WRITE_MILLISECONDS = 300;
 const BEFORE_ALL: LogPosition = {index: 0, term: 0};
 const EMPTY_SNAPSHOT: Snapshot = {
@@ -60,6 +66,10 @@
   private waiting: ReadonlyArray<Deferred<void>> = [];
   private writing = false;
   private flushedTo = 0;
+  /** The size of the record with which the file began, in bytes. */
+  private firstBytes = 0;
+  /** What was added to the file since, in bytes. */
+  private addedBytes = 0;
   private latestConfiguration: ControlConfiguration | undefined;
 
   private constructor(
@@ -109,7 +119,7 @@
       const offsetBytes = decoded.extract() as number;
       return Left({kind: 'corrupt', file: path, offsetBytes});
     }
-    const {records, lengthBytes} = decoded.unsafeCoerce();
+    const {records, lengthBytes, firstBytes} = decoded.unsafeCoerce();
     const items = (records as ReadonlyArray<readonly LogItem[]>).flat();
     const vote = items.find(item => item.kind === 'vote')?.vote;
     // The first record was synced before the file got its name.
@@ -120,6 +130,8 @@
     const log = new DurableLog(folder, vote, generation, file, context);
     for (const item of items) log.take(item);
     log.flushedTo = log.last.index;
+    log.firstBytes = firstBytes;
+    log.addedBytes = lengthBytes - firstBytes;
     return Right(log);
   }
 
@@ -153,9 +165,14 @@
     return Math.min(this.flushedTo, this.last.index);
   }
 
-  /** Entries that a restart would have to go through. */
-  get entriesSinceSnapshot(): number {
-    return this.last.index - this.snapshotHeld.index;
+  /** Whether a restart would have to go through so much that it takes long. */
+  get isLong(): boolean {
+    const entries = this.last.index - this.snapshotHeld.index;
+    const bytes = Math.max(
+      BYTES_A_SNAPSHOT,
+      this.firstBytes * GROWTH_A_SNAPSHOT,
+    );
+    return entries >= ENTRIES_A_SNAPSHOT || this.addedBytes >= bytes;
   }
 
   /** Who takes part now: the newest configuration, decided or not. */
@@ -196,10 +213,7 @@
   /** Keeps the state after a place, and forgets what led to it. */
   compact(position: LogPosition, state: Snapshot['state']): void {
     const configuration = this.configurationAt(position.index);
-    const baseIndex = Math.max(
-      this.base.index,
-      position.index - ENTRIES_KEPT_BEHIND,
-    );
+    const baseIndex = this.indexToKeepFrom(position.index) - 1;
     const base = {index: baseIndex, term: this.termAt(baseIndex) ?? 0};
     this.rewrite({...position, configuration, state}, base);
   }
@@ -234,6 +248,19 @@
     return this.snapshotHeld.configuration;
   }
 
+  /** The oldest entry worth keeping for voters that are a little behind. */
+  private indexToKeepFrom(snapshotIndex: number): number {
+    let index = snapshotIndex + 1;
+    let bytes = 0;
+    while (index > this.base.index + 1) {
+      if (snapshotIndex + 1 - index >= ENTRIES_KEPT_BEHIND) break;
+      bytes += encodeRecord(this.entryAt(index - 1)).length;
+      if (bytes > BYTES_KEPT_BEHIND) break;
+      index -= 1;
+    }
+    return index;
+  }
+
   private rewrite(snapshot: Snapshot, base: LogPosition): void {
     this.take({kind: 'snapshot', snapshot, base});
     const items: readonly LogItem[] = [
@@ -241,6 +268,7 @@
       {kind: 'snapshot', snapshot, base},
       ...this.entries.map((entry): LogItem => ({kind: 'entry', entry})),
     ];
+    this.addedBytes = 0;
     this.addTask({kind: 'rewrite', items});
   }
 
@@ -306,7 +334,9 @@
       .slice(rewriteAt + 1)
       .flatMap(task => (task.kind === 'append' ? [task.item] : []));
     if (items.length > 0) {
-      await this.file.append(encodeRecord(items));
+      const bytes = encodeRecord(items);
+      this.addedBytes += bytes.length;
+      await this.file.append(bytes);
       await this.file.sync();
     }
     // An entry that was overwritten meanwhile is not the one that was synced.
@@ -330,6 +360,7 @@
     await this.folder.replace(name, bytes);
     await this.file.close();
     this.file = await this.folder.openAt(name, bytes.length);
+    this.firstBytes = bytes.length;
     this.generation += 1;
     await this.folder.remove(old);
   }
--- a/packages/control/src/record_file.ts
+++ b/packages/control/src/record_file.ts
@@ -15,6 +15,8 @@
   readonly records: readonly unknown[];
   /** Where the last whole record ends; what follows was never synced. */
   readonly lengthBytes: number;
+  /** How long the first record is. */
+  readonly firstBytes: number;
 }
 
 /** Encodes one value with its checksums. */
@@ -36,15 +38,17 @@
 export function decodeRecords(bytes: Buffer): Either<number, RecordsRead> {
   const records: unknown[] = [];
   let offset = 0;
+  let firstBytes = 0;
   while (offset < bytes.length) {
     const length = recordLengthAt(bytes, offset);
     if (length === undefined) break;
     const payload = bytes.subarray(offset + HEADER_BYTES, offset + length);
     records.push(packr.unpack(payload));
     offset += length;
+    if (records.length === 1) firstBytes = length;
   }
   if (hasRecordAfter(bytes, offset)) return Left(offset);
-  return Right({records, lengthBytes: offset});
+  return Right({records, lengthBytes: offset, firstBytes});
 }
 
 /** Bytes of the whole record at an offset, if there is one. */
--- a/packages/control/src/replicated_control_log.ts
+++ b/packages/control/src/replicated_control_log.ts
@@ -27,7 +27,6 @@
 import {StorageFolder} from './storage_folder.js';
 import {VoterRepair} from './voter_repair.js';
 
-const ENTRIES_A_SNAPSHOT = 500;
 const RETRY_MILLISECONDS = 40;
 const CONFIRM_LIMIT_MILLISECONDS = 700;
 const CONFIRM_POLL_MILLISECONDS = 10;
@@ -274,7 +273,7 @@
 
   private compactIfLong(): void {
     const {log, appliedIndex: index} = this;
-    if (index - log.snapshot.index < ENTRIES_A_SNAPSHOT) return;
+    if (!log.isLong || index <= log.snapshot.index) return;
     const term = log.termAt(index);
     if (term !== undefined) log.compact({index, term}, this.state.current);
   }
--- a/packages/control/test/durable_log_test.ts
+++ b/packages/control/test/durable_log_test.ts
@@ -164,4 +164,48 @@
       expect(read.entriesFrom(701, 1)?.[0]?.index).to.equal(701);
     });
   });
+
+  describe('large entries', () => {
+    const DOCUMENT_BYTES = 100 << 10;
+    const MOST_BYTES = 3 << 20;
+
+    function large(index: number): LogEntry {
+      const command = {
+        kind: 'replaceCatalogue',
+        version: index,
+        entries: [],
+        document: 'x'.repeat(DOCUMENT_BYTES),
+        at: 0,
+      } as const;
+      return {index, term: 1, body: {kind: 'command', command}};
+    }
+
+    it('ask for a snapshot long before they are many', async () => {
+      const folder = MemoryFolder.create();
+      const log = await reopen(folder);
+      let snapshots = 0;
+      for (let index = 1; index <= 200; index++) {
+        log.append([large(index)]);
+        await log.flushed();
+        if (!log.isLong) continue;
+        snapshots += 1;
+        log.compact({index, term: 1}, EMPTY_CONTROL_STATE);
+        await log.flushed();
+      }
+      expect(snapshots).to.be.within(5, 25);
+      const [name] = await folder.list();
+      expect(folder.sizeOf(name as string)).to.be.below(MOST_BYTES);
+      const read = await reopen(folder);
+      expect(read.last.index).to.equal(200);
+      expect(read.isLong).to.equal(false);
+    });
+
+    it('are counted when the log is read again', async () => {
+      const folder = MemoryFolder.create();
+      const log = await reopen(folder);
+      for (let index = 1; index <= 15; index++) log.append([large(index)]);
+      await log.flushed();
+      expect((await reopen(folder)).isLong).to.equal(true);
+    });
+  });
 });
