--- a/packages/appointment/src/appointer.ts
+++ b/packages/appointment/src/appointer.ts
@@ -17,7 +17,7 @@
 
 const TICK_MILLISECONDS = 50;
 /** A holder that asks for no lease for so long is replaced. */
-const HOLDER_SILENCE_MILLISECONDS = 600;
+const HOLDER_SILENCE_MILLISECONDS = 450;
 /** How long a VM that could not use a primary is passed over as its holder. */
 const AVOID_HOLDER_MILLISECONDS = 5_000;
 /** Reports of other VMs than the holder's count together for so long. */
--- a/packages/appointment/src/lease_grantor.ts
+++ b/packages/appointment/src/lease_grantor.ts
@@ -6,7 +6,7 @@
 import {GroupTerm, RENEW_LEASES} from '@apricotlock/work';
 
 /** How long an entry VM may use a primary after it asked. */
-export const LEASE_MILLISECONDS = 1_400;
+export const LEASE_MILLISECONDS = 1_000;
 /** Steady clocks of two VMs may differ in rate by this part at most. */
 const CLOCK_RATE_ERROR = 0.02;
 
--- a/packages/work/src/lease_renewer.ts
+++ b/packages/work/src/lease_renewer.ts
@@ -6,11 +6,11 @@
 import {GroupTerm, RENEW_LEASES} from './lease_messages.js';
 import {PrimaryLeases} from './primary_leases.js';
 
-const RENEW_PERIOD_MILLISECONDS = 250;
+const RENEW_PERIOD_MILLISECONDS = 200;
 const RENEW_TIMEOUT_MILLISECONDS = 700;
 /** A lease that is nearly over is renewed at this pace. */
 const URGENT_PERIOD_MILLISECONDS = 100;
-const URGENT_LEFT_MILLISECONDS = 800;
+const URGENT_LEFT_MILLISECONDS = 600;
 
 /** What renewing leases needs. */
 export interface LeaseRenewerOptions {
