Close idle sessions of a cut-off VM at the balancer's second negative probe

Change: sessions are closed once the balancer's probes were told twice in a row that the VM isn't ready; a view counts as stale after 0.9 s (was 1.3), evidence after 0.5 s (was 0.6), which an election no longer takes.

--- a/packages/dispatch/src/contact_watch.ts
+++ b/packages/dispatch/src/contact_watch.ts
@@ -2,7 +2,7 @@
 import {TimerService, Unsubscribe} from '@apricotlock/timer';
 import {Contact, isCutOff, shouldCloseIdle} from './isolation.js';
 
-const CHECK_MILLISECONDS = 200;
+const CHECK_MILLISECONDS = 100;
 
 /** What watching the contact to the rest of the system needs. */
 export interface ContactWatchOptions {
@@ -14,7 +14,9 @@
 
 /** Notices that this VM is cut off from the rest of the system, and the end. */
 export class ContactWatch {
-  private cutOffSince: number | undefined;
+  private isolated = false;
+  /** The balancer's probes in a row that were answered in the negative. */
+  private negativeProbes = 0;
   private readonly stopChecking: Unsubscribe;
 
   private constructor(private readonly options: ContactWatchOptions) {
@@ -30,14 +32,17 @@
 
   /** Whether this VM seems cut off. */
   get cutOff(): boolean {
-    return this.cutOffSince !== undefined;
+    return this.isolated;
   }
 
   /** Whether idle sessions had better be served elsewhere. */
   get shouldCloseIdle(): boolean {
-    const {cutOffSince} = this;
-    if (cutOffSince === undefined) return false;
-    return shouldCloseIdle(this.options.timer.now() - cutOffSince);
+    return this.isolated && shouldCloseIdle(this.negativeProbes);
+  }
+
+  /** Notes what a probe of the balancer was told. */
+  probed(ready: boolean): void {
+    this.negativeProbes = ready ? 0 : this.negativeProbes + 1;
   }
 
   /** Ends the task. */
@@ -46,12 +51,12 @@
   }
 
   private check(): void {
-    const {contact, timer, logger} = this.options;
+    const {contact, logger} = this.options;
     const current = contact();
     if (current === undefined) return;
     const cutOff = isCutOff(current);
-    if (cutOff === this.cutOff) return;
-    this.cutOffSince = cutOff ? timer.now() : undefined;
+    if (cutOff === this.isolated) return;
+    this.isolated = cutOff;
     logger.warn(cutOff ? 'cut off from the others' : 'in contact again', {
       viewAge: Math.round(current.viewAgeMilliseconds),
       evidenceAge: Math.round(current.evidenceAgeMilliseconds),
--- a/packages/dispatch/src/isolation.ts
+++ b/packages/dispatch/src/isolation.ts
@@ -1,9 +1,9 @@
 /** A VM whose view nobody has confirmed for so long may be cut off. */
-const STALE_VIEW_MILLISECONDS = 1_300;
+const STALE_VIEW_MILLISECONDS = 900;
 /** The same for what the holders of primaries say. */
-const STALE_EVIDENCE_MILLISECONDS = 600;
-/** How long the balancer takes to send callers elsewhere. */
-const BALANCER_MILLISECONDS = 2_100;
+const STALE_EVIDENCE_MILLISECONDS = 500;
+/** Probes without success after which the balancer sends callers elsewhere. */
+const PROBES_TO_LEAVE = 2;
 
 /** What a VM knows of its own connection to the rest of the system. */
 export interface Contact {
@@ -32,8 +32,9 @@
 
 /**
  * Whether idle sessions are to be closed, so that their callers connect
- * elsewhere: only once the balancer sends them elsewhere, and not back.
+ * elsewhere: only once the balancer sends them elsewhere, and not back. It
+ * does so after the second probe in a row that is answered in the negative.
  */
-export function shouldCloseIdle(cutOffMilliseconds: number): boolean {
-  return cutOffMilliseconds > BALANCER_MILLISECONDS;
+export function shouldCloseIdle(negativeProbes: number): boolean {
+  return negativeProbes >= PROBES_TO_LEAVE;
 }
--- /dev/null
+++ b/packages/dispatch/test/contact_watch_test.ts
@@ -0,0 +1,60 @@
+import {expect} from 'chai';
+import {Logger} from '@apricotlock/logging';
+import {ManualTimerService} from '@apricotlock/timer';
+import {Contact, ContactWatch} from '../src/index.js';
+
+const IN_TOUCH: Contact = {
+  viewAgeMilliseconds: 50,
+  evidenceAgeMilliseconds: 50,
+};
+const APART: Contact = {
+  viewAgeMilliseconds: 5_000,
+  evidenceAgeMilliseconds: 5_000,
+};
+
+describe('ContactWatch', () => {
+  let timer: ManualTimerService;
+  let contact: Contact;
+  let watch: ContactWatch;
+
+  beforeEach(() => {
+    timer = ManualTimerService.create();
+    contact = IN_TOUCH;
+    watch = ContactWatch.start({
+      contact: () => contact,
+      timer,
+      logger: Logger.silent(),
+    });
+  });
+
+  function become(next: Contact): void {
+    contact = next;
+    timer.advance(200);
+  }
+
+  it('closes idle sessions once the balancer was told twice', () => {
+    become(APART);
+    expect(watch.cutOff).to.equal(true);
+    watch.probed(false);
+    expect(watch.shouldCloseIdle).to.equal(false);
+    watch.probed(false);
+    expect(watch.shouldCloseIdle).to.equal(true);
+  });
+
+  it('counts anew after a probe that was told to send callers', () => {
+    become(APART);
+    watch.probed(false);
+    watch.probed(true);
+    watch.probed(false);
+    expect(watch.shouldCloseIdle).to.equal(false);
+  });
+
+  it('keeps sessions of a VM that is not ready for another reason', () => {
+    watch.probed(false);
+    watch.probed(false);
+    expect(watch.shouldCloseIdle).to.equal(false);
+    become(APART);
+    become(IN_TOUCH);
+    expect(watch.shouldCloseIdle).to.equal(false);
+  });
+});
--- a/packages/dispatch/test/decisions_test.ts
+++ b/packages/dispatch/test/decisions_test.ts
@@ -186,8 +186,15 @@
     expect(isCutOff({...stale, evidenceAgeMilliseconds: 100})).to.equal(false);
   });
 
+  it('outlasts an election, and takes no longer than a lease', () => {
+    const during = {viewAgeMilliseconds: 850, evidenceAgeMilliseconds: 300};
+    expect(isCutOff(during)).to.equal(false);
+    const after = {viewAgeMilliseconds: 1_000, evidenceAgeMilliseconds: 600};
+    expect(isCutOff(after)).to.equal(true);
+  });
+
   it('closes idle sessions only once callers are sent elsewhere', () => {
-    expect(shouldCloseIdle(1_000)).to.equal(false);
-    expect(shouldCloseIdle(3_000)).to.equal(true);
+    expect(shouldCloseIdle(1)).to.equal(false);
+    expect(shouldCloseIdle(2)).to.equal(true);
   });
 });
