--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -15,6 +15,7 @@
 export {MemberStandings} from './member_standing.js';
 export {
   appointmentPatience,
+  attemptQueueMilliseconds,
   objectiveLeft,
   queueMilliseconds,
   type Missing,
--- a/packages/dispatch/src/patience.ts
+++ b/packages/dispatch/src/patience.ts
@@ -2,6 +2,8 @@
 
 /** How much of a statement's time may be spent waiting for a slot. */
 const QUEUE_SHARE = 0.6;
+/** The same for one attempt of it. */
+const ATTEMPT_QUEUE_SHARE = 0.6;
 /** How much of it may be spent waiting for a primary to be appointed. */
 const APPOINTMENT_SHARE = 0.85;
 /** A primary that is missing for so long is not expected back at once. */
@@ -17,6 +19,19 @@
   return terms.statementMilliseconds * QUEUE_SHARE;
 }
 
+/**
+ * How long an attempt may wait for a slot, in milliseconds. The load it
+ * answers: queues as long as an attempt. Work that got its slot just before
+ * the attempt is given up would run for nobody, and once more elsewhere.
+ */
+export function attemptQueueMilliseconds(
+  waitMilliseconds: number,
+  timeoutMilliseconds: number,
+): number {
+  const longest = timeoutMilliseconds * ATTEMPT_QUEUE_SHARE;
+  return Math.min(waitMilliseconds, longest);
+}
+
 /**
  * How long work that is so old has until its answer is late, in milliseconds;
  * 0 if it is late already. Without an objective the time limit is one.
--- a/packages/dispatch/src/statement_router.ts
+++ b/packages/dispatch/src/statement_router.ts
@@ -23,6 +23,7 @@
 import {MemberStandings} from './member_standing.js';
 import {
   appointmentPatience,
+  attemptQueueMilliseconds,
   Missing,
   objectiveLeft,
   Patience,
@@ -379,7 +380,7 @@
   objectiveMilliseconds: number,
 ): WorkRequest {
   const {member, primaryTerm, floor, repeatable, timeoutMilliseconds} = choice;
-  const waitMilliseconds = Math.min(
+  const waitMilliseconds = attemptQueueMilliseconds(
     choice.waitMilliseconds,
     timeoutMilliseconds,
   );
--- a/packages/dispatch/test/decisions_test.ts
+++ b/packages/dispatch/test/decisions_test.ts
@@ -3,6 +3,7 @@
 import {DatabaseGroup, Member, ServiceTerms} from '@apricotlock/topology';
 import {
   appointmentPatience,
+  attemptQueueMilliseconds,
   FreshnessBook,
   isCutOff,
   MemberStandings,
@@ -173,6 +174,13 @@
     expect(objectiveLeft(without, 50)).to.equal(750);
   });
 
+  it('leaves time to run what got its slot at the last moment', () => {
+    const longestStatement = 150;
+    const wait = attemptQueueMilliseconds(480, 450);
+    expect(wait + longestStatement).to.be.below(450);
+    expect(attemptQueueMilliseconds(100, 450)).to.equal(100);
+  });
+
   it('never waits for a slot as long as the statement may take', () => {
     expect(queueMilliseconds(TERMS)).to.be.below(TERMS.statementMilliseconds);
   });
