Give the programs a package of their own, with commands and hdr histograms

The bundled histogram classes are imported alone: the package's index with WebAssembly cost 5 MB a process; labels are the kind of read, so that a large catalogue costs no memory. Control VMs serve metrics too; the programs know 'config check' and '--help' (the parser is loaded only then).

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -9,6 +9,8 @@
     platform: 'node',
     format: 'cjs',
     target: 'node20',
+    // Only commands for people need it: it is not to cost running processes.
+    external: ['yargs'],
     legalComments: 'none',
     logLevel: 'warning',
   });
--- a/packages/apricotlock/src/entry_process.ts
+++ b/packages/apricotlock/src/entry_process.ts
@@ -24,7 +24,8 @@
 import {SystemTimerService, TimerService} from '@apricotlock/timer';
 import {openDataFolder, startControlLog} from './control_node.js';
 import {EntryOperatorBackend} from './entry_operator_backend.js';
-import {Gauge, Metrics} from './metrics.js';
+import {Gauge} from '@apricotlock/metrics';
+import {Metrics} from './metrics.js';
 import {Settings} from './settings.js';
 
 const MAXIMUM_PEER_MESSAGE_BYTES = 64 << 20;
--- a/packages/apricotlock/src/metrics.ts
+++ b/packages/apricotlock/src/metrics.ts
@@ -1,21 +1,21 @@
 import {monitorEventLoopDelay} from 'node:perf_hooks';
 import {Failure, SessionObserver} from '@apricotlock/proxy';
+import {
+  counterLines,
+  CounterSet,
+  Gauge,
+  gaugeLines,
+  headLines,
+  LatencySummary,
+} from '@apricotlock/metrics';
 import {TimerService} from '@apricotlock/timer';
-import {LatencySummary} from './latency_summary.js';
 
 const NANOSECONDS_A_SECOND = 1_000_000_000;
 
-/** A value that is read when the page is asked for. */
-export interface Gauge {
-  readonly name: string;
-  readonly help: string;
-  readonly read: () => number;
-}
-
 /** What the process does, for Prometheus, in its text format 0.0.4. */
 export class Metrics implements SessionObserver {
-  private readonly batches = new Map<string, number>();
-  private readonly failures = new Map<string, number>();
+  private readonly batches = CounterSet.create();
+  private readonly failures = CounterSet.create();
   private readonly latencies = new Map<string, LatencySummary>();
   private readonly delay = monitorEventLoopDelay();
   private gauges: readonly Gauge[] = [];
@@ -37,7 +37,7 @@
     milliseconds: number,
   ): void => {
     const labels = `by="${by}",purpose="${purpose}"`;
-    increase(this.batches, labels);
+    this.batches.increase(labels);
     let latency = this.latencies.get(labels);
     if (latency === undefined) {
       latency = LatencySummary.create(this.timer);
@@ -47,7 +47,7 @@
   };
 
   readonly failed = (failure: Failure): void => {
-    increase(this.failures, `kind="${failure.kind}"`);
+    this.failures.increase(`kind="${failure.kind}"`);
   };
 
   /** Shows gauges on the page from now on. */
@@ -94,30 +94,3 @@
     return seconds;
   }
 }
-
-function increase(counts: Map<string, number>, labels: string): void {
-  counts.set(labels, (counts.get(labels) ?? 0) + 1);
-}
-
-function counterLines(
-  name: string,
-  help: string,
-  counts: ReadonlyMap<string, number>,
-): readonly string[] {
-  const lines = [...counts].map(
-    ([labels, value]) => `${name}{${labels}} ${value}`,
-  );
-  return [...headLines(name, help, 'counter'), ...lines];
-}
-
-function gaugeLines({name, help, read}: Gauge): readonly string[] {
-  return [...headLines(name, help, 'gauge'), `${name} ${read()}`];
-}
-
-function headLines(
-  name: string,
-  help: string,
-  type: 'counter' | 'gauge' | 'summary',
-): readonly string[] {
-  return [`# HELP ${name} ${help}`, `# TYPE ${name} ${type}`];
-}
--- a/packages/checks/src/reference_page.ts
+++ b/packages/checks/src/reference_page.ts
@@ -8,6 +8,8 @@
 
 const ROUTE_PATTERN =
   /\.(get|put|post|delete)\(\s*'(\/[^']*)'|route\(\s*'(GET|PUT|POST|DELETE)',\s*'(\/[^']*)'/g;
+/** Where metrics are named: the process for PostgreSQL, and the programs. */
+const METRIC_PACKAGES: readonly string[] = ['apricotlock', 'program'];
 const METRIC_PATTERN = /\bapricotlock_[a-z0-9_]+\b/g;
 
 /** The reference of all that is seen from outside, made from the code. */
@@ -71,7 +73,8 @@
 
 function metricNames(root: string): readonly string[] {
   const names = new Set<string>();
-  for (const text of sourcesOf(root, 'apricotlock')) {
+  const texts = METRIC_PACKAGES.flatMap(name => sourcesOf(root, name));
+  for (const text of texts) {
     for (const match of text.matchAll(METRIC_PATTERN)) names.add(match[0]);
   }
   return [...names].sort();
--- a/packages/checks/src/workspace_package.ts
+++ b/packages/checks/src/workspace_package.ts
@@ -62,7 +62,13 @@
   const names = texts.flatMap(text =>
     [...text.matchAll(IMPORT_PATTERN)].map(found => found[1] as string),
   );
-  return [...new Set(names.filter(isOwn))].sort();
+  return [...new Set(names.filter(isOwn).map(packageOf))].sort();
+}
+
+/** The package of an import, which may name an entry point of it. */
+function packageOf(imported: string): string {
+  const parts = imported.split('/');
+  return parts.slice(0, imported.startsWith('@') ? 2 : 1).join('/');
 }
 
 function isOwn(name: string): boolean {
--- a/packages/dispatch/src/statement_session.ts
+++ b/packages/dispatch/src/statement_session.ts
@@ -15,6 +15,7 @@
 import {
   CatalogueEntry,
   ClusterView,
+  Consistency,
   findEntry,
   ServiceTerms,
 } from '@apricotlock/topology';
@@ -367,6 +368,11 @@
     return findEntry(this.options.view.current.catalogue, database);
   }
 
+  private get consistency(): Consistency {
+    const terms = this.entryOf(this.database)?.terms ?? DEFAULT_TERMS;
+    return terms.consistency;
+  }
+
   private get state(): SessionState {
     switch (this.transaction.kind) {
       case 'none':
@@ -395,7 +401,7 @@
     const spent = timer.now() - receivedAt;
     const entry = this.database;
     if (answer.kind !== 'failure') {
-      if (answer.kind === 'member') observer.answered(entry, spent);
+      if (answer.kind === 'member') observer.answered(this.consistency, spent);
       return;
     }
     const {failure} = answer;
--- a/packages/apricotlock/src/latency_summary.ts
+++ b/packages/metrics/src/latency_summary.ts
@@ -1,11 +1,19 @@
-import {build, Histogram} from 'hdr-histogram-js';
+import type {Histogram} from 'hdr-histogram-js';
+// The package's index would load its WebAssembly and compression too.
+import {constructorFromBucketSize} from 'hdr-histogram-js/dist/JsHistogramFactory.js';
 import {TimerService} from '@apricotlock/timer';
 
 const WINDOW_MILLISECONDS = 60_000;
 const MICROSECONDS_A_MILLISECOND = 1_000;
 const MICROSECONDS_A_SECOND = 1_000_000;
+const SIGNIFICANT_DIGITS = 2;
+const BUCKET_BITS = 32;
+/** Longer durations make the histogram larger. */
+const FIRST_HIGHEST_MICROSECONDS = 1_000_000;
 const QUANTILES = [0.5, 0.9, 0.99, 0.999];
 
+const Int32Histogram = constructorFromBucketSize(BUCKET_BITS);
+
 /**
  * How long something took: quantiles over the last one to two minutes, and
  * count and sum since the start.
@@ -64,5 +72,11 @@
 }
 
 function newHistogram(): Histogram {
-  return build({useWebAssembly: false, numberOfSignificantValueDigits: 2});
+  const histogram = new Int32Histogram(
+    1,
+    FIRST_HIGHEST_MICROSECONDS,
+    SIGNIFICANT_DIGITS,
+  );
+  histogram.autoResize = true;
+  return histogram;
 }
--- a/platform/src/base_parts.ts
+++ b/packages/program/src/base_parts.ts
@@ -4,7 +4,7 @@
 import {ringOf, WebSocketPeerNetwork} from '@apricotlock/peer';
 import {SystemTimerService, TimerService} from '@apricotlock/timer';
 import {formatAddress} from '@apricotlock/topology';
-import {PlatformSettings} from './platform_settings.js';
+import {ProgramSettings} from './program_settings.js';
 
 const MAXIMUM_PEER_MESSAGE_BYTES = 64 << 20;
 /** The platform gives no secret: its internal network is not open to others. */
@@ -12,7 +12,7 @@
 
 /** What both programs are made of. */
 export interface BaseParts {
-  readonly settings: PlatformSettings;
+  readonly settings: ProgramSettings;
   readonly timer: TimerService;
   readonly logger: Logger;
   readonly network: WebSocketPeerNetwork;
@@ -23,7 +23,7 @@
 
 /** Starts what both programs need. Throws if an address can't be had. */
 export async function startBase(
-  settings: PlatformSettings,
+  settings: ProgramSettings,
   logger: Logger,
   controlVoter: boolean,
 ): Promise<BaseParts> {
--- a/platform/src/run_program.ts
+++ b/packages/program/src/run_program.ts
@@ -1,11 +1,13 @@
 import {Logger} from '@apricotlock/logging';
 import {SystemTimerService} from '@apricotlock/timer';
+import {runCommand} from './command_line.js';
 import {
-  loadSettings,
-  PlatformSettings,
+  faultsOf,
+  ProgramSettings,
   SettingsError,
-} from './platform_settings.js';
-import {faultsOf, SettingsWatch} from './settings_watch.js';
+  SettingsSource,
+} from './program_settings.js';
+import {SettingsWatch} from './settings_watch.js';
 
 const EXIT_FAILURE = 1;
 const EXIT_BAD_SETTINGS = 2;
@@ -15,22 +17,32 @@
 /** A program that was started. */
 export interface RunningProgram {
   /** Takes over settings that have changed. */
-  takeSettings(settings: PlatformSettings): void;
+  takeSettings(settings: ProgramSettings): void;
 
   /** Ends what is under way, within the grace of the settings. */
   stop(): Promise<void>;
 }
 
-/** Starts a program with its settings. */
-export type StartProgram = (
-  settings: PlatformSettings,
-  logger: Logger,
-) => Promise<RunningProgram>;
+/** A program, and where its settings come from. */
+export interface ProgramDescription {
+  readonly name: string;
+  readonly source: SettingsSource;
+  readonly start: (
+    settings: ProgramSettings,
+    logger: Logger,
+  ) => Promise<RunningProgram>;
+}
 
-/** Runs a program with the platform's settings, until SIGTERM. */
-export async function runProgram(start: StartProgram): Promise<void> {
+/** Does what the command line asks for; without arguments, runs until SIGTERM. */
+export async function runProgram(program: ProgramDescription): Promise<void> {
+  const commands = process.argv.slice(2);
+  if (commands.length === 0) return serve(program);
+  await runCommand(program, commands, () => serve(program));
+}
+
+async function serve({source, start}: ProgramDescription): Promise<void> {
   const logger = Logger.create('json', INFORMATION_LEVEL);
-  const loaded = loadSettings();
+  const loaded = source.load();
   if (loaded.isLeft()) {
     for (const fault of faultsOf(loaded.extract() as SettingsError)) {
       logger.error('bad settings', {fault});
@@ -45,15 +57,20 @@
       process: process.pid,
       firstStart: settings.firstStart,
     });
-    obeySignals(program, named);
+    obeySignals(program, source, named);
   } catch (failure) {
     named.error('could not start', {failure: String(failure)});
     process.exit(EXIT_FAILURE);
   }
 }
 
-function obeySignals(program: RunningProgram, logger: Logger): void {
+function obeySignals(
+  program: RunningProgram,
+  source: SettingsSource,
+  logger: Logger,
+): void {
   const watch = SettingsWatch.start({
+    source,
     timer: SystemTimerService.create(),
     logger,
     changed: settings => program.takeSettings(settings),
--- /dev/null
+++ b/packages/program/src/session_metrics.ts
@@ -0,0 +1,68 @@
+import {SessionObserver} from '@apricotlock/dispatch';
+import {
+  counterLines,
+  CounterSet,
+  Gauge,
+  gaugeLines,
+  headLines,
+  LatencySummary,
+} from '@apricotlock/metrics';
+import {CallerFailure} from '@apricotlock/statement';
+import {TimerService} from '@apricotlock/timer';
+import {Consistency} from '@apricotlock/topology';
+
+const LATENCY_NAME = 'apricotlock_statement_duration_seconds';
+
+/**
+ * Counts and times callers' requests, for the metrics page. Their number does
+ * not grow with the catalogue: what concerns one entry is in the log.
+ */
+export class SessionMetrics extends SessionObserver {
+  private readonly latencies = new Map<Consistency, LatencySummary>();
+  private readonly failures = CounterSet.create();
+  private gauges: readonly Gauge[] = [];
+
+  private constructor(private readonly timer: TimerService) {
+    super();
+  }
+
+  /** Counters at zero. */
+  static create(timer: TimerService): SessionMetrics {
+    return new SessionMetrics(timer);
+  }
+
+  override answered(consistency: Consistency, milliseconds: number): void {
+    let latency = this.latencies.get(consistency);
+    if (latency === undefined) {
+      latency = LatencySummary.create(this.timer);
+      this.latencies.set(consistency, latency);
+    }
+    latency.record(milliseconds);
+  }
+
+  override failed(kind: CallerFailure['kind']): void {
+    this.failures.increase(`kind="${kind}"`);
+  }
+
+  /** Shows gauges on the page from now on. */
+  show(gauges: readonly Gauge[]): void {
+    this.gauges = [...this.gauges, ...gauges];
+  }
+
+  /** The page. */
+  render(): string {
+    return [
+      ...counterLines(
+        'apricotlock_failures_total',
+        'Statements and sessions that failed, by kind',
+        this.failures,
+      ),
+      ...headLines(LATENCY_NAME, 'From statement to answer', 'summary'),
+      ...[...this.latencies].flatMap(([consistency, latency]) =>
+        latency.lines(LATENCY_NAME, `consistency="${consistency}"`),
+      ),
+      ...this.gauges.flatMap(gaugeLines),
+      '',
+    ].join('\n');
+  }
+}
--- /dev/null
+++ b/packages/program/test/session_metrics_test.ts
@@ -0,0 +1,20 @@
+import {expect} from 'chai';
+import {ManualTimerService} from '@apricotlock/timer';
+import {SessionMetrics} from '../src/session_metrics.js';
+
+describe('SessionMetrics', () => {
+  it('shows latencies by consistency, failures by kind, and gauges', () => {
+    const metrics = SessionMetrics.create(ManualTimerService.create());
+    metrics.answered('primary', 20);
+    metrics.answered('readYourWrites', 40);
+    metrics.failed('notRun');
+    metrics.failed('notRun');
+    metrics.show([{name: 'sessions', help: 'Open sessions', read: () => 7}]);
+    const lines = metrics.render().split('\n');
+    expect(lines).to.include.members([
+      'apricotlock_failures_total{kind="notRun"} 2',
+      'apricotlock_statement_duration_seconds_count{consistency="primary"} 1',
+      'sessions 7',
+    ]);
+  });
+});
