--- a/packages/dispatch/src/statement_session.ts
+++ b/packages/dispatch/src/statement_session.ts
@@ -29,6 +29,8 @@
 /** How long a caller waits for a VM that knows nothing yet. */
 const CATALOGUE_WAIT_MILLISECONDS = 1_000;
 /** The terms of an entry that states none. */
+/** A caller that has connected says by then what it wants. */
+const START_UP_MILLISECONDS = 5_000;
 const DEFAULT_TERMS: ServiceTerms = {
   consistency: 'primary',
   statementMilliseconds: 30_000,
@@ -91,9 +93,14 @@
 
   /** Serves the caller until it goes. */
   async run(): Promise<void> {
-    const {link} = this.options;
-    const database = await link.start();
-    if (database === undefined) return link.close();
+    const {link, timer} = this.options;
+    const database = await withTimeout(
+      timer,
+      START_UP_MILLISECONDS,
+      link.start(),
+    );
+    // Connections that say nothing would use up this VM's descriptors.
+    if (database === undefined || database === TIMED_OUT) return link.close();
     await this.catalogueKnown();
     if (this.hasCatalogue && this.entryOf(database) === undefined) {
       this.options.observer.failed('unknownDatabase');
