Leave sessions alone that the balancer sends to a VM that is cut off

Change: only sessions that began before the balancer was told twice are closed. Without a reachable control quorum there are no leases and no service; that limit stays.

--- a/packages/dispatch/src/contact_watch.ts
+++ b/packages/dispatch/src/contact_watch.ts
@@ -3,6 +3,8 @@
 import {Contact, isCutOff, shouldCloseIdle} from './isolation.js';
 
 const CHECK_MILLISECONDS = 100;
+/** A caller may have been sent here just before the balancer knew better. */
+const ON_THE_WAY_MILLISECONDS = 300;
 
 /** What watching the contact to the rest of the system needs. */
 export interface ContactWatchOptions {
@@ -17,6 +19,8 @@
   private isolated = false;
   /** The balancer's probes in a row that were answered in the negative. */
   private negativeProbes = 0;
+  /** When the balancer had reason to send callers elsewhere. */
+  private leftAt: number | undefined;
   private readonly stopChecking: Unsubscribe;
 
   private constructor(private readonly options: ContactWatchOptions) {
@@ -35,14 +39,23 @@
     return this.isolated;
   }
 
-  /** Whether idle sessions had better be served elsewhere. */
-  get shouldCloseIdle(): boolean {
-    return this.isolated && shouldCloseIdle(this.negativeProbes);
+  /**
+   * Idle sessions that began before this moment had better be served elsewhere;
+   * `undefined` while none is known to. Callers whom the balancer sends here
+   * all the same find no better place.
+   */
+  get closeIdleBefore(): number | undefined {
+    if (!this.isolated || this.leftAt === undefined) return undefined;
+    return this.leftAt + ON_THE_WAY_MILLISECONDS;
   }
 
   /** Notes what a probe of the balancer was told. */
   probed(ready: boolean): void {
     this.negativeProbes = ready ? 0 : this.negativeProbes + 1;
+    if (ready) this.leftAt = undefined;
+    else if (shouldCloseIdle(this.negativeProbes)) {
+      this.leftAt ??= this.options.timer.now();
+    }
   }
 
   /** Ends the task. */
--- a/packages/dispatch/src/session_host.ts
+++ b/packages/dispatch/src/session_host.ts
@@ -52,9 +52,14 @@
     }
   }
 
-  /** Closes the sessions that are idle now; those callers connect anew. */
-  closeIdle(): number {
-    const idle = [...this.sessions].filter(({busy}) => !busy);
+  /**
+   * Closes the sessions that are idle now and began before a moment; those
+   * callers connect anew.
+   */
+  closeIdle(before: number): number {
+    const idle = [...this.sessions].filter(
+      ({busy, begunAt}) => !busy && begunAt < before,
+    );
     for (const session of idle) session.drain();
     return idle.length;
   }
--- a/packages/dispatch/src/statement_session.ts
+++ b/packages/dispatch/src/statement_session.ts
@@ -79,7 +79,12 @@
   private idleEnded = false;
   private draining = false;
 
-  private constructor(private readonly options: StatementSessionOptions) {}
+  /** When the caller connected, on the timer's clock. */
+  readonly begunAt: number;
+
+  private constructor(private readonly options: StatementSessionOptions) {
+    this.begunAt = options.timer.now();
+  }
 
   /** A session that has not begun. */
   static create(options: StatementSessionOptions): StatementSession {
--- a/packages/dispatch/test/contact_watch_test.ts
+++ b/packages/dispatch/test/contact_watch_test.ts
@@ -36,9 +36,18 @@
     become(APART);
     expect(watch.cutOff).to.equal(true);
     watch.probed(false);
-    expect(watch.shouldCloseIdle).to.equal(false);
+    expect(watch.closeIdleBefore).to.equal(undefined);
     watch.probed(false);
-    expect(watch.shouldCloseIdle).to.equal(true);
+    expect(watch.closeIdleBefore).to.be.at.least(timer.now());
+  });
+
+  it('keeps sessions that the balancer sends here all the same', () => {
+    become(APART);
+    watch.probed(false);
+    watch.probed(false);
+    timer.advance(1_000);
+    watch.probed(false);
+    expect(watch.closeIdleBefore).to.be.below(timer.now());
   });
 
   it('counts anew after a probe that was told to send callers', () => {
@@ -46,15 +55,15 @@
     watch.probed(false);
     watch.probed(true);
     watch.probed(false);
-    expect(watch.shouldCloseIdle).to.equal(false);
+    expect(watch.closeIdleBefore).to.equal(undefined);
   });
 
   it('keeps sessions of a VM that is not ready for another reason', () => {
     watch.probed(false);
     watch.probed(false);
-    expect(watch.shouldCloseIdle).to.equal(false);
+    expect(watch.closeIdleBefore).to.equal(undefined);
     become(APART);
     become(IN_TOUCH);
-    expect(watch.shouldCloseIdle).to.equal(false);
+    expect(watch.closeIdleBefore).to.equal(undefined);
   });
 });
--- a/packages/program/src/entry_program.ts
+++ b/packages/program/src/entry_program.ts
@@ -183,8 +183,9 @@
   }
 
   private closeIdleIfCutOff(): void {
-    if (!this.watch.shouldCloseIdle) return;
-    const closed = this.host.closeIdle();
+    const before = this.watch.closeIdleBefore;
+    if (before === undefined) return;
+    const closed = this.host.closeIdle(before);
     if (closed > 0) this.base.logger.info('closed idle sessions', {closed});
   }
 }
