--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -38,6 +38,8 @@
 
 /** The whole system at work, with a lost primary and an operator's changes. */
 export class Demo {
+  private reached = 'the catalogue to be accepted';
+
   private constructor(
     private readonly system: SystemUnderTest,
     private readonly timer: TimerService,
@@ -57,6 +59,11 @@
     return demo;
   }
 
+  /** What the demonstration is at, for whoever waits for it. */
+  get stage(): string {
+    return this.reached;
+  }
+
   /** Leaves the system up until `released` settles; gives where it is. */
   async hold(
     show: (system: HeldSystem) => void,
@@ -81,18 +88,24 @@
 
   private async demonstrate(): Promise<DemoReport> {
     const {profile} = this.system.layout;
+    this.reached = 'the comparison with a direct connection';
     const addedLatencyMicroseconds = await this.addedLatency();
     const catalogue = CatalogueWatch.start(this.system, this.timer);
     const workloads = await Promise.all(
       profile.databases.map(database => this.startWorkload(database)),
     );
     await this.timer.sleep(WARM_UP_MILLISECONDS);
+    this.reached = 'a changed limit to be in force';
     const configurationInForceMilliseconds = await this.changeLimit();
+    this.reached = 'a replica to be drained';
     const workAfterDrain = await this.drainReplica();
+    this.reached = 'another primary';
     const failoverGapMilliseconds = await this.killPrimary(workloads);
     const replicaReadShare = await this.replicaReadShare();
+    this.reached = 'an entry VM to shut down';
     const requestsCutByShutdown = await this.shutDownMachine();
     const catalogueReverted = await catalogue.finish();
+    this.reached = 'the callers to finish';
     const reports = await Promise.all(workloads.map(load => load.finish()));
     const report: DemoReport = {
       statements: sum(reports.map(({statements}) => statements)),
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -7,6 +7,7 @@
 export {describeHeldSystem, type HeldSystem} from './held_system.js';
 export {Demo, type DemoReport} from './demo.js';
 export {FaultFabric} from './fault_fabric.js';
+export {findBasePort, takenAddresses} from './free_ports.js';
 export {
   layOut,
   PROFILES,
