Split the long files of sessions, routing, work and appointments, and end an import circle

Moved without a change: a session's transaction states, look-up of its entry, a routed statement and its choice of member, a worker's inbox and its commands, stopping a holder, the options of links. The circle of peer_dial and peer_link is gone.

--- a/packages/appointment/src/appointment_round.ts
+++ b/packages/appointment/src/appointment_round.ts
@@ -1,5 +1,5 @@
 import {ControlLog} from '@apricotlock/control';
-import {Observable, withTimeout} from '@apricotlock/flow';
+import {Observable} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
 import {PeerNetwork} from '@apricotlock/peer';
 import {comparePositions} from '@apricotlock/statement';
@@ -12,7 +12,7 @@
   ownerRanking,
   VirtualMachine,
 } from '@apricotlock/topology';
-import {STOP_USING} from '@apricotlock/work';
+import {HolderStop} from './holder_stop.js';
 import {LeaseGrantor} from './lease_grantor.js';
 import {KnownMember, MemberPanel} from './member_panel.js';
 import {PromotionClient} from './promotion_client.js';
@@ -25,10 +25,6 @@
   presentMembers,
 } from './succession.js';
 
-const STOP_TIMEOUT_MILLISECONDS = 400;
-const STOP_RETRY_MILLISECONDS = 60;
-/** How long open transactions may go on before a planned change. */
-const PLANNED_GRACE_MILLISECONDS = 250;
 /** How long a replica has to receive what the old primary holds. */
 const CATCH_UP_MILLISECONDS = 1_500;
 const CATCH_UP_POLL_MILLISECONDS = 20;
@@ -128,38 +124,13 @@
 
   /** Resolves once the former holder uses no earlier term's primary. */
   private async stopHolder(holder: string): Promise<void> {
-    const {grantor, timer} = this.options;
-    const startedAt = timer.now();
-    for (;;) {
-      const left = grantor.leaseLeftMilliseconds(this.database);
-      if (left <= 0) break;
-      const asked = this.askToStop(holder);
-      if ((await withTimeout(timer, left, asked)) === true) break;
-      await timer.sleep(Math.min(left, STOP_RETRY_MILLISECONDS));
-    }
-    const waited = Math.round(timer.now() - startedAt);
+    const {database, term, cause} = this;
+    const planned = cause === 'planned' || cause === 'holderLost';
+    const stop = HolderStop.of({database, term, holder, planned}, this.options);
+    const waited = await stop.run();
     this.note('nobody uses the old primary', {holder, waited});
   }
 
-  private async askToStop(holder: string): Promise<boolean> {
-    const {machines, network, grantor} = this.options;
-    const machine = machines.current.find(({name}) => name === holder);
-    if (machine === undefined) return false;
-    const planned = this.cause === 'planned' || this.cause === 'holderLost';
-    const graceMilliseconds = planned ? PLANNED_GRACE_MILLISECONDS : 0;
-    const left = grantor.leaseLeftMilliseconds(this.database);
-    const answer = await network.call(
-      machine.peerAddress,
-      STOP_USING,
-      {database: this.database, term: this.term, graceMilliseconds},
-      Math.max(
-        1,
-        Math.min(left, STOP_TIMEOUT_MILLISECONDS + graceMilliseconds),
-      ),
-    );
-    return answer.isRight();
-  }
-
   /** Keeps the primary that there is, or promotes another member. */
   private async choose(
     group: DatabaseGroup,
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -24,13 +24,12 @@
 export {PathHealth, type PathHealthOptions} from './path_health.js';
 export {readOrder, type ReadNeeds} from './read_order.js';
 export {retryPause, type Setback} from './retry_pause.js';
+export {type OwnWrite, type RoutedStatement} from './routed_statement.js';
 export {SessionContext, type Forwarded} from './session_context.js';
 export {SessionHost, type SessionHostOptions} from './session_host.js';
 export {SessionObserver} from './session_observer.js';
 export {
   StatementRouter,
-  type OwnWrite,
-  type RoutedStatement,
   type StatementRouterOptions,
 } from './statement_router.js';
 export {
--- a/packages/dispatch/src/statement_router.ts
+++ b/packages/dispatch/src/statement_router.ts
@@ -1,15 +1,8 @@
 import {Observable} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
-import {LogPosition, wasNotRun} from '@apricotlock/statement';
+import {wasNotRun} from '@apricotlock/statement';
 import {TimerService} from '@apricotlock/timer';
-import {
-  CatalogueEntry,
-  ClusterView,
-  DatabaseGroup,
-  findGroup,
-  ServiceTerms,
-} from '@apricotlock/topology';
-import {Opens, WorkRequest, WorkStatement, WorkText} from '@apricotlock/work';
+import {ClusterView, DatabaseGroup, findGroup} from '@apricotlock/topology';
 import {
   after,
   Attempt,
@@ -23,7 +16,6 @@
 import {MemberStandings} from './member_standing.js';
 import {
   appointmentPatience,
-  attemptQueueMilliseconds,
   Missing,
   objectiveLeft,
   Patience,
@@ -31,6 +23,13 @@
 } from './patience.js';
 import {ReadNeeds, readOrder} from './read_order.js';
 import {retryPause} from './retry_pause.js';
+import {
+  Choice,
+  isRepeatable,
+  RoutedStatement,
+  strictest,
+  workRequest,
+} from './routed_statement.js';
 import {WorkGate} from './work_gate.js';
 import {WorkHolder, WorkResult} from './work_holder.js';
 
@@ -43,28 +42,6 @@
 /** Below this there is no time for another attempt. */
 const MINIMUM_ATTEMPT_MILLISECONDS = 10;
 
-/** A statement that goes to a member, and what its session demands of it. */
-export interface RoutedStatement {
-  readonly requestId: string;
-  readonly text: WorkText;
-  readonly opens: Opens;
-  readonly values: WorkStatement['values'];
-  /** Whether it may run on a replica. */
-  readonly readOnly: boolean;
-  readonly entry: CatalogueEntry;
-  readonly terms: ServiceTerms;
-  /** When the caller's first byte of it was read, on the timer's clock. */
-  readonly receivedAt: number;
-  /** What the session itself wrote, and when that was acknowledged. */
-  readonly ownWrite: OwnWrite | undefined;
-}
-
-/** The last write of a session. */
-export interface OwnWrite {
-  readonly position: LogPosition;
-  readonly at: number;
-}
-
 /** What routing needs. */
 export interface StatementRouterOptions {
   readonly dataCentre: string;
@@ -360,61 +337,3 @@
     }
   }
 }
-
-/** Which member is tried, and under what conditions. */
-interface Choice {
-  readonly member: string;
-  readonly primaryTerm: number;
-  readonly floor: LogPosition | undefined;
-  readonly floorAgeMilliseconds?: number;
-  /** Whether it may be tried again elsewhere, even if it has run. */
-  readonly repeatable: boolean;
-  readonly timeoutMilliseconds: number;
-  /** How long it may wait at the member. */
-  readonly waitMilliseconds: number;
-}
-
-function workRequest(
-  {requestId, text, opens, values, terms, entry}: RoutedStatement,
-  choice: Choice,
-  objectiveMilliseconds: number,
-): WorkRequest {
-  const {member, primaryTerm, floor, repeatable, timeoutMilliseconds} = choice;
-  const waitMilliseconds = attemptQueueMilliseconds(
-    choice.waitMilliseconds,
-    timeoutMilliseconds,
-  );
-  return {
-    database: entry.database,
-    member,
-    primaryTerm,
-    priority: terms.priority,
-    waitMilliseconds,
-    objectiveMilliseconds,
-    first: {
-      kind: 'run',
-      requestId,
-      text,
-      opens,
-      floor,
-      values,
-      timeoutMilliseconds,
-      repeatable,
-    },
-  };
-}
-
-/** A read that opens no transaction leaves nothing behind. */
-function isRepeatable({readOnly, opens}: RoutedStatement): boolean {
-  return readOnly && opens !== 'transaction';
-}
-
-function strictest(left: ReadNeeds, right: ReadNeeds | undefined): ReadNeeds {
-  if (right?.floor === undefined) return left;
-  if (left.floor === undefined) return right;
-  const {term, number} = right.floor;
-  const later =
-    term > left.floor.term ||
-    (term === left.floor.term && number > left.floor.number);
-  return later ? right : left;
-}
--- a/packages/dispatch/src/statement_session.ts
+++ b/packages/dispatch/src/statement_session.ts
@@ -12,22 +12,21 @@
   StatementAnswer,
 } from '@apricotlock/statement';
 import {TimerService} from '@apricotlock/timer';
-import {
-  CatalogueEntry,
-  ClusterView,
-  Consistency,
-  findEntry,
-  ServiceTerms,
-} from '@apricotlock/topology';
-import {Opens} from '@apricotlock/work';
+import {ClusterView, Consistency, ServiceTerms} from '@apricotlock/topology';
 import {failureOf, lossOf} from './caller_failure.js';
 import {Forwarded, SessionContext} from './session_context.js';
-import {OwnWrite, StatementRouter} from './statement_router.js';
+import {StatementRouter} from './statement_router.js';
+import {CatalogueLookup} from './catalogue_lookup.js';
+import {OwnWrite} from './routed_statement.js';
 import {SessionObserver} from './session_observer.js';
+import {
+  NO_TRANSACTION,
+  opensFor,
+  SessionTransaction,
+} from './session_transaction.js';
 import {WorkHolder} from './work_holder.js';
 
 /** How long a caller waits for a VM that knows nothing yet. */
-const CATALOGUE_WAIT_MILLISECONDS = 1_000;
 /** The terms of an entry that states none. */
 /** A caller that has connected says by then what it wants. */
 const START_UP_MILLISECONDS = 5_000;
@@ -47,32 +46,11 @@
   readonly observer: SessionObserver;
 }
 
-/** Where the session's transaction stands. */
-type Transaction =
-  | {readonly kind: 'none'}
-  /** Begun for the caller, and not yet on any member. */
-  | {readonly kind: 'begun'; readonly readOnly: boolean}
-  /** On a member, until it ends. */
-  | {
-      readonly kind: 'open';
-      readonly holder: WorkHolder;
-      readonly terms: ServiceTerms;
-      readonly wrote: boolean;
-    }
-  /** Failed on a member, which still has it; only its end is accepted. */
-  | {
-      readonly kind: 'failed';
-      readonly holder: WorkHolder;
-      readonly terms: ServiceTerms;
-    };
-
-const NONE: Transaction = {kind: 'none'};
-
 /** One caller's session, from its first message to its last. */
 export class StatementSession {
   private database = '';
   private context = SessionContext.EMPTY;
-  private transaction: Transaction = NONE;
+  private transaction: SessionTransaction = NO_TRANSACTION;
   private ownWrite: OwnWrite | undefined;
   private answering = false;
   /** Whether the last transaction was ended behind the caller's back. */
@@ -81,9 +59,11 @@
 
   /** When the caller connected, on the timer's clock. */
   readonly begunAt: number;
+  private readonly catalogue: CatalogueLookup;
 
   private constructor(private readonly options: StatementSessionOptions) {
     this.begunAt = options.timer.now();
+    this.catalogue = CatalogueLookup.of(options.view, options.timer);
   }
 
   /** A session that has not begun. */
@@ -106,8 +86,8 @@
     );
     // Connections that say nothing would use up this VM's descriptors.
     if (database === undefined || database === TIMED_OUT) return link.close();
-    await this.catalogueKnown();
-    if (this.hasCatalogue && this.entryOf(database) === undefined) {
+    await this.catalogue.untilKnown();
+    if (this.catalogue.lacks(database)) {
       this.options.observer.failed('unknownDatabase');
       this.options.logger.info('no such database', {
         database,
@@ -152,7 +132,7 @@
     if (inTime !== TIMED_OUT) return inTime;
     this.options.logger.info('ending an idle transaction', {idle: limit});
     this.endTransaction();
-    this.transaction = NONE;
+    this.transaction = NO_TRANSACTION;
     this.idleEnded = true;
     return request;
   }
@@ -214,7 +194,7 @@
         return this.begin(statement.readOnly);
       case 'rollback':
         this.endTransaction();
-        this.transaction = NONE;
+        this.transaction = NO_TRANSACTION;
         return this.done();
       case 'commit':
         if (this.transaction.kind !== 'none') return undefined;
@@ -260,14 +240,14 @@
   private async start(
     id: string,
     statement: Forwarded,
-    transaction: Extract<Transaction, {kind: 'none' | 'begun'}>,
+    transaction: Extract<SessionTransaction, {kind: 'none' | 'begun'}>,
     receivedAt: number,
   ): Promise<CallerAnswer> {
     const {database} = this;
-    const entry = this.entryOf(database);
+    const entry = this.catalogue.entryOf(database);
     if (entry === undefined) {
-      this.transaction = NONE;
-      return this.fail(this.unknownDatabase(database));
+      this.transaction = NO_TRANSACTION;
+      return this.fail(this.catalogue.missing(database));
     }
     const terms = entry.terms ?? DEFAULT_TERMS;
     const opens = opensFor(transaction);
@@ -283,7 +263,7 @@
       ownWrite: this.ownWrite,
     });
     if (outcome.kind !== 'answered') {
-      this.transaction = NONE;
+      this.transaction = NO_TRANSACTION;
       return this.fail(failureOf(outcome));
     }
     return this.take(outcome.answer, outcome.holder, terms, statement);
@@ -293,7 +273,11 @@
   private async goOn(
     id: string,
     statement: Forwarded,
-    {holder, terms, kind}: Extract<Transaction, {kind: 'open' | 'failed'}>,
+    {
+      holder,
+      terms,
+      kind,
+    }: Extract<SessionTransaction, {kind: 'open' | 'failed'}>,
     receivedAt: number,
   ): Promise<CallerAnswer> {
     const spent = this.options.timer.now() - receivedAt;
@@ -311,7 +295,7 @@
       return this.take(result.answer, holder, terms, statement);
     }
     holder.end();
-    this.transaction = NONE;
+    this.transaction = NO_TRANSACTION;
     const committing = statement.commits && kind === 'open';
     return this.fail(lossOf(result, committing));
   }
@@ -336,7 +320,7 @@
     switch (answer.state) {
       case 'idle':
         holder.end();
-        this.transaction = NONE;
+        this.transaction = NO_TRANSACTION;
         break;
       case 'transaction':
         this.transaction = {kind: 'open', holder, terms, wrote};
@@ -355,33 +339,8 @@
     }
   }
 
-  /** Before the first view has come nobody can say which databases exist. */
-  private get hasCatalogue(): boolean {
-    return this.options.view.current.catalogue.version > 0;
-  }
-
-  private async catalogueKnown(): Promise<void> {
-    const {timer, view} = this.options;
-    if (this.hasCatalogue) return;
-    const known = view.until(({catalogue}) => catalogue.version > 0);
-    await withTimeout(timer, CATALOGUE_WAIT_MILLISECONDS, known);
-  }
-
-  private unknownDatabase(database: string): CallerFailure {
-    if (this.hasCatalogue) return {kind: 'unknownDatabase', database};
-    return {
-      kind: 'notRun',
-      reason: 'this VM has only just started',
-      retryAfterMilliseconds: CATALOGUE_WAIT_MILLISECONDS,
-    };
-  }
-
-  private entryOf(database: string): CatalogueEntry | undefined {
-    return findEntry(this.options.view.current.catalogue, database);
-  }
-
   private get consistency(): Consistency {
-    const terms = this.entryOf(this.database)?.terms ?? DEFAULT_TERMS;
+    const terms = this.catalogue.entryOf(this.database)?.terms ?? DEFAULT_TERMS;
     return terms.consistency;
   }
 
@@ -428,10 +387,3 @@
     });
   }
 }
-
-function opensFor(
-  transaction: Extract<Transaction, {kind: 'none' | 'begun'}>,
-): Opens {
-  if (transaction.kind === 'none') return 'none';
-  return transaction.readOnly ? 'readOnlyTransaction' : 'transaction';
-}
--- a/packages/peer/src/peer_dial.ts
+++ b/packages/peer/src/peer_dial.ts
@@ -2,10 +2,10 @@
 import {Either, Left, Right} from 'purify-ts';
 import {ClientOptions, WebSocket} from 'ws';
 import {Deferred, TIMED_OUT, withTimeout} from '@apricotlock/flow';
+import {LinkOptions} from './link_options.js';
 import {Address} from './peer_address.js';
 import {PeerError} from './peer_error.js';
 import {DialProof, PEER_PROTOCOL} from './peer_handshake.js';
-import {LinkOptions} from './peer_link.js';
 import {ringFrom} from './secret_ring.js';
 import {TlsIdentity} from './tls_identity.js';
 
--- a/packages/peer/src/peer_link.ts
+++ b/packages/peer/src/peer_link.ts
@@ -1,9 +1,9 @@
 import {match, P} from 'ts-pattern';
 import {Either, Left, Right} from 'purify-ts';
 import {WebSocket} from 'ws';
-import {Deferred, Observable, TIMED_OUT, withTimeout} from '@apricotlock/flow';
-import {TimerService} from '@apricotlock/timer';
+import {Deferred, TIMED_OUT, withTimeout} from '@apricotlock/flow';
 import {sendEncoded, sendFrame} from './frame_sender.js';
+import {LinkOptions} from './link_options.js';
 import {watchForSilence} from './link_watch.js';
 import {Address} from './peer_address.js';
 import {PeerCall, PeerConversation} from './peer_call.js';
@@ -11,21 +11,9 @@
 import {dialPeer} from './peer_dial.js';
 import {PeerError} from './peer_error.js';
 import {decodeFrames, encodeFrame, PeerFrame} from './peer_frame.js';
-import {SecretRing} from './secret_ring.js';
-import {TlsIdentity} from './tls_identity.js';
 
 const MAXIMUM_OPEN_CALLS = 16_384;
 
-/** How links are made. */
-export interface LinkOptions {
-  readonly timer: TimerService;
-  /** The keys that prove a peer, or the only one if it never changes. */
-  readonly key: string | Observable<SecretRing>;
-  /** Without it links are in the clear: for tests on one machine. */
-  readonly tls?: Observable<TlsIdentity | undefined>;
-  readonly maximumMessageBytes: number;
-}
-
 /**
  * The dialling side of a link to one peer. It connects when first used and
  * again after a loss; a link that goes silent counts as lost.
--- a/packages/work/src/member_worker.ts
+++ b/packages/work/src/member_worker.ts
@@ -1,6 +1,5 @@
 import {Either} from 'purify-ts';
 import {Logger} from '@apricotlock/logging';
-import {PeerChannel} from '@apricotlock/peer';
 import {
   ConnectError,
   ConnectionError,
@@ -11,8 +10,8 @@
   StatementAnswer,
 } from '@apricotlock/statement';
 import {TimerService, Unsubscribe} from '@apricotlock/timer';
+import {callerCommand, hasFailedBefore, lastOf} from './caller_command.js';
 import {ConnectionLimits, ConnectionSet} from './connection_set.js';
-import {preparedName} from './connection_context.js';
 import {Symptom} from './lease_messages.js';
 import {WorkConnection} from './work_connection.js';
 import {
@@ -20,8 +19,8 @@
   WorkRefusalReason,
   WorkRequest,
   WorkStatement,
-  WorkUp,
 } from './work_messages.js';
+import {WorkInbox, WorkLink} from './work_inbox.js';
 import {WorkQueue} from './work_queue.js';
 
 /** After this long without an answer it is asked whether the member lives. */
@@ -46,8 +45,6 @@
   readonly answered: (answer: StatementAnswer) => void;
 }
 
-type Channel = PeerChannel<WorkDown, WorkUp>;
-
 /** Whether the work goes on after a statement. */
 type Next = 'goOn' | 'over';
 
@@ -121,7 +118,7 @@
   }
 
   /** Carries out one statement or one transaction. */
-  async serve(request: WorkRequest, channel: Channel): Promise<void> {
+  async serve(request: WorkRequest, channel: WorkLink): Promise<void> {
     const {timer, mayUse} = this.options;
     if (!mayUse(request.primaryTerm)) return this.refuse(channel, 'notHolder');
     this.usedAt = timer.now();
@@ -165,7 +162,7 @@
   private async work(
     connection: WorkConnection,
     request: WorkRequest,
-    channel: Channel,
+    channel: WorkLink,
     inbox: WorkInbox,
   ): Promise<void> {
     let statement: WorkStatement = request.first;
@@ -194,7 +191,7 @@
     connection: WorkConnection,
     request: WorkRequest,
     statement: WorkStatement,
-    channel: Channel,
+    channel: WorkLink,
   ): Promise<Next> {
     const {timer} = this.options;
     const startedAt = timer.now();
@@ -361,7 +358,7 @@
   }
 
   private refuse(
-    channel: Channel,
+    channel: WorkLink,
     reason: WorkRefusalReason,
     retryAfterMilliseconds = UNREACHABLE_RETRY_MILLISECONDS,
   ): void {
@@ -369,60 +366,13 @@
   }
 
   private tellLost(
-    channel: Channel,
+    channel: WorkLink,
     loss: Omit<Extract<WorkDown, {kind: 'lost'}>, 'kind'>,
   ): void {
     channel.send({kind: 'lost', ...loss});
   }
 }
 
-/** What the session says after its first statement, read one ahead. */
-class WorkInbox {
-  /** Resolves if the session goes away, or releases, before it goes on. */
-  readonly gone: Promise<void>;
-  private ahead: Promise<WorkUp | undefined>;
-
-  private constructor(private readonly channel: Channel) {
-    this.ahead = channel.receive();
-    this.gone = this.ahead.then(message =>
-      message?.kind === 'run' ? new Promise<void>(() => undefined) : undefined,
-    );
-  }
-
-  static over(channel: Channel): WorkInbox {
-    return new WorkInbox(channel);
-  }
-
-  /** The next statement; `undefined` once the session is through or gone. */
-  async next(): Promise<WorkStatement | undefined> {
-    const message = await this.ahead;
-    if (message?.kind !== 'run') return undefined;
-    this.ahead = this.channel.receive();
-    return message;
-  }
-}
-
-function callerCommand(
-  {requestId, text}: WorkStatement,
-  floor: LogPosition | undefined,
-): MemberCommand {
-  if (text.kind === 'plain') {
-    return {kind: 'caller', requestId, text: text.text, floor};
-  }
-  const {access, shape, parameters} = text;
-  const name = preparedName(access, shape);
-  return {kind: 'execute', requestId, name, parameters, floor};
-}
-
-function lastOf(answers: readonly StatementAnswer[]): StatementAnswer {
-  return answers[answers.length - 1] as StatementAnswer;
-}
-
-/** Whether something failed that was to prepare the last command. */
-function hasFailedBefore(answers: readonly StatementAnswer[]): boolean {
-  return answers.slice(0, -1).some(({end}) => end.kind === 'error');
-}
-
 function symptomOf({kind}: ConnectError): Symptom {
   if (kind === 'refused' || kind === 'otherMember') return kind;
   return 'silent';
