Remember between two passes over members that a read may have run

Cause: found in reading: since reads look for an answer in time before they wait, each pass forgot what the one before had come to; a read that was lost on one member and then refused by all was said not to have run. Change: what may have run stays so over all attempts. New test of the router, which failed before; the two others of its file passed.

--- a/packages/dispatch/src/statement_router.ts
+++ b/packages/dispatch/src/statement_router.ts
@@ -155,13 +155,14 @@
     const inTime = this.objectiveLeft(statement);
     const longest = queueMilliseconds(statement.terms);
     const waits = inTime > 0 ? [Math.min(inTime, longest), longest] : [longest];
-    let last: Attempt = next('the database has no member that takes work');
+    let last: Next | undefined;
     for (const wait of waits) {
-      last = await this.tryEach(statement, group, needs, wait);
-      const full = last.kind === 'next' && last.expectedWaitMilliseconds;
-      if (!full) return last;
+      const attempt = await this.tryEach(statement, group, needs, wait);
+      if (attempt.kind !== 'next') return attempt;
+      last = after(last, attempt);
+      if (last.expectedWaitMilliseconds === undefined) return last;
     }
-    return last;
+    return last ?? next('the statement has no time left');
   }
 
   private async tryEach(
--- /dev/null
+++ b/packages/dispatch/test/statement_router_test.ts
@@ -0,0 +1,160 @@
+import {expect} from 'chai';
+import {Observable} from '@apricotlock/flow';
+import {Logger} from '@apricotlock/logging';
+import {createChannelPair} from '@apricotlock/peer';
+import {ManualTimerService} from '@apricotlock/timer';
+import {
+  CatalogueEntry,
+  ClusterView,
+  DatabaseGroup,
+  EMPTY_VIEW,
+  Member,
+  ServiceTerms,
+} from '@apricotlock/topology';
+import {WorkDown, WorkRequest, WorkUp} from '@apricotlock/work';
+import {
+  FreshnessKeeper,
+  OpenWork,
+  RoutedStatement,
+  RouteOutcome,
+  StatementRouter,
+  WorkGate,
+} from '../src/index.js';
+
+const DATABASE = 'ledger';
+const TERMS: ServiceTerms = {
+  consistency: 'readYourWrites',
+  statementMilliseconds: 800,
+  objectiveMilliseconds: 200,
+  maximumStalenessMilliseconds: 2_500,
+  priority: 2,
+};
+const ENTRY: CatalogueEntry = {
+  name: DATABASE,
+  owner: 'test',
+  class: 'standard',
+  database: DATABASE,
+  members: 2,
+  limits: {connections: 16, slots: 2, queueLength: 10, queueMilliseconds: 100},
+  terms: TERMS,
+};
+const OVERLOADED: WorkDown = {
+  kind: 'refused',
+  refusal: {reason: 'overloaded', retryAfterMilliseconds: 300},
+};
+const LOST: WorkDown = {
+  kind: 'lost',
+  mayHaveRun: true,
+  timedOut: false,
+  reason: 'the connection was closed',
+};
+
+function member(name: string): Member {
+  const address = {host: '127.0.0.1', port: 1};
+  return {
+    name,
+    database: DATABASE,
+    dataCentre: 'here',
+    address,
+    apiAddress: address,
+    incarnation: 1,
+    state: 'active',
+  };
+}
+
+const GROUP: DatabaseGroup = {
+  database: DATABASE,
+  size: 2,
+  term: 1,
+  primary: 'primary',
+  members: [member('primary'), member('replica')],
+};
+const VIEW: ClusterView = {...EMPTY_VIEW, groups: [GROUP]};
+
+/** Answers work with what the test says, in order; then with refusals. */
+class ScriptedGate {
+  readonly requests: WorkRequest[] = [];
+
+  constructor(private readonly script: WorkDown[]) {}
+
+  open(_group: DatabaseGroup, request: WorkRequest): OpenWork {
+    this.requests.push(request);
+    const {caller, called} = createChannelPair<WorkUp, WorkDown>();
+    called.send(this.script.shift() ?? OVERLOADED);
+    return {channel: caller, machine: 'vm-1'};
+  }
+
+  async check(): Promise<boolean> {
+    return true;
+  }
+
+  broken(): void {
+    throw new Error('no link breaks here');
+  }
+
+  cannotReach(): void {
+    throw new Error('every member is reached here');
+  }
+}
+
+describe('StatementRouter', () => {
+  let timer: ManualTimerService;
+  let gate: ScriptedGate;
+
+  /** Runs a read to its end. */
+  async function read(script: WorkDown[]): Promise<RouteOutcome> {
+    timer = ManualTimerService.create();
+    gate = new ScriptedGate(script);
+    const position = {term: 1, number: 5};
+    const freshness = {
+      coverSince: async () => ({term: 1, askedAt: 0, position}),
+      silentMilliseconds: () => 0,
+    };
+    const router = StatementRouter.create({
+      dataCentre: 'here',
+      view: Observable.of(VIEW),
+      gate: gate as unknown as WorkGate,
+      freshness: freshness as unknown as FreshnessKeeper,
+      cutOff: () => false,
+      timer,
+      logger: Logger.silent(),
+    });
+    const statement: RoutedStatement = {
+      requestId: 'q1',
+      text: {kind: 'plain', text: 'READ a'},
+      opens: 'none',
+      values: [],
+      readOnly: true,
+      entry: ENTRY,
+      terms: TERMS,
+      receivedAt: timer.now(),
+      ownWrite: undefined,
+    };
+    let outcome: RouteOutcome | undefined;
+    void router.route(statement).then(result => (outcome = result));
+    while (outcome === undefined) await timer.advanceTasks(10);
+    return outcome;
+  }
+
+  it('asks every member for an answer in time before it waits for one', async () => {
+    await read([]);
+    const [first, second, third] = gate.requests;
+    expect(first?.waitMilliseconds).to.be.within(150, 200);
+    expect(second?.waitMilliseconds).to.equal(first?.waitMilliseconds);
+    expect(second?.member).not.to.equal(first?.member);
+    expect(third?.waitMilliseconds).to.be.above(200);
+  });
+
+  it('says of what was never run that it was not, and when to return', async () => {
+    const outcome = await read([]);
+    expect(outcome).to.deep.include({
+      kind: 'notRun',
+      retryAfterMilliseconds: 300,
+    });
+  });
+
+  it('never says so of what a member may have run before', async () => {
+    const outcome = await read([LOST]);
+    expect(outcome.kind).to.equal('unknown');
+  });
+});
