--- a/packages/appointment/src/primary_failover.ts
+++ b/packages/appointment/src/primary_failover.ts
@@ -346,7 +346,7 @@
     const accepted = answer.toMaybe().extract()?.kind === 'accepted';
     this.logInfo(
       accepted ? 'primary assigned' : 'primary assignment not accepted',
-      {primary: primary.name, holder},
+      {primary: primary.name, state: primary.state, holder},
     );
     return accepted;
   }
--- a/packages/control/src/control_client.ts
+++ b/packages/control/src/control_client.ts
@@ -15,6 +15,7 @@
 } from './control_messages.js';
 import {ControlReport, FETCH_REPORT} from './control_report.js';
 import {AuditTrail} from './control_state.js';
+import {memberTransitions} from './member_transitions.js';
 import {packOutcome, unpackOutcome} from './propose_outcome.js';
 import {StorageFolder} from './storage_folder.js';
 import {ViewDistributor} from './view_distributor.js';
@@ -67,6 +68,7 @@
       folder === undefined ? undefined : ViewStore.of(folder, logger);
     const distributor = await ViewDistributor.start({...options, store});
     const client = new ControlClient(options, distributor);
+    client.logMemberTransitions();
     network.handle(FETCH_AUDIT, async range =>
       log === undefined
         ? Left('not a control VM')
@@ -198,6 +200,26 @@
     return Left({kind: 'unavailable', reason});
   }
 
+  /** Logs which members changed their state, when this process learns it. */
+  private logMemberTransitions(): void {
+    const {logger} = this.options;
+    let known = this.view.current;
+    this.view.subscribe(view => {
+      for (const {member, formerState} of memberTransitions(known, view)) {
+        logger.info('member state changed', {
+          member: member.name,
+          database: member.database,
+          formerState,
+          state: member.state,
+          incarnation: member.incarnation,
+          sequence: member.reportSequence,
+          view: view.index,
+        });
+      }
+      known = view;
+    });
+  }
+
   private async proposeVia(
     voter: VirtualMachine,
     command: ControlCommand,
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -29,6 +29,10 @@
 } from './control_state.js';
 export {MAXIMUM_VOTERS} from './control_configuration.js';
 export {DistributionTree} from './distribution_tree.js';
+export {
+  memberTransitions,
+  type MemberTransition,
+} from './member_transitions.js';
 export {applyDelta, deltaBetween, type ViewDelta} from './view_delta.js';
 export {DurableLog} from './durable_log.js';
 export {
--- a/packages/program/src/entry_program.ts
+++ b/packages/program/src/entry_program.ts
@@ -23,6 +23,7 @@
 import {SessionMetrics} from './session_metrics.js';
 
 const LISTEN_BACKLOG = 1_024;
+const MILLISECONDS_PER_SECOND = 1_000;
 const MAXIMUM_PROBE_BODY_BYTES = 64 << 10;
 /**
  * The load balancer may still send callers for this long after the readiness
@@ -88,11 +89,13 @@
     const leader = ControlLeaderClient.create({network, machines});
     const connector = platform.createMemberConnector(timer);
     const shared = {self, view, network, timer, logger};
+    const observer = SessionMetrics.create(timer);
     const work = WorkService.start({
       ...shared,
       machines: entryMachines,
       connector,
       leader,
+      onDrainingWork: role => observer.onDrainingWork(role),
     });
     const health = VirtualMachineHealth.create({...shared, machines});
     const workDispatcher = WorkDispatcher.create({
@@ -114,7 +117,6 @@
       primaryPositions: positions,
       isIsolated: () => detector.isIsolated,
     });
-    const observer = SessionMetrics.create(timer);
     const host = SessionHost.create({...shared, router, observer});
     const program = new EntryProgram(context, control, work, host, detector);
     timer.every(IDLE_CHECK_INTERVAL_MILLISECONDS, () =>
@@ -191,6 +193,11 @@
         help: 'The newest control entry in force here',
         read: () => this.control.view.current.index,
       },
+      {
+        name: 'apricotlock_view_age_seconds',
+        help: 'How long ago the view was known to be the newest one',
+        read: () => this.control.viewAgeMilliseconds / MILLISECONDS_PER_SECOND,
+      },
     ];
   }
 
--- a/packages/program/src/session_metrics.ts
+++ b/packages/program/src/session_metrics.ts
@@ -10,6 +10,7 @@
 import {CallerFailure} from '@apricotlock/statement';
 import {TimerService} from '@apricotlock/timer';
 import {Consistency} from '@apricotlock/topology';
+import {MemberRole} from '@apricotlock/work';
 
 const LATENCY_NAME = 'apricotlock_statement_duration_seconds';
 
@@ -21,6 +22,7 @@
 export class SessionMetrics extends SessionObserver {
   private readonly latencies = new Map<Consistency, LatencySummary>();
   private readonly failures = CounterSet.create();
+  private readonly drainingWork = CounterSet.create();
   private gauges: readonly Gauge[] = [];
 
   private constructor(private readonly timer: TimerService) {
@@ -45,6 +47,11 @@
     this.failures.increment(`kind="${kind}"`);
   }
 
+  /** Counts work that this VM began on a member that was draining. */
+  onDrainingWork(role: MemberRole): void {
+    this.drainingWork.increment(`role="${role}"`);
+  }
+
   /** Adds gauges to the rendered metrics. */
   addGauges(gauges: readonly Gauge[]): void {
     this.gauges = [...this.gauges, ...gauges];
@@ -58,6 +65,11 @@
         'Statements and sessions that failed, by kind',
         this.failures,
       ),
+      ...renderCounters(
+        'apricotlock_draining_member_work_total',
+        'Statements and transactions begun on a draining member, by its role',
+        this.drainingWork,
+      ),
       ...renderMetricHeader(
         LATENCY_NAME,
         'From statement to answer',
--- a/packages/program/test/session_metrics_test.ts
+++ b/packages/program/test/session_metrics_test.ts
@@ -9,11 +9,13 @@
     metrics.onAnswer('readYourWrites', 40);
     metrics.onFailure('notRun');
     metrics.onFailure('notRun');
+    metrics.onDrainingWork('primary');
     metrics.addGauges([
       {name: 'sessions', help: 'Open sessions', read: () => 7},
     ]);
     const lines = metrics.render().split('\n');
     expect(lines).to.include.members([
+      'apricotlock_draining_member_work_total{role="primary"} 1',
       'apricotlock_failures_total{kind="notRun"} 2',
       'apricotlock_statement_duration_seconds_count{consistency="primary"} 1',
       'sessions 7',
--- a/packages/work/src/index.ts
+++ b/packages/work/src/index.ts
@@ -24,6 +24,7 @@
 } from './control_leader_client.js';
 export {MemberWorker, type MemberWorkerOptions} from './member_worker.js';
 export {PrimaryLeases, type RenewalStart} from './primary_leases.js';
+export {DrainingMembers} from './draining_members.js';
 export {
   CURRENT_POSITION,
   PING,
@@ -43,4 +44,8 @@
   type QueueRequest,
   type WorkQueueOptions,
 } from './work_queue.js';
-export {WorkService, type WorkServiceOptions} from './work_service.js';
+export {
+  WorkService,
+  type MemberRole,
+  type WorkServiceOptions,
+} from './work_service.js';
--- a/packages/work/src/work_service.ts
+++ b/packages/work/src/work_service.ts
@@ -20,6 +20,7 @@
 } from '@apricotlock/topology';
 import {ConnectionLimits} from './connection_pool.js';
 import {ControlLeaderClient} from './control_leader_client.js';
+import {DrainingMembers} from './draining_members.js';
 import {
   REPORT_PRIMARY_FAILURE,
   REVOKE_LEASE,
@@ -69,8 +70,13 @@
   readonly leader: ControlLeaderClient;
   readonly timer: TimerService;
   readonly logger: Logger;
+  /** Called when work begins on a member that is known to be draining. */
+  readonly onDrainingWork: (role: MemberRole) => void;
 }
 
+/** The role in which a member is used. */
+export type MemberRole = 'primary' | 'replica';
+
 /** A primary whose lease this VM received, and its last known position. */
 interface HeldPrimary {
   readonly term: number;
@@ -88,9 +94,12 @@
   private readonly lastReportAt = new Map<string, number>();
   private readonly leases: PrimaryLeases;
   private readonly renewer: LeaseRenewer;
+  private readonly draining: DrainingMembers;
 
   private constructor(private readonly options: WorkServiceOptions) {
     this.leases = PrimaryLeases.create(options.timer);
+    this.draining = DrainingMembers.create(options.timer);
+    this.draining.update(options.view.current);
     const {leases} = this;
     this.renewer = LeaseRenewer.start({
       ...options,
@@ -116,7 +125,10 @@
     network.handle(REVOKE_LEASE, async ({database, term, graceMilliseconds}) =>
       service.revokeLease(database, term, graceMilliseconds),
     );
-    view.subscribe(() => service.updateWorkers());
+    view.subscribe(current => {
+      service.draining.update(current);
+      service.updateWorkers();
+    });
     options.machines.subscribe(() => service.updateWorkers());
     options.timer.every(UNUSED_CHECK_INTERVAL_MILLISECONDS, () =>
       service.closeUnusedWorkers(),
@@ -150,6 +162,7 @@
       channel.send({kind: 'refused', refusal});
       return;
     }
+    this.recordDrainingWork(request);
     await worker.serve(request, channel);
   }
 
@@ -289,6 +302,27 @@
     });
   }
 
+  private recordDrainingWork({
+    database,
+    member: name,
+    primaryTerm,
+    first,
+  }: WorkRequest): void {
+    const {view, logger, onDrainingWork} = this.options;
+    const group = findGroup(view.current, database);
+    const member = group && findMember(group, name);
+    if (member?.state !== 'draining') return;
+    const milliseconds = this.draining.drainingMilliseconds(member);
+    logger.info('work for a draining member', {
+      request: first.requestId,
+      member: name,
+      primaryTerm,
+      drainingFor: milliseconds && Math.round(milliseconds),
+      view: view.current.index,
+    });
+    onDrainingWork(primaryTerm > 0 ? 'primary' : 'replica');
+  }
+
   private recordHeldLease(database: string, term: number): void {
     if (this.heldPrimaries.get(database)?.term === term) return;
     this.heldPrimaries.set(database, {term, position: undefined});
