--- a/packages/appointment/src/index.ts
+++ b/packages/appointment/src/index.ts
@@ -14,11 +14,9 @@
   type FailoverCause,
   type PrimaryFailoverOptions,
 } from './primary_failover.js';
-export {
-  LEASE_MILLISECONDS,
-  LeaseGrantor,
-  type LeaseGrantorOptions,
-} from './lease_grantor.js';
+export {DrainDeadlines, type DrainDeadlinesOptions} from './drain_deadlines.js';
+export {LEASE_MILLISECONDS} from './lease_duration.js';
+export {LeaseGrantor, type LeaseGrantorOptions} from './lease_grantor.js';
 export {
   MemberAdminClient,
   type MemberWithReport,
--- a/packages/appointment/src/lease_grantor.ts
+++ b/packages/appointment/src/lease_grantor.ts
@@ -2,11 +2,11 @@
 import {ControlLog} from '@apricotlock/control';
 import {PeerNetwork} from '@apricotlock/peer';
 import {TimerService} from '@apricotlock/timer';
-import {DatabaseGroup, findGroup} from '@apricotlock/topology';
+import {DatabaseGroup, findGroup, findMember} from '@apricotlock/topology';
 import {GroupTerm, RENEW_LEASES} from '@apricotlock/work';
+import {DrainDeadlines} from './drain_deadlines.js';
+import {LEASE_MILLISECONDS} from './lease_duration.js';
 
-/** How long a primary lease lasts, counted from the request of the entry VM. */
-export const LEASE_MILLISECONDS = 1_000;
 /** Maximum relative difference in rate between the steady clocks of two VMs. */
 const CLOCK_RATE_ERROR = 0.02;
 
@@ -15,6 +15,7 @@
   readonly log: ControlLog;
   readonly network: PeerNetwork;
   readonly timer: TimerService;
+  readonly deadlines: DrainDeadlines;
 }
 
 interface LeaseAnswer {
@@ -89,15 +90,22 @@
     const {log, timer} = this.options;
     if (!(await log.confirmLeading())) return Left('not leading');
     const {view} = log.state.current;
-    const granted = groups.filter(({database, term}) =>
-      isLeaseHolder(findGroup(view, database), holder, term),
-    );
+    const granted = groups.filter(({database, term}) => {
+      const group = findGroup(view, database);
+      return isLeaseHolder(group, holder, term) && this.mayBeUsed(group);
+    });
     for (const {database} of granted) {
       this.grantedAt.set(database, timer.now());
     }
     return Right({granted, leaseMilliseconds: LEASE_MILLISECONDS});
   }
 
+  /** Returns whether the primary of a group is not past its drain deadline. */
+  private mayBeUsed(group: DatabaseGroup): boolean {
+    const primary = findMember(group, group.primary ?? '');
+    return primary !== undefined && this.options.deadlines.allowsLease(primary);
+  }
+
   /**
    * Resets all times when this VM takes over or gives up the lead. Earlier
    * leaders may have granted leases that this VM does not know of.
@@ -117,7 +125,7 @@
   group: DatabaseGroup | undefined,
   holder: string,
   term: number,
-): boolean {
+): group is DatabaseGroup {
   if (group?.primary === undefined) return false;
   return group.holder === holder && group.term === term;
 }
--- a/packages/appointment/src/primary_failover.ts
+++ b/packages/appointment/src/primary_failover.ts
@@ -12,6 +12,7 @@
   ownerRanking,
   VirtualMachine,
 } from '@apricotlock/topology';
+import {DrainDeadlines} from './drain_deadlines.js';
 import {LeaseRevocation} from './lease_revocation.js';
 import {LeaseGrantor} from './lease_grantor.js';
 import {MemberWithReport, MemberAdminClient} from './member_admin_client.js';
@@ -60,6 +61,7 @@
   readonly memberAdmin: MemberAdminClient;
   readonly promotions: PromotionClient;
   readonly grantor: LeaseGrantor;
+  readonly deadlines: DrainDeadlines;
   /** The entry VMs that may become the lease holder. */
   readonly holderCandidates: () => readonly VirtualMachine[];
   readonly machines: Observable<readonly VirtualMachine[]>;
@@ -164,7 +166,7 @@
     if (!isSynchronous(log.state.current.view, group)) await this.revocation;
     if (primary !== undefined && this.cause !== 'primaryLost') {
       await this.revocation;
-      const replica = await this.findCaughtUpReplica(group, primary);
+      const replica = await this.findCaughtUpReplica(group, primary.member);
       if (replica !== undefined) return this.promote(group, replica, reports);
     }
     return this.fenceAndPromote(group, reports);
@@ -172,19 +174,20 @@
 
   /**
    * Returns an active replica that has received everything that the draining
-   * primary holds, or `undefined` if none catches up in time.
+   * primary holds, or `undefined` if there is none that catches up in time.
    */
   private async findCaughtUpReplica(
     group: DatabaseGroup,
-    primary: MemberWithReport,
+    primary: Member,
   ): Promise<MemberWithReport | undefined> {
     const {memberAdmin, timer} = this.options;
     const deadline = timer.now() + CATCH_UP_TIMEOUT_MILLISECONDS;
     const candidates = presentMembers(group).filter(
-      ({name, state}) => state === 'active' && name !== primary.member.name,
+      ({name, state}) => state === 'active' && name !== primary.name,
     );
+    if (candidates.length === 0) return undefined;
     // All leases are revoked, so the log of the primary no longer grows.
-    const primaryReport = await memberAdmin.report(primary.member);
+    const primaryReport = await memberAdmin.report(primary);
     const targetPosition = primaryReport.toMaybe().extract()?.received;
     if (targetPosition === undefined) return undefined;
     for (;;) {
@@ -217,7 +220,10 @@
     );
     const needed = requiredFencedCount(group);
     const successor = longestLog(fenced);
-    if (fenced.length >= needed && successor !== undefined) {
+    const primary = findPrimary(reported);
+    // Replacing one draining primary by another brings no usable one nearer.
+    const isUseful = primary === undefined || fenced.some(isActive);
+    if (fenced.length >= needed && successor !== undefined && isUseful) {
       return this.promote(group, successor, reported);
     }
     this.logInfo('too few members could be fenced to promote a replica', {
@@ -225,7 +231,6 @@
       needed,
     });
     await this.releaseAll(fenced);
-    const primary = findPrimary(reported);
     return primary === undefined
       ? false
       : this.assignLeaseHolder(primary.member);
@@ -274,7 +279,7 @@
       const report = await memberAdmin.report(member);
       if (report.toMaybe().extract()?.role === 'primary') {
         void this.restoreReplication(group, member, report.unsafeCoerce().term);
-        return this.assignLeaseHolder(member);
+        return this.usePromoted(group, member);
       }
       await timer.sleep(
         ordered
@@ -286,6 +291,27 @@
     return this.abandonPromotion(group);
   }
 
+  /**
+   * Assigns a member that has been promoted. If it is past its drain deadline,
+   * it only passes its log on to a replica, which is promoted in its place.
+   */
+  private async usePromoted(
+    group: DatabaseGroup,
+    member: Member,
+  ): Promise<boolean> {
+    await this.revocation;
+    if (this.mayBeUsed(member)) return this.assignLeaseHolder(member);
+    const replica = await this.findCaughtUpReplica(group, member);
+    return replica !== undefined && this.promote(group, replica, [replica]);
+  }
+
+  /** Returns whether a member is not past its drain deadline. */
+  private mayBeUsed(member: Member): boolean {
+    const group = this.currentGroup();
+    const current = group && findMember(group, member.name);
+    return this.options.deadlines.allowsLease(current ?? member);
+  }
+
   /**
    * Tries to promote another member, fenced at a higher term, because the member
    * whose promotion was ordered did not become the primary.
@@ -328,6 +354,12 @@
     const {log, timer} = this.options;
     const {database, term} = this;
     await this.revocation;
+    if (!this.mayBeUsed(primary)) {
+      this.logInfo('draining primary not assigned: its drain time is over', {
+        primary: primary.name,
+      });
+      return false;
+    }
     const holder = this.selectLeaseHolder(primary);
     if (holder === undefined) {
       this.logInfo('no entry VM is available as lease holder', {
--- a/packages/appointment/src/primary_supervisor.ts
+++ b/packages/appointment/src/primary_supervisor.ts
@@ -89,14 +89,15 @@
   }
 
   private causeFor(group: DatabaseGroup): FailoverCause | undefined {
-    const {grantor, entryMachines} = this.options;
+    const {grantor, entryMachines, deadlines} = this.options;
     if (group.members.length === 0) return undefined;
     if (group.primary === undefined) return 'noPrimary';
     const primary = findMember(group, group.primary);
     if (primary === undefined || primary.state === 'removed') {
       return 'primaryLost';
     }
-    if (primary.state === 'draining' && hasSuccessor(group)) return 'planned';
+    const mustEnd = hasSuccessor(group) || !deadlines.allowsLease(primary);
+    if (primary.state === 'draining' && mustEnd) return 'planned';
     const holder = entryMachines().find(({name}) => name === group.holder);
     if (holder?.state === 'draining') return 'holderLost';
     const silentMilliseconds = grantor.silentMilliseconds(group);
--- a/packages/appointment/test/draining_primary_test.ts
+++ b/packages/appointment/test/draining_primary_test.ts
@@ -10,6 +10,28 @@
 describe('a primary that has announced to leave', function () {
   this.timeout(600_000);
 
+  it('is used while the drain time lasts and no other member can be', async () => {
+    const scenario = await DrainingScenario.start(
+      ['a', 'b'],
+      DRAIN_BOUND_MILLISECONDS,
+    );
+    await scenario.announce('b');
+    await scenario.announce('a');
+    await scenario.timer.advanceAsync(4_000);
+    expect(scenario.primary).to.equal('a');
+  });
+
+  it('is replaced once a member that can succeed it is back', async () => {
+    const scenario = await DrainingScenario.start(
+      ['a', 'b', 'c'],
+      DRAIN_BOUND_MILLISECONDS,
+    );
+    await scenario.announce('a');
+    for (const name of ['b', 'c']) scenario.crash(name, 9_000);
+    await scenario.timer.advanceAsync(RUN_MILLISECONDS);
+    expect(scenario.primary).to.be.oneOf(['b', 'c']);
+  });
+
   // Guards against inc-0020: after handovers that failed it was used again.
   describe('gets no lease after the drain time', () => {
     it('if each member that is to succeed it is lost', async () => {
@@ -46,6 +68,7 @@
       scenario.crash('a', 60_000);
       await scenario.timer.advanceAsync(RUN_MILLISECONDS);
       expect(scenario.lateUses).to.deep.equal([]);
+      expect(scenario.primary).to.equal('c');
     });
 
     it('if a control leader that has just started knows it only as leaving', async () => {
--- a/packages/appointment/test/draining_scenario.ts
+++ b/packages/appointment/test/draining_scenario.ts
@@ -54,7 +54,9 @@
     for (const other of group.members) {
       other.fencedTerm = 0;
       if (other.role === 'primary') other.formerTerm = formerTerm;
-      if (other.role === 'primary' && other.reachable) other.role = 'replica';
+      if (!other.reachable) continue;
+      other.role = 'replica';
+      other.number = member.number;
     }
     member.formerTerm = undefined;
     member.role = 'primary';
@@ -104,6 +106,7 @@
       promotions: new DelayedPromotions(group, timer),
       entryMachines: HOLDERS.map(machine),
       timer,
+      drainMilliseconds: boundMilliseconds,
       onRevoked: () => undefined,
     };
     // Like an entry VM: periodically, and at once after a change.
--- a/packages/appointment/test/fake_control_vm.ts
+++ b/packages/appointment/test/fake_control_vm.ts
@@ -19,6 +19,7 @@
   REVOKE_LEASE,
 } from '@apricotlock/work';
 import {
+  DrainDeadlines,
   LeaseGrantor,
   MemberAdminClient,
   PrimarySupervisor,
@@ -35,6 +36,7 @@
   readonly promotions: PromotionClient;
   readonly entryMachines: readonly VirtualMachine[];
   readonly timer: TimerService;
+  readonly drainMilliseconds: number;
   /** Called when a lease holder is told to stop using earlier terms. */
   readonly onRevoked: () => void;
 }
@@ -115,8 +117,10 @@
   static start(self: string, surroundings: ControlSurroundings): FakeControlVm {
     const {committed, group, promotions, entryMachines, timer, onRevoked} =
       surroundings;
+    const {drainMilliseconds} = surroundings;
     const log = new SharedControlLog(self, committed);
     const network = new RevocationNetwork(onRevoked);
+    const deadlines = DrainDeadlines.start({log, timer, drainMilliseconds});
     PrimarySupervisor.start({
       self,
       publicName: self,
@@ -124,7 +128,8 @@
       network,
       memberAdmin: MemberAdminClient.create(group, timer),
       promotions,
-      grantor: LeaseGrantor.start({log, network, timer}),
+      deadlines,
+      grantor: LeaseGrantor.start({log, network, timer, deadlines}),
       machines: Observable.of(entryMachines),
       entryMachines: () => entryMachines,
       timer,
--- a/packages/appointment/test/lease_grantor_test.ts
+++ b/packages/appointment/test/lease_grantor_test.ts
@@ -3,7 +3,11 @@
 import {SingleNodeControlLog} from '@apricotlock/control';
 import {ManualTimerService} from '@apricotlock/timer';
 import {RENEW_LEASES} from '@apricotlock/work';
-import {LEASE_MILLISECONDS, LeaseGrantor} from '../src/index.js';
+import {
+  DrainDeadlines,
+  LEASE_MILLISECONDS,
+  LeaseGrantor,
+} from '../src/index.js';
 import {DATABASE, logWithGroup} from './fake_control.js';
 import {FakeNetwork} from './fake_network.js';
 
@@ -18,7 +22,12 @@
     timer.advance(100_000);
     network = new FakeNetwork();
     log = await logWithGroup(['m1'], 'm1', 'entry-1');
-    grantor = LeaseGrantor.start({log, network, timer});
+    const deadlines = DrainDeadlines.start({
+      log,
+      timer,
+      drainMilliseconds: 7_000,
+    });
+    grantor = LeaseGrantor.start({log, network, timer, deadlines});
   });
 
   async function beginTerm(expectedTerm: number): Promise<void> {
--- a/packages/appointment/test/primary_failover_test.ts
+++ b/packages/appointment/test/primary_failover_test.ts
@@ -5,6 +5,7 @@
 import {SystemTimerService} from '@apricotlock/timer';
 import {VirtualMachine} from '@apricotlock/topology';
 import {
+  DrainDeadlines,
   PrimaryFailover,
   LEASE_MILLISECONDS,
   LeaseGrantor,
@@ -53,6 +54,11 @@
 
   function run(cause: FailoverCause): Promise<boolean> {
     const machines = [machine(HOLDER), machine(OTHER)];
+    const deadlines = DrainDeadlines.start({
+      log,
+      timer,
+      drainMilliseconds: 7_000,
+    });
     return PrimaryFailover.run(groupIn(log), cause, {
       self: 'control-1',
       publicName: 'control-1',
@@ -60,7 +66,8 @@
       network,
       memberAdmin: MemberAdminClient.create(group, timer),
       promotions,
-      grantor: LeaseGrantor.start({log, network, timer}),
+      deadlines,
+      grantor: LeaseGrantor.start({log, network, timer, deadlines}),
       holderCandidates: () => machines,
       machines: Observable.of<readonly VirtualMachine[]>(machines),
       timer,
--- a/packages/program/src/control_program.ts
+++ b/packages/program/src/control_program.ts
@@ -1,6 +1,7 @@
 import {randomInt, randomUUID} from 'node:crypto';
 import {join} from 'node:path';
 import {
+  DrainDeadlines,
   PrimarySupervisor,
   LeaseGrantor,
   MemberAdminClient,
@@ -43,6 +44,8 @@
 /** Time for calls in progress to end before this VM leaves the membership. */
 const LEAVE_DELAY_MILLISECONDS = 300;
 const VIEW_FETCH_INTERVAL_MILLISECONDS = 350;
+/** The drain time where the settings name none. */
+const DEFAULT_DRAIN_MILLISECONDS = 3_000;
 const EXIT_DISK_FAILED = 1;
 
 /** The protocols of the platform on which a control VM runs. */
@@ -191,6 +194,11 @@
   }
   const {machines} = membership;
   const connector = platform.createMemberConnector(timer);
+  const deadlines = DrainDeadlines.start({
+    log,
+    timer,
+    drainMilliseconds: settings.drainMilliseconds ?? DEFAULT_DRAIN_MILLISECONDS,
+  });
   PrimarySupervisor.start({
     self,
     publicName: node,
@@ -198,7 +206,8 @@
     network,
     memberAdmin: MemberAdminClient.create(connector, timer),
     promotions: platform.createPromotionClient(promotionAddress),
-    grantor: LeaseGrantor.start({log, network, timer}),
+    deadlines,
+    grantor: LeaseGrantor.start({log, network, timer, deadlines}),
     machines,
     entryMachines: () =>
       machines.current.filter(({controlVoter}) => !controlVoter),
--- a/packages/program/src/program_settings.ts
+++ b/packages/program/src/program_settings.ts
@@ -23,6 +23,11 @@
   readonly dataFolder: string | undefined;
   /** The address of the service that promotes members. */
   readonly promotionAddress: Address | undefined;
+  /**
+   * The time after the acknowledgement of a member's announcement that it is
+   * draining by which no new work may reach it; `undefined` if none is set.
+   */
+  readonly drainMilliseconds: number | undefined;
   /** The time within which a process must end after SIGTERM. */
   readonly graceMilliseconds: number;
 }
--- a/packages/program/test/settings_watcher_test.ts
+++ b/packages/program/test/settings_watcher_test.ts
@@ -22,6 +22,7 @@
   firstStart: false,
   dataFolder: undefined,
   promotionAddress: undefined,
+  drainMilliseconds: 7_000,
   graceMilliseconds: 6_000,
 };
 
--- a/packages/work/src/draining_members.ts
+++ b/packages/work/src/draining_members.ts
@@ -21,6 +21,15 @@
     this.learn(view, this.timer.now());
   }
 
+  /**
+   * Replaces what is known by the members that are draining in a view, without
+   * knowing since when: each counts as draining for an infinite time.
+   */
+  updateWithUnknownTimes(view: ClusterView): void {
+    this.knownSince = new Map();
+    this.learn(view, -Infinity);
+  }
+
   /**
    * Returns for how many milliseconds this process has known that a member is
    * draining; `undefined` if it does not know it.
