--- a/packages/program/src/session_metrics.ts
+++ b/packages/program/src/session_metrics.ts
@@ -47,7 +47,7 @@
     this.failures.increment(`kind="${kind}"`);
   }
 
-  /** Counts work that this VM began on a member that was draining. */
+  /** Counts work for a draining member, which a replica refuses. */
   onDrainingWork(role: MemberRole): void {
     this.drainingWork.increment(`role="${role}"`);
   }
@@ -67,7 +67,7 @@
       ),
       ...renderCounters(
         'apricotlock_draining_member_work_total',
-        'Statements and transactions begun on a draining member, by its role',
+        'Work for draining members: begun on a primary, refused on a replica',
         this.drainingWork,
       ),
       ...renderMetricHeader(
--- a/packages/work/src/member_worker.ts
+++ b/packages/work/src/member_worker.ts
@@ -46,6 +46,8 @@
    * term of 0 allows any role.
    */
   readonly mayUse: (primaryTerm: number) => boolean;
+  /** Returns whether the member accepts new work in any role. */
+  readonly acceptsNewWork: () => boolean;
   /** Called when the member shows a symptom of a failure. */
   readonly onSymptom: (symptom: Symptom) => void;
   /** Called with each answer of the member to a statement. */
@@ -132,9 +134,9 @@
    * loss over the channel. Resolves when the work has ended.
    */
   async serve(request: WorkRequest, channel: WorkServerChannel): Promise<void> {
-    const {timer, mayUse} = this.options;
-    if (!mayUse(request.primaryTerm)) return this.refuse(channel, 'notHolder');
-    this.lastUsedAt = timer.now();
+    const obstacle = this.obstacleTo(request);
+    if (obstacle !== undefined) return this.refuse(channel, obstacle);
+    this.lastUsedAt = this.options.timer.now();
     if (!this.reachable) {
       // A connection opened in the background detects recovery.
       this.connections.requestConnections(1);
@@ -151,11 +153,13 @@
       return this.refuse(channel, reason, refusal.expectedWaitMilliseconds);
     }
     const connection = admission.unsafeCoerce();
-    // The primary lease may have expired while the work was queued.
-    if (!mayUse(request.primaryTerm)) {
+    // The lease may have expired, or the member have announced that it is
+    // draining, while the work was queued.
+    const laterObstacle = this.obstacleTo(request);
+    if (laterObstacle !== undefined) {
       this.queue.releaseSlot(0);
       this.connections.checkIn(connection);
-      return this.refuse(channel, 'notHolder');
+      return this.refuse(channel, laterObstacle);
     }
     await this.runWork(connection, request, channel, inbox);
   }
@@ -178,6 +182,16 @@
     return undefined;
   }
 
+  /** Returns why new work may not begin; `undefined` if it may. */
+  private obstacleTo({
+    primaryTerm,
+  }: WorkRequest): WorkRefusalReason | undefined {
+    const {mayUse, acceptsNewWork} = this.options;
+    if (!mayUse(primaryTerm)) return 'notHolder';
+    // A lease limits by itself for how long a draining primary is used.
+    return primaryTerm > 0 || acceptsNewWork() ? undefined : 'draining';
+  }
+
   private async runWork(
     connection: WorkConnection,
     request: WorkRequest,
--- a/packages/work/src/work_messages.ts
+++ b/packages/work/src/work_messages.ts
@@ -53,6 +53,8 @@
   | 'notHolder'
   /** The member is not reachable from this VM. */
   | 'unreachable'
+  /** The member is draining, and gets no new work as a replica. */
+  | 'draining'
   /** The member is removed or unknown to this VM. */
   | 'unknownMember';
 
--- a/packages/work/src/work_service.ts
+++ b/packages/work/src/work_service.ts
@@ -70,7 +70,10 @@
   readonly leader: ControlLeaderClient;
   readonly timer: TimerService;
   readonly logger: Logger;
-  /** Called when work begins on a member that is known to be draining. */
+  /**
+   * Called for work on a member that is known to be draining: on a primary it
+   * begins, on a replica it is refused.
+   */
   readonly onDrainingWork: (role: MemberRole) => void;
 }
 
@@ -232,6 +235,11 @@
     return worker;
   }
 
+  private findMember(database: string, name: string): Member | undefined {
+    const group = findGroup(this.options.view.current, database);
+    return group && findMember(group, name);
+  }
+
   private createWorker(group: DatabaseGroup, member: Member): MemberWorker {
     const {connector, timer, logger} = this.options;
     const {database} = group;
@@ -245,6 +253,7 @@
       timer,
       logger,
       mayUse: term => term === 0 || this.leases.holds(database, term),
+      acceptsNewWork: () => this.findMember(database, name)?.state === 'active',
       onSymptom: symptom => void this.reportPrimary(database, name, symptom),
       onAnswer: answer => this.recordAnswer(database, name, answer),
     });
@@ -309,8 +318,7 @@
     first,
   }: WorkRequest): void {
     const {view, logger, onDrainingWork} = this.options;
-    const group = findGroup(view.current, database);
-    const member = group && findMember(group, name);
+    const member = this.findMember(database, name);
     if (member?.state !== 'draining') return;
     const milliseconds = this.draining.drainingMilliseconds(member);
     logger.info('work for a draining member', {
--- a/packages/work/test/member_worker_test.ts
+++ b/packages/work/test/member_worker_test.ts
@@ -34,6 +34,7 @@
       timer: this.timer,
       logger: Logger.silent(),
       mayUse: () => this.mayUse,
+      acceptsNewWork: () => true,
       onSymptom: symptom => this.symptoms.push(symptom),
       onAnswer: () => undefined,
     });
