--- a/packages/appointment/test/fake_network.ts
+++ b/packages/appointment/test/fake_network.ts
@@ -1,5 +1,5 @@
 import {Either, Left, Right} from 'purify-ts';
-import {PeerCall, PeerChannel, PeerError, PeerNetwork} from '@apricotlock/peer';
+import {PeerCall, PeerError, SilentPeerNetwork} from '@apricotlock/peer';
 
 type Handler = (request: never) => Promise<Either<string, unknown>>;
 
@@ -7,7 +7,7 @@
  * Stores handlers for the test to call, and gives the same answer to all
  * outgoing calls.
  */
-export class FakeNetwork extends PeerNetwork {
+export class FakeNetwork extends SilentPeerNetwork {
   readonly handlers = new Map<string, Handler>();
   /** Whether other processes answer. */
   reachable = true;
@@ -23,10 +23,6 @@
     return Right({stopped: true} as Answer);
   }
 
-  override converse(): PeerChannel<never, never> {
-    throw new Error('bidirectional streams are not supported by this fake');
-  }
-
   override handle<Request, Answer>(
     call: PeerCall<Request, Answer>,
     handler: (request: Request) => Promise<Either<string, Answer>>,
@@ -34,10 +30,6 @@
     this.handlers.set(call.name, handler as Handler);
   }
 
-  override handleConversation(): void {
-    throw new Error('bidirectional streams are not supported by this fake');
-  }
-
   override async close(): Promise<void> {
     this.handlers.clear();
   }
--- a/packages/control/src/control_client.ts
+++ b/packages/control/src/control_client.ts
@@ -25,6 +25,8 @@
 /** After this time no further control VM is tried. */
 const PROPOSE_DEADLINE_MILLISECONDS = 6_000;
 const FETCH_TIMEOUT_MILLISECONDS = 1_000;
+/** A view that was the newest one within this time counts as current. */
+const CURRENT_VIEW_MAXIMUM_AGE_MILLISECONDS = 2_000;
 /**
  * A control VM answers audit queries from its own log if it had contact with a
  * quorum within this time.
@@ -101,6 +103,14 @@
     return this.distributor.ageMilliseconds;
   }
 
+  /**
+   * Whether what the view does not name may be taken as absent: it was confirmed
+   * as the newest one a short time ago.
+   */
+  get isViewCurrent(): boolean {
+    return this.viewAgeMilliseconds <= CURRENT_VIEW_MAXIMUM_AGE_MILLISECONDS;
+  }
+
   /**
    * Proposes a command to the log through any control VM that can reach the
    * leader.
--- a/packages/work/test/work_service_test.ts
+++ b/packages/work/test/work_service_test.ts
@@ -1,13 +1,11 @@
 import {setImmediate} from 'node:timers/promises';
 import {expect} from 'chai';
-import {Either, Left} from 'purify-ts';
 import {Deferred, Observable} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
 import {
   createChannelPair,
   PeerChannel,
-  PeerError,
-  PeerNetwork,
+  SilentPeerNetwork,
 } from '@apricotlock/peer';
 import {StatementAnswer} from '@apricotlock/statement';
 import {ManualTimerService} from '@apricotlock/timer';
@@ -51,29 +49,6 @@
   first: READ,
 };
 
-/** A network on which nobody answers. */
-class SilentNetwork extends PeerNetwork {
-  override async call<Answer>(): Promise<Either<PeerError, Answer>> {
-    return Left({kind: 'noAnswer', reason: 'silent'});
-  }
-
-  override converse(): PeerChannel<never, never> {
-    throw new Error('bidirectional streams are not supported by this fake');
-  }
-
-  override handle(): void {
-    // Nobody calls.
-  }
-
-  override handleConversation(): void {
-    // Nobody calls.
-  }
-
-  override async close(): Promise<void> {
-    // There is nothing to close.
-  }
-}
-
 function viewWith(state: Member['state'], index: number): ClusterView {
   const member: Member = {
     name: 'm1',
@@ -110,7 +85,7 @@
   readonly service: WorkService;
 
   constructor() {
-    const network = new SilentNetwork();
+    const network = new SilentPeerNetwork();
     const machines = Observable.of<readonly VirtualMachine[]>([]);
     this.service = WorkService.start({
       self: 'entry-1',
