--- a/packages/work/src/work_service.ts
+++ b/packages/work/src/work_service.ts
@@ -15,19 +15,16 @@
   findGroup,
   findMember,
   Member,
-  ownerOf,
   VirtualMachine,
 } from '@apricotlock/topology';
+import {connectionLimitsFor, slotsOf} from './connection_limits.js';
 import {ConnectionLimits} from './connection_pool.js';
 import {ControlLeaderClient} from './control_leader_client.js';
 import {DrainingMembers} from './draining_members.js';
-import {
-  REPORT_PRIMARY_FAILURE,
-  REVOKE_LEASE,
-  Symptom,
-} from './lease_messages.js';
+import {REVOKE_LEASE} from './lease_messages.js';
 import {LeaseRenewer} from './lease_renewer.js';
 import {MemberWorker} from './member_worker.js';
+import {PrimaryFailureReporter} from './primary_failure_reporter.js';
 import {PrimaryLeases} from './primary_leases.js';
 import {
   CURRENT_POSITION,
@@ -38,26 +35,15 @@
   WorkClientMessage,
 } from './work_messages.js';
 
-const DEFAULT_SLOTS = 2;
-const DEFAULT_CONNECTIONS = 16;
-/** The share of a primary's connections that its lease holder may open. */
-const LEASE_HOLDER_SHARE = 0.7;
-/** The share of a replica's connections that its owner VM may open. */
-const REPLICA_OWNER_SHARE = 0.5;
 /** A worker is closed after this time without work. */
 const UNUSED_WORKER_TIMEOUT_MILLISECONDS = 5_000;
 const UNUSED_CHECK_INTERVAL_MILLISECONDS = 1_000;
-const REPORT_TIMEOUT_MILLISECONDS = 600;
-/** The minimum time between two reports of the same symptom of a database. */
-const REPORT_INTERVAL_MILLISECONDS = 150;
 /** A revocation checks at this interval whether work has finished. */
 const REVOCATION_POLL_INTERVAL_MILLISECONDS = 5;
 /** The pause between attempts to read the position of a new primary. */
 const POSITION_RETRY_MILLISECONDS = 50;
 /** The retry delay that is sent with a refusal for an unknown member. */
 const UNKNOWN_MEMBER_RETRY_MILLISECONDS = 300;
-/** Connections that are kept open in addition to one for each slot. */
-const SPARE_CONNECTIONS = 1;
 
 /** Options of the work service. */
 export interface WorkServiceOptions {
@@ -94,15 +80,16 @@
 export class WorkService {
   private readonly workers = new Map<string, MemberWorker>();
   private readonly heldPrimaries = new Map<string, HeldPrimary>();
-  private readonly lastReportAt = new Map<string, number>();
   private readonly leases: PrimaryLeases;
   private readonly renewer: LeaseRenewer;
   private readonly draining: DrainingMembers;
+  private readonly failureReporter: PrimaryFailureReporter;
 
   private constructor(private readonly options: WorkServiceOptions) {
     this.leases = PrimaryLeases.create(options.timer);
     this.draining = DrainingMembers.create(options.timer);
     this.draining.update(options.view.current);
+    this.failureReporter = PrimaryFailureReporter.create(options);
     const {leases} = this;
     this.renewer = LeaseRenewer.start({
       ...options,
@@ -202,8 +189,7 @@
       if (group === undefined || member === undefined) this.closeWorker(worker);
       else if (!isSameTarget(member, worker)) this.closeWorker(worker);
       else {
-        const limits = this.connectionLimitsFor(group, member, slotsOf(member));
-        worker.setConnections(limits);
+        worker.setConnections(this.connectionLimitsFor(group, member));
       }
     }
   }
@@ -244,56 +230,28 @@
     const {connector, timer, logger} = this.options;
     const {database} = group;
     const {name, address} = member;
-    const slots = slotsOf(member);
-    const worker = MemberWorker.create({
+    return MemberWorker.create({
       target: {database, name, host: address.host, port: address.port},
-      slots,
-      connections: this.connectionLimitsFor(group, member, slots),
+      slots: slotsOf(member),
+      connections: this.connectionLimitsFor(group, member),
       connector,
       timer,
       logger,
       mayUse: term => term === 0 || this.leases.holds(database, term),
       acceptsNewWork: () => this.findMember(database, name)?.state === 'active',
-      onSymptom: symptom => void this.reportPrimary(database, name, symptom),
+      onSymptom: symptom =>
+        void this.failureReporter.report(database, name, symptom),
       onAnswer: answer => this.recordAnswer(database, name, answer),
     });
-    return worker;
   }
 
-  /**
-   * Returns the limits of this VM's connections to a member, which depend on
-   * whether it is the lease holder of a primary or the owner of a replica.
-   */
   private connectionLimitsFor(
     group: DatabaseGroup,
     member: Member,
-    slots: number,
   ): ConnectionLimits {
-    const {self, machines} = this.options;
-    const memberMaximum = this.maximumConnectionsOf(member);
-    const needed = slots + SPARE_CONNECTIONS;
-    const shareOf = (share: number) =>
-      Math.max(1, Math.floor(memberMaximum * share));
-    if (group.primary === member.name) {
-      return group.holder === self
-        ? {maximum: shareOf(LEASE_HOLDER_SHARE), warm: needed}
-        : {maximum: 1, warm: 0};
-    }
-    const owner = ownerOf(member.name, member.dataCentre, machines.current);
-    return owner?.name === self
-      ? {maximum: shareOf(REPLICA_OWNER_SHARE), warm: needed}
-      : {maximum: needed, warm: 0};
-  }
-
-  /** Returns how many connections a member accepts from all VMs together. */
-  private maximumConnectionsOf({database, capacity}: Member): number {
-    const {entries} = this.options.view.current.catalogue;
-    const allowed = entries
-      .filter(entry => entry.database === database)
-      .map(({limits}) => limits.connections);
-    const byCatalogue =
-      allowed.length === 0 ? DEFAULT_CONNECTIONS : Math.max(...allowed);
-    return Math.min(byCatalogue, capacity?.connections ?? byCatalogue);
+    const {self, view, machines} = this.options;
+    const facts = {self, view: view.current, machines: machines.current};
+    return connectionLimitsFor(facts, group, member);
   }
 
   /** Records the log position in an answer of a primary under lease. */
@@ -402,41 +360,6 @@
     }
     return Right({stopped: true});
   }
-
-  private async reportPrimary(
-    database: string,
-    member: string,
-    symptom: Symptom,
-  ): Promise<void> {
-    const {self, view, timer, leader, logger} = this.options;
-    const group = findGroup(view.current, database);
-    if (group?.primary !== member || group.holder !== self) return;
-    const {term} = group;
-    const description = `${database} ${term} ${symptom}`;
-    const lastAt = this.lastReportAt.get(database + symptom) ?? -Infinity;
-    if (timer.now() - lastAt < REPORT_INTERVAL_MILLISECONDS) return;
-    this.lastReportAt.set(database + symptom, timer.now());
-    logger.warn('reporting a primary failure to the control leader', {
-      database,
-      term,
-      member,
-      symptom,
-    });
-    const acknowledgement = await leader.call(
-      REPORT_PRIMARY_FAILURE,
-      {database, term, reporter: self, symptom},
-      REPORT_TIMEOUT_MILLISECONDS,
-    );
-    acknowledgement.ifLeft(() =>
-      logger.warn('primary failure report was not acknowledged', {
-        report: description,
-      }),
-    );
-  }
-}
-
-function slotsOf({capacity}: Member): number {
-  return capacity?.slots ?? DEFAULT_SLOTS;
 }
 
 function isSameTarget(
