--- a/packages/appointment/src/primary_failover.ts
+++ b/packages/appointment/src/primary_failover.ts
@@ -2,7 +2,6 @@
 import {Observable} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
 import {PeerNetwork} from '@apricotlock/peer';
-import {comparePositions} from '@apricotlock/statement';
 import {TimerService} from '@apricotlock/timer';
 import {
   DatabaseGroup,
@@ -12,11 +11,13 @@
   ownerRanking,
   VirtualMachine,
 } from '@apricotlock/topology';
+import {findCaughtUpReplica} from './caught_up_replica.js';
 import {DrainDeadlines} from './drain_deadlines.js';
 import {LeaseRevocation} from './lease_revocation.js';
 import {LeaseGrantor} from './lease_grantor.js';
 import {MemberWithReport, MemberAdminClient} from './member_admin_client.js';
 import {PromotionClient} from './promotion_client.js';
+import {restoreReplication} from './replication_repair.js';
 import {
   requiredFencedCount,
   highestTerm,
@@ -26,15 +27,10 @@
   presentMembers,
 } from './replication_state.js';
 
-/** Time for a replica to catch up with a draining primary. */
-const CATCH_UP_TIMEOUT_MILLISECONDS = 1_500;
-const CATCH_UP_POLL_INTERVAL_MILLISECONDS = 20;
 /** Time for an ordered promotion to be accepted and take effect. */
 const PROMOTION_TIMEOUT_MILLISECONDS = 4_000;
 const PROMOTION_POLL_INTERVAL_MILLISECONDS = 40;
 const PROMOTION_RETRY_INTERVAL_MILLISECONDS = 200;
-const MAXIMUM_RESTORE_ATTEMPTS = 20;
-const RESTORE_RETRY_INTERVAL_MILLISECONDS = 300;
 const MAXIMUM_HOLDER_CANDIDATES = 8;
 
 /** Why a failover is started. */
@@ -166,40 +162,24 @@
     if (!isSynchronous(log.state.current.view, group)) await this.revocation;
     if (primary !== undefined && this.cause !== 'primaryLost') {
       await this.revocation;
-      const replica = await this.findCaughtUpReplica(group, primary.member);
+      const replica = await this.findSuccessor(group, primary.member);
       if (replica !== undefined) return this.promote(group, replica, reports);
     }
     return this.fenceAndPromote(group, reports);
   }
 
   /**
-   * Returns an active replica that has received everything that the draining
-   * primary holds, or `undefined` if there is none that catches up in time.
+   * Returns an active replica with everything that the draining primary holds;
+   * `undefined` if there is none in time.
    */
-  private async findCaughtUpReplica(
+  private findSuccessor(
     group: DatabaseGroup,
     primary: Member,
   ): Promise<MemberWithReport | undefined> {
-    const {memberAdmin, timer} = this.options;
-    const deadline = timer.now() + CATCH_UP_TIMEOUT_MILLISECONDS;
     const candidates = presentMembers(group).filter(
       ({name, state}) => state === 'active' && name !== primary.name,
     );
-    if (candidates.length === 0) return undefined;
-    // All leases are revoked, so the log of the primary no longer grows.
-    const primaryReport = await memberAdmin.report(primary);
-    const targetPosition = primaryReport.toMaybe().extract()?.received;
-    if (targetPosition === undefined) return undefined;
-    for (;;) {
-      const reported = await memberAdmin.reports(candidates);
-      const candidate = longestLog(reported);
-      const caughtUp =
-        candidate !== undefined &&
-        comparePositions(candidate.report.received, targetPosition) >= 0;
-      if (caughtUp) return candidate;
-      if (timer.now() >= deadline) return undefined;
-      await timer.sleep(CATCH_UP_POLL_INTERVAL_MILLISECONDS);
-    }
+    return findCaughtUpReplica(primary, candidates, this.options);
   }
 
   /**
@@ -301,7 +281,7 @@
   ): Promise<boolean> {
     await this.revocation;
     if (this.mayBeUsed(member)) return this.assignLeaseHolder(member);
-    const replica = await this.findCaughtUpReplica(group, member);
+    const replica = await this.findSuccessor(group, member);
     return replica !== undefined && this.promote(group, replica, [replica]);
   }
 
@@ -394,35 +374,23 @@
     return bestCandidate?.name;
   }
 
-  /**
-   * Releases the other members from fencing so that they replicate again, and
-   * demotes any that still act as a primary.
-   */
+  /** Makes the other members replicate from a member that was promoted. */
   private async restoreReplication(
     group: DatabaseGroup,
     primary: Member,
     term: number,
   ): Promise<void> {
     const {memberAdmin, timer} = this.options;
-    let pending = presentMembers(group).filter(
+    const others = presentMembers(group).filter(
       ({name}) => name !== primary.name,
     );
-    for (let attempt = 0; attempt < MAXIMUM_RESTORE_ATTEMPTS; attempt++) {
-      const current = this.currentGroup();
-      if (current?.primary !== undefined && current.primary !== primary.name) {
-        return;
-      }
-      const reported = await memberAdmin.reports(pending);
-      for (const {member, report} of reported) {
-        const done =
-          report.role === 'primary'
-            ? await memberAdmin.stepDown(member, term)
-            : await memberAdmin.release(member);
-        if (done.isRight()) pending = pending.filter(each => each !== member);
-      }
-      if (pending.length === 0) return;
-      await timer.sleep(RESTORE_RETRY_INTERVAL_MILLISECONDS);
-    }
+    const isSuperseded = () => {
+      const assigned = this.currentGroup()?.primary;
+      return assigned !== undefined && assigned !== primary.name;
+    };
+    const context = {memberAdmin, timer, isSuperseded};
+    const pending = await restoreReplication(others, term, context);
+    if (pending.length === 0) return;
     this.logInfo('could not reach all members after the promotion', {
       members: pending.map(({name}) => name).join(' '),
     });
--- /dev/null
+++ b/packages/appointment/src/replication_repair.ts
@@ -0,0 +1,51 @@
+import {TimerService} from '@apricotlock/timer';
+import {Member} from '@apricotlock/topology';
+import {MemberAdminClient, MemberWithReport} from './member_admin_client.js';
+
+const MAXIMUM_ATTEMPTS = 20;
+const RETRY_INTERVAL_MILLISECONDS = 300;
+
+/** What the repair of replication needs. */
+export interface ReplicationRepairContext {
+  readonly memberAdmin: MemberAdminClient;
+  readonly timer: TimerService;
+  /** Returns whether another primary has been assigned meanwhile. */
+  readonly isSuperseded: () => boolean;
+}
+
+/**
+ * Releases members from fencing after a promotion, so that they replicate again,
+ * and demotes any that still act as a primary. Resolves to the members that could
+ * not be reached; to none if another primary was assigned meanwhile.
+ */
+export async function restoreReplication(
+  members: readonly Member[],
+  term: number,
+  {memberAdmin, timer, isSuperseded}: ReplicationRepairContext,
+): Promise<readonly Member[]> {
+  let pending = members;
+  for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt++) {
+    if (isSuperseded()) return [];
+    for (const reported of await memberAdmin.reports(pending)) {
+      const {member} = reported;
+      if (await restoreMember(reported, term, memberAdmin)) {
+        pending = pending.filter(each => each !== member);
+      }
+    }
+    if (pending.length === 0) return [];
+    await timer.sleep(RETRY_INTERVAL_MILLISECONDS);
+  }
+  return pending;
+}
+
+async function restoreMember(
+  {member, report}: MemberWithReport,
+  term: number,
+  memberAdmin: MemberAdminClient,
+): Promise<boolean> {
+  const done =
+    report.role === 'primary'
+      ? await memberAdmin.stepDown(member, term)
+      : await memberAdmin.release(member);
+  return done.isRight();
+}
--- a/packages/backend/src/lease_messages.ts
+++ b/packages/backend/src/lease_messages.ts
@@ -1,4 +1,4 @@
-import {PeerCall, PeerConversation} from '@apricotlock/peer';
+import {hasFields, PeerCall, PeerConversation} from '@apricotlock/peer';
 import {Position} from '@apricotlock/session';
 import {TransactionStatus} from '@apricotlock/wire';
 
@@ -172,14 +172,3 @@
 ): candidate is T {
   return hasFields(candidate, {kind: 'string'});
 }
-
-function hasFields(
-  candidate: unknown,
-  types: Readonly<Record<string, string>>,
-): boolean {
-  if (typeof candidate !== 'object' || candidate === null) return false;
-  const values = candidate as Readonly<Record<string, unknown>>;
-  return Object.entries(types).every(
-    ([name, type]) => typeof values[name] === type,
-  );
-}
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -19,7 +19,7 @@
   type ConversationHandler,
 } from './peer_network.js';
 export {SilentPeerNetwork} from './silent_peer_network.js';
-export {checkWith} from './schema_check.js';
+export {checkWith, hasFields} from './schema_check.js';
 export {getCurrentKeyRing, createKeyRing, type KeyRing} from './key_ring.js';
 export {UnauthenticatedConnectionGuard} from './unauthenticated_connection_guard.js';
 export {type TlsIdentity} from './tls_identity.js';
--- a/packages/work/src/work_messages.ts
+++ b/packages/work/src/work_messages.ts
@@ -1,4 +1,4 @@
-import {PeerCall, PeerConversation} from '@apricotlock/peer';
+import {hasFields, PeerCall, PeerConversation} from '@apricotlock/peer';
 import {Access, LogPosition, StatementAnswer} from '@apricotlock/statement';
 
 /** The part of a caller's statement that a member runs. */
@@ -155,14 +155,3 @@
     timeoutMilliseconds: 'number',
   });
 }
-
-function hasFields(
-  candidate: unknown,
-  types: Readonly<Record<string, string>>,
-): boolean {
-  if (typeof candidate !== 'object' || candidate === null) return false;
-  const values = candidate as Readonly<Record<string, unknown>>;
-  return Object.entries(types).every(
-    ([name, type]) => typeof values[name] === type,
-  );
-}
