--- a/packages/appointment/src/drain_deadlines.ts
+++ b/packages/appointment/src/drain_deadlines.ts
@@ -21,7 +21,8 @@
 /**
  * Decides on the control leader until when a draining member may be used as a
  * primary. The announcement is acknowledged after the leader has applied it, so
- * the leader's own measurement is never too short. A new leader can't know how
+ * the leader's own measurement is never too short; a suspension of the leader
+ * counts too. A new leader can't know how
  * long ago its predecessors applied one, and allows no use of members that were
  * draining when it took over.
  */
--- a/packages/appointment/src/primary_failover.ts
+++ b/packages/appointment/src/primary_failover.ts
@@ -199,17 +199,20 @@
       highestTerm(reported) + 1,
     );
     const needed = requiredFencedCount(group);
+    const enough = fenced.length >= needed;
     const successor = longestLog(fenced);
     const primary = findPrimary(reported);
     // Replacing one draining primary by another brings no usable one nearer.
     const isUseful = primary === undefined || fenced.some(isActive);
-    if (fenced.length >= needed && successor !== undefined && isUseful) {
+    if (enough && isUseful && successor !== undefined) {
       return this.promote(group, successor, reported);
     }
-    this.logInfo('too few members could be fenced to promote a replica', {
-      fenced: fenced.map(({member}) => member.name).join(' '),
-      needed,
-    });
+    this.logInfo(
+      enough
+        ? 'all members that could be promoted are draining'
+        : 'too few members could be fenced to promote a replica',
+      {fenced: fenced.map(({member}) => member.name).join(' '), needed},
+    );
     await this.releaseAll(fenced);
     return primary === undefined
       ? false
--- a/packages/appointment/src/primary_supervisor.ts
+++ b/packages/appointment/src/primary_supervisor.ts
@@ -96,8 +96,10 @@
     if (primary === undefined || primary.state === 'removed') {
       return 'primaryLost';
     }
-    const mustEnd = hasSuccessor(group) || !deadlines.allowsLease(primary);
-    if (primary.state === 'draining' && mustEnd) return 'planned';
+    if (primary.state === 'draining') {
+      const isOverdue = !deadlines.allowsLease(primary);
+      if (isOverdue || hasSuccessor(group)) return 'planned';
+    }
     const holder = entryMachines().find(({name}) => name === group.holder);
     if (holder?.state === 'draining') return 'holderLost';
     const silentMilliseconds = grantor.silentMilliseconds(group);
--- a/packages/work/src/draining_members.ts
+++ b/packages/work/src/draining_members.ts
@@ -1,13 +1,20 @@
 import {TimerService} from '@apricotlock/timer';
 import {ClusterView, Member} from '@apricotlock/topology';
+import {
+  ClockReading,
+  longestElapsedMilliseconds,
+  readClocks,
+} from './clock_reading.js';
+
+const UNKNOWN_TIME: ClockReading = {monotonicAt: -Infinity, wallAt: -Infinity};
 
 /**
- * Measures for how long this process has known that members are draining. A
- * member that is restarted counts as another one.
+ * Measures for how long this process has known that members are draining, on the
+ * clock that has run further. A member that is restarted counts as another one.
  */
 export class DrainingMembers {
   /** When the draining of a member became known here, by incarnation. */
-  private knownSince: ReadonlyMap<string, number> = new Map();
+  private knownSince: ReadonlyMap<string, ClockReading> = new Map();
 
   private constructor(private readonly timer: TimerService) {}
 
@@ -18,7 +25,7 @@
 
   /** Learns of the members that are draining in a view, as of now. */
   update(view: ClusterView): void {
-    this.learn(view, this.timer.now());
+    this.learn(view, readClocks(this.timer));
   }
 
   /**
@@ -27,7 +34,7 @@
    */
   updateWithUnknownTimes(view: ClusterView): void {
     this.knownSince = new Map();
-    this.learn(view, -Infinity);
+    this.learn(view, UNKNOWN_TIME);
   }
 
   /**
@@ -36,10 +43,10 @@
    */
   drainingMilliseconds(member: Member): number | undefined {
     const since = this.knownSince.get(incarnationKey(member));
-    return since === undefined ? undefined : this.timer.now() - since;
+    return since && longestElapsedMilliseconds(this.timer, since);
   }
 
-  private learn({groups}: ClusterView, at: number): void {
+  private learn({groups}: ClusterView, at: ClockReading): void {
     const draining = groups
       .flatMap(({members}) => members)
       .filter(({state}) => state === 'draining')
--- a/packages/work/src/index.ts
+++ b/packages/work/src/index.ts
@@ -23,7 +23,8 @@
   type ControlLeaderClientOptions,
 } from './control_leader_client.js';
 export {MemberWorker, type MemberWorkerOptions} from './member_worker.js';
-export {PrimaryLeases, type RenewalStart} from './primary_leases.js';
+export {PrimaryLeases} from './primary_leases.js';
+export {type ClockReading} from './clock_reading.js';
 export {DrainingMembers} from './draining_members.js';
 export {
   CURRENT_POSITION,
--- a/packages/work/src/primary_leases.ts
+++ b/packages/work/src/primary_leases.ts
@@ -1,17 +1,14 @@
 import {TimerService} from '@apricotlock/timer';
+import {
+  ClockReading,
+  longestElapsedMilliseconds,
+  readClocks,
+} from './clock_reading.js';
 import {GroupTerm} from './lease_messages.js';
 
-/** The time of a renewal request in milliseconds, on both clocks. */
-export interface RenewalStart {
-  /** On the monotonic clock. */
-  readonly monotonicAt: number;
-  /** On the wall clock. */
-  readonly wallAt: number;
-}
-
 interface Lease {
   readonly term: number;
-  readonly start: RenewalStart;
+  readonly start: ClockReading;
   readonly milliseconds: number;
 }
 
@@ -38,8 +35,8 @@
    * Returns the current time for {@link recordRenewal}. Must be called before
    * the renewal request is sent.
    */
-  startRenewal(): RenewalStart {
-    return {monotonicAt: this.timer.now(), wallAt: this.timer.wallClock()};
+  startRenewal(): ClockReading {
+    return readClocks(this.timer);
   }
 
   /**
@@ -48,7 +45,7 @@
    */
   recordRenewal(
     {database, term}: GroupTerm,
-    start: RenewalStart,
+    start: ClockReading,
     milliseconds: number,
   ): void {
     if (term < (this.revokedBefore.get(database) ?? 0)) return;
@@ -86,10 +83,7 @@
     const lease = this.leases.get(database);
     if (lease === undefined || lease.term !== term) return 0;
     const {start, milliseconds} = lease;
-    const elapsed = Math.max(
-      this.timer.now() - start.monotonicAt,
-      this.timer.wallClock() - start.wallAt,
-    );
+    const elapsed = longestElapsedMilliseconds(this.timer, start);
     return Math.max(0, milliseconds - elapsed);
   }
 }
--- a/packages/work/test/primary_leases_test.ts
+++ b/packages/work/test/primary_leases_test.ts
@@ -1,37 +1,10 @@
 import {expect} from 'chai';
-import {TimerService, Unsubscribe} from '@apricotlock/timer';
 import {PrimaryLeases} from '../src/index.js';
+import {SeparateClocks} from './separate_clocks.js';
 
 const DATABASE = 'ledger';
 const LEASE_MILLISECONDS = 1_400;
 
-/** A monotonic clock and a wall clock that a test sets separately. */
-class SeparateClocks extends TimerService {
-  monotonic = 0;
-  wall = 1_000_000;
-
-  override now(): number {
-    return this.monotonic;
-  }
-
-  override wallClock(): number {
-    return this.wall;
-  }
-
-  override once(): Unsubscribe {
-    return () => undefined;
-  }
-
-  override every(): Unsubscribe {
-    return () => undefined;
-  }
-
-  advance(milliseconds: number): void {
-    this.monotonic += milliseconds;
-    this.wall += milliseconds;
-  }
-}
-
 describe('PrimaryLeases', () => {
   let clocks: SeparateClocks;
   let leases: PrimaryLeases;
