Count a COMMIT that was answered with ROLLBACK as not run in the tests' callers

Traced: the session then answers COMMIT with the tag ROLLBACK, as PostgreSQL does, and the tests' caller took every answer without an error for done. So no promise was broken; a new test shows that no COMMIT reaches the member in that case.

The test of the open attempt also went on after a refused BEGIN, and so ran its statements outside a transaction. Its replacement checks each of the five answers, repeats the whole transaction only while it is refused as not run, and still wants it done once.

--- a/packages/bench/src/caller.ts
+++ b/packages/bench/src/caller.ts
@@ -23,6 +23,9 @@
   '57P01',
 ]);
 
+/** The code of a COMMIT that was answered with ROLLBACK, which is no error. */
+const ROLLED_BACK = 'rolled back';
+
 /** A client of the system that uses one plain `pg` connection at a time. */
 export class Caller {
   private client: pg.Client | undefined;
@@ -63,6 +66,9 @@
     if (client === undefined) return {kind: 'notRun', code: 'no connection'};
     try {
       const result = await client.query(text, [...values]);
+      if (text === 'COMMIT' && result.command !== 'COMMIT') {
+        return {kind: 'notRun', code: ROLLED_BACK};
+      }
       return {kind: 'done', rows: result.rows as readonly Row[]};
     } catch (failure) {
       return this.classifyFailure(failure);
--- a/packages/bench/test/idempotency_test.ts
+++ b/packages/bench/test/idempotency_test.ts
@@ -16,6 +16,7 @@
 const DATABASE = 'booking-ledger-1';
 const BEFORE_FAULT_MILLISECONDS = 700;
 const AFTER_FAULT_MILLISECONDS = 3_000;
+const RETRY_PAUSE_MILLISECONDS = 50;
 
 describe('idempotency keys on real processes', () => {
   const timer = SystemTimerService.create();
@@ -95,17 +96,36 @@
   });
 
   describe('of transactions', () => {
-    async function insertBooking(caller: Caller, upTo: 'open' | 'done') {
-      await caller.run("SET apricotlock.idempotency_key = 'booking'");
-      await caller.run('BEGIN');
-      const inserted = await caller.run(
-        "INSERT INTO keyed (item, number) VALUES ('booking', 2) RETURNING number",
-      );
-      if (upTo === 'open') return [inserted];
-      await caller.run(
-        "UPDATE keyed SET number = number + 1 WHERE item = 'booking'",
-      );
-      return [inserted, await caller.run('COMMIT')];
+    const BOOKING = [
+      'BEGIN',
+      "INSERT INTO keyed (item, number) VALUES ('booking', 2) RETURNING number",
+      "UPDATE keyed SET number = number + 1 WHERE item = 'booking'",
+      'COMMIT',
+    ];
+
+    /** Runs statements under the key until one of them is not done. */
+    async function runUnderKey(
+      caller: Caller,
+      statements: readonly string[],
+    ): Promise<readonly Outcome[]> {
+      const outcomes: Outcome[] = [];
+      const setKey = "SET apricotlock.idempotency_key = 'booking'";
+      for (const text of [setKey, ...statements]) {
+        const outcome = await caller.run(text);
+        outcomes.push(outcome);
+        if (outcome.kind !== 'done') break;
+      }
+      return outcomes;
+    }
+
+    /** Repeats the whole transaction while it is refused as not run. */
+    async function bookUntilRun(caller: Caller): Promise<readonly Outcome[]> {
+      for (;;) {
+        const outcomes = await runUnderKey(caller, BOOKING);
+        if (outcomes.at(-1)?.kind !== 'notRun') return outcomes;
+        await caller.close();
+        await timer.sleep(RETRY_PAUSE_MILLISECONDS);
+      }
     }
 
     it('wait for an open attempt and run the transaction once', async () => {
@@ -114,14 +134,17 @@
         Caller,
         Caller,
       ];
-      await insertBooking(first, 'open');
-      const waiting = insertBooking(second, 'done');
+      const open = await runUnderKey(first, BOOKING.slice(0, 2));
+      expect(open.at(-1)?.kind).to.equal('done');
+      const waiting = bookUntilRun(second);
       await timer.sleep(BEFORE_FAULT_MILLISECONDS);
       // The first caller disconnects in the middle of its transaction.
       await first.close();
       const done = await waiting;
-      expect(done.map(({kind}) => kind)).to.deep.equal(['done', 'done']);
-      expect(await insertBooking(third, 'done')).to.deep.equal(done);
+      expect(done.map(({kind}) => kind)).to.deep.equal(
+        ['SET', ...BOOKING].map(() => 'done'),
+      );
+      expect(await bookUntilRun(third)).to.deep.equal(done);
       const [row] = await retryUntilDone(timer, () =>
         third.run("SELECT number FROM keyed WHERE item = 'booking'"),
       );
--- a/packages/proxy/test/caller_session_test.ts
+++ b/packages/proxy/test/caller_session_test.ts
@@ -3,6 +3,7 @@
 import {Socket} from 'node:net';
 import {duplexPair} from 'node:stream';
 import {serialize} from 'pg-protocol';
+import {LeaseOwnerMessage} from '@apricotlock/backend';
 import {Observable} from '@apricotlock/flow';
 import {StatementClassifier} from '@apricotlock/sql';
 import {SystemTimerService} from '@apricotlock/timer';
@@ -251,6 +252,44 @@
     expect(rows.length).to.equal(2);
   });
 
+  it('answers COMMIT with ROLLBACK after a keyed transaction lost a statement', async () => {
+    const echo = echoingOwner();
+    const {caller, leaseClient, done} = serve(async (request, run) => {
+      const texts = framesOf(run.bytes).map(frame =>
+        readQuery(frame).orDefault(''),
+      );
+      if (texts.includes('UPDATE holds SET free = 0')) {
+        return [{kind: 'lost', sent: true}];
+      }
+      const [answer] = await echo(request, run);
+      return [{...answer, status: 'transaction'} as LeaseOwnerMessage];
+    });
+    for (const text of [
+      "SET apricotlock.idempotency_key = 'k'",
+      'BEGIN',
+      'UPDATE holds SET free = 0',
+      'COMMIT',
+    ]) {
+      caller.write(serialize.query(text) as Buffer);
+    }
+    caller.write(terminate);
+    const frames = await done();
+    const tags = frames
+      .filter(({type}) => type === BackendType.COMMAND_COMPLETE)
+      .map(({bytes}) => bytes.toString('utf8', 5, bytes.length - 1));
+    expect(tags.at(-1)).to.equal('ROLLBACK');
+    const errors = frames.filter(
+      ({type}) => type === BackendType.ERROR_RESPONSE,
+    );
+    expect(errors).to.have.length(1);
+    const sent = leaseClient.sentMessages.flatMap(message =>
+      message.kind === 'run' ? framesOf(message.bytes) : [],
+    );
+    const sentTexts = sent.map(frame => readQuery(frame).orDefault(''));
+    expect(sentTexts).to.include('UPDATE holds SET free = 0');
+    expect(sentTexts).not.to.include('COMMIT');
+  });
+
   it('ends when the caller disconnects during a statement', async () => {
     const {caller, proxy, leaseClient, done} = serve(
       () => new Promise(() => undefined),
