Keep as many control voters as the tolerated losses require

Cause: three voters stood in both programs, whatever the settings said of the losses to survive.

The number of voters follows from the settings: 2f+1 for f disks, spread so that no data centre has more than it may lose. A cluster that three seeds created grows to it one change at a time.

--- a/packages/apricotlock/src/control_node.ts
+++ b/packages/apricotlock/src/control_node.ts
@@ -44,6 +44,7 @@
     self,
     dataCentre,
     initialVoters: settings.initialVoters,
+    faultTolerance: settings.faultTolerance,
     folder: await DiskFolder.open(join(dataFolder, LOG_FOLDER)),
     newDiskId: randomUUID,
     random: RandomSource.of(randomInt(RANDOM_SEED_LIMIT)),
--- a/packages/apricotlock/src/setting_descriptions.ts
+++ b/packages/apricotlock/src/setting_descriptions.ts
@@ -91,6 +91,18 @@
     describe: 'time without contact after which a spare replaces a voter',
     default: '60000',
   },
+  {
+    flag: 'tolerated-disk-losses',
+    describe:
+      'disks of voters that may be lost at once; decides the number of ' +
+      'voters, by default as many as initial voters',
+    default: '',
+  },
+  {
+    flag: 'tolerated-data-centre-losses',
+    describe: 'data centres that may be unreachable at once',
+    default: '1',
+  },
   {
     flag: 'data-folder',
     describe: 'folder for data that must survive a restart',
--- a/packages/apricotlock/src/settings.ts
+++ b/packages/apricotlock/src/settings.ts
@@ -1,11 +1,17 @@
 import {Either, Left, Right} from 'purify-ts';
 import {z} from 'zod';
-import {InitialVoter, MAXIMUM_VOTERS} from '@apricotlock/control';
+import {
+  FaultTolerance,
+  InitialVoter,
+  MAXIMUM_VOTERS,
+} from '@apricotlock/control';
 import {LogFormat} from '@apricotlock/logging';
 import {Address, parseAddress} from '@apricotlock/topology';
 import {Credentials} from './credentials.js';
 import {RawSettings, SettingValidationError} from './setting_descriptions.js';
 
+/** More losses would need more voters than a cluster may have. */
+const MAXIMUM_TOLERATED_LOSSES = Math.floor((MAXIMUM_VOTERS - 1) / 2);
 const NAME_PATTERN = /^[a-z][a-z0-9-]{0,62}$/;
 
 /** The validated settings of one process. */
@@ -19,6 +25,8 @@
   readonly controlVoter: boolean;
   readonly initialVoters: readonly InitialVoter[];
   readonly replaceVoterMilliseconds: number;
+  /** The losses to survive; `undefined` to keep the number of initial voters. */
+  readonly faultTolerance: FaultTolerance | undefined;
   readonly dataFolder: string | undefined;
   readonly credentials: Credentials;
   readonly memberUser: string;
@@ -64,6 +72,15 @@
     .transform(text => text.split(',').filter(part => part !== ''))
     .pipe(z.array(initialVoterSchema).max(MAXIMUM_VOTERS)),
   'replace-voter-milliseconds': z.coerce.number().int().min(1_000),
+  'tolerated-disk-losses': z
+    .string()
+    .transform(text => (text === '' ? undefined : Number(text)))
+    .pipe(z.int().min(0).max(MAXIMUM_TOLERATED_LOSSES).optional()),
+  'tolerated-data-centre-losses': z.coerce
+    .number()
+    .int()
+    .min(0)
+    .max(MAXIMUM_TOLERATED_LOSSES),
   'control-voter': z.enum(['true', 'false']).transform(text => text === 'true'),
   'data-folder': z.string().transform(text => text || undefined),
   'member-user': z.string().min(1),
@@ -121,6 +138,7 @@
     controlVoter: data['control-voter'],
     initialVoters: data['initial-voters'],
     replaceVoterMilliseconds: data['replace-voter-milliseconds'],
+    faultTolerance: createFaultTolerance(data),
     dataFolder: data['data-folder'],
     credentials,
     memberUser: data['member-user'],
@@ -130,3 +148,11 @@
     logLevel: data['log-level'],
   };
 }
+
+function createFaultTolerance(
+  data: z.infer<typeof settingsSchema>,
+): FaultTolerance | undefined {
+  const disks = data['tolerated-disk-losses'];
+  if (disks === undefined) return undefined;
+  return {disks, dataCentres: data['tolerated-data-centre-losses']};
+}
--- a/packages/apricotlock/test/settings_test.ts
+++ b/packages/apricotlock/test/settings_test.ts
@@ -67,6 +67,8 @@
           'caller-address': 'nowhere',
           'drain-milliseconds': 'soon',
           'control-voter': 'true',
+          'tolerated-disk-losses': '5',
+          'tolerated-data-centre-losses': 'one',
           'peer-key-file': file('short', 'short'),
           'member-key-file': join(folder, 'missing'),
           'peer-private-key-file': join(folder, 'other-key'),
@@ -82,9 +84,19 @@
         '--name',
         '--peer-key-file',
         '--peer-private-key-file',
+        '--tolerated-data-centre-losses',
+        '--tolerated-disk-losses',
       ]);
     });
 
+    it('takes the tolerated losses only if their number is set', () => {
+      expect(check({}).unsafeCoerce().faultTolerance).to.equal(undefined);
+      const {faultTolerance} = check({
+        'tolerated-disk-losses': '2',
+      }).unsafeCoerce();
+      expect(faultTolerance).to.deep.equal({disks: 2, dataCentres: 1});
+    });
+
     it('does not reveal the contents of a file in its errors', () => {
       const errors = check({'peer-key-file': file('bad', 'tiny secret')});
       expect(JSON.stringify(errors)).not.to.include('tiny');
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -28,6 +28,7 @@
   type StoredAnswer,
 } from './control_state.js';
 export {MAXIMUM_VOTERS} from './control_configuration.js';
+export {type FaultTolerance, requiredVoterCount} from './fault_tolerance.js';
 export {DistributionTree} from './distribution_tree.js';
 export {
   memberTransitions,
--- a/packages/control/src/replicated_control_log.ts
+++ b/packages/control/src/replicated_control_log.ts
@@ -22,6 +22,11 @@
 import {DurableLog} from './durable_log.js';
 import {Leadership} from './leadership.js';
 import {packOutcome, unpackOutcome} from './propose_outcome.js';
+import {
+  FaultTolerance,
+  maximumVotersPerDataCentre,
+  requiredVoterCount,
+} from './fault_tolerance.js';
 import {RandomSource} from './random_source.js';
 import {StorageError} from './storage_error.js';
 import {StorageFolder} from './storage_folder.js';
@@ -53,9 +58,10 @@
   readonly failed: (error: StorageError) => void;
   readonly timings?: Partial<ConsensusTimings>;
   /**
-   * The number of voters to maintain; by default the number of initial voters.
+   * The losses to survive, which decide the number of voters; by default there
+   * are as many voters as initial voters.
    */
-  readonly targetVoterCount?: number;
+  readonly faultTolerance?: FaultTolerance | undefined;
 }
 
 /**
@@ -65,6 +71,8 @@
 export class ReplicatedControlLog extends ControlLog {
   override readonly state: Observable<ControlState>;
   override readonly leading = Observable.of(false);
+  /** The number of voters to maintain. */
+  readonly targetVoterCount: number;
   private readonly timings: ConsensusTimings;
   private readonly peers: ControlPeers;
   private readonly consensus: Consensus;
@@ -79,8 +87,12 @@
     private readonly log: DurableLog,
   ) {
     super();
-    const {network, machines, initialVoters} = options;
+    const {network, machines, initialVoters, faultTolerance} = options;
     this.timings = {...CONSENSUS_TIMINGS, ...options.timings};
+    this.targetVoterCount =
+      faultTolerance === undefined
+        ? initialVoters.length
+        : requiredVoterCount(faultTolerance);
     const {timings} = this;
     this.state = Observable.of(log.snapshot.state);
     this.appliedIndex = log.snapshot.index;
@@ -100,7 +112,11 @@
     this.bootstrap = Bootstrap.start(shared, () => this.consensus.campaign());
     this.repair = VoterRepair.start({
       ...shared,
-      targetVoterCount: options.targetVoterCount ?? initialVoters.length,
+      targetVoterCount: this.targetVoterCount,
+      maximumPerDataCentre:
+        faultTolerance === undefined
+          ? Infinity
+          : maximumVotersPerDataCentre(this.targetVoterCount, faultTolerance),
       leadership: () => this.establishedLeadership(),
       committedIndex: () => this.appliedIndex,
     });
@@ -216,6 +232,11 @@
     };
   }
 
+  /** The number of voters in the newest committed configuration. */
+  get voterCount(): number {
+    return votersOf(this.committedConfiguration).length;
+  }
+
   /** Time since this VM last had contact with a quorum. */
   override get ageMilliseconds(): number {
     return this.options.timer.now() - this.consensus.leaderContactAt;
--- a/packages/control/src/voter_repair.ts
+++ b/packages/control/src/voter_repair.ts
@@ -10,11 +10,11 @@
   findControlMember,
   votersOf,
   withControlMember,
-  withoutDisk,
 } from './control_configuration.js';
 import {ControlPeers} from './control_peers.js';
 import {DurableLog} from './durable_log.js';
 import {Leadership} from './leadership.js';
+import {nextVoterStep, VoterSituation, VoterStep} from './voter_plan.js';
 
 /** Dependencies of {@link VoterRepair}. */
 export interface RepairContext {
@@ -26,24 +26,27 @@
   readonly logger: Logger;
   /** The number of voters to maintain. */
   readonly targetVoterCount: number;
+  /** The number of voters that one data centre may have. */
+  readonly maximumPerDataCentre: number;
   /** The leadership, once all earlier entries are committed. */
   readonly leadership: () => Leadership | undefined;
   readonly committedIndex: () => number;
 }
 
-interface ConfigurationStep {
+interface ConfigurationChange {
   readonly configuration: ControlConfiguration;
   readonly reason: string;
 }
 
 /**
- * Replaces lost voters while this VM leads, one configuration change at a time:
- * a spare VM becomes a learner; when it has synced all committed entries, the
- * lost voter is removed; then the learner becomes a voter. Each change is
- * committed before the next one is proposed.
+ * Maintains the voters while this VM leads, one configuration change at a time
+ * as {@link nextVoterStep} decides. Each change is committed before the next one
+ * is proposed.
  */
 export class VoterRepair {
   private stopped = false;
+  /** Whether a learner is needed and no VM with a disk is available. */
+  private lacksMachines = false;
 
   private constructor(private readonly context: RepairContext) {}
 
@@ -65,68 +68,34 @@
       await timer.sleep(timings.repairIntervalMilliseconds);
       const leading = leadership();
       if (leading === undefined) continue;
-      const step = await this.nextStep(leading);
-      if (step === undefined || leadership() !== leading) continue;
-      logger.warn('changing the control voters', {reason: step.reason});
+      const step = nextVoterStep(this.situation(leading));
+      const change = await this.changeOf(step);
+      if (change === undefined || leadership() !== leading) continue;
+      logger.warn('changing the control voters', {reason: change.reason});
       const at = timer.wallClock();
-      await leading.propose({kind: 'configuration', ...step, at});
+      await leading.propose({kind: 'configuration', ...change, at});
     }
   }
 
-  private async nextStep(
-    leading: Leadership,
-  ): Promise<ConfigurationStep | undefined> {
-    const {log, targetVoterCount} = this.context;
-    const {configuration} = log;
-    const learner = configuration.members.find(({role}) => role === 'learner');
-    const lost = votersOf(configuration).filter(voter =>
-      this.isLost(leading, voter),
-    );
-    const hasVacancy = votersOf(configuration).length < targetVoterCount;
-    if (learner !== undefined) {
-      return this.learnerStep(leading, learner, lost[0], hasVacancy);
-    }
-    if (lost.length === 0 && !hasVacancy) return undefined;
-    const spare = await this.findSpare(lost);
-    if (spare === undefined) return undefined;
+  private situation(leading: Leadership): VoterSituation {
+    const {log, machines, targetVoterCount, maximumPerDataCentre} =
+      this.context;
+    const {configuration, vote} = log;
+    const diskIdsWhere = (test: (member: ControlMember) => boolean) =>
+      new Set(configuration.members.filter(test).map(({diskId}) => diskId));
     return {
-      configuration: withControlMember(configuration, spare),
-      reason: `${spare.name} learns, for ${lost[0]?.name ?? 'a free place'}`,
-    };
-  }
-
-  private learnerStep(
-    leading: Leadership,
-    learner: ControlMember,
-    lost: ControlMember | undefined,
-    hasVacancy: boolean,
-  ): ConfigurationStep | undefined {
-    const {configuration} = this.context.log;
-    const {name, diskId} = learner;
-    if (this.isLost(leading, learner)) {
-      return {
-        configuration: withoutDisk(configuration, diskId),
-        reason: `${name} was lost while it learned`,
-      };
-    }
-    const matchIndex = leading.replicatorOf(diskId)?.matchIndex ?? 0;
-    if (matchIndex < this.context.committedIndex()) return undefined;
-    if (hasVacancy) {
-      const voter: ControlMember = {...learner, role: 'voter'};
-      return {
-        configuration: withControlMember(configuration, voter),
-        reason: `${name} has caught up and votes`,
-      };
-    }
-    if (lost !== undefined) {
-      return {
-        configuration: withoutDisk(configuration, lost.diskId),
-        reason: `${lost.name} was lost; ${name} is ready`,
-      };
-    }
-    return {
-      configuration: withoutDisk(configuration, diskId),
-      reason: `${name} is not needed: the lost voter is back`,
+      configuration,
+      leaderDiskId: vote.diskId,
+      targetVoterCount,
+      maximumPerDataCentre,
+      lostDiskIds: diskIdsWhere(member => this.isLost(leading, member)),
+      caughtUpDiskIds: diskIdsWhere(({diskId}) => {
+        const matchIndex = leading.replicatorOf(diskId)?.matchIndex ?? 0;
+        return matchIndex >= this.context.committedIndex();
+      }),
+      controlMachines: machines.current.filter(
+        ({controlVoter, state}) => controlVoter && state === 'serving',
+      ),
     };
   }
 
@@ -142,24 +111,43 @@
     );
   }
 
-  /** Returns a live VM with a disk that does not take part yet. */
-  private async findSpare(
-    lost: readonly ControlMember[],
+  private async changeOf(
+    step: VoterStep | undefined,
+  ): Promise<ConfigurationChange | undefined> {
+    if (step?.kind !== 'recruit') {
+      this.reportShortage(false);
+      if (step === undefined) return undefined;
+      const {configuration, reason} = step;
+      return {configuration, reason};
+    }
+    const learner = await this.identifyFirst(step.candidates);
+    this.reportShortage(learner === undefined);
+    if (learner === undefined) return undefined;
+    return {
+      configuration: withControlMember(this.context.log.configuration, learner),
+      reason: `${learner.name} learns, for ${step.purpose}`,
+    };
+  }
+
+  /** Logs when VMs with a disk begin to lack, and when they no longer do. */
+  private reportShortage(lacksMachines: boolean): void {
+    if (lacksMachines === this.lacksMachines) return;
+    this.lacksMachines = lacksMachines;
+    const {logger, log, targetVoterCount} = this.context;
+    const fields = {
+      voters: votersOf(log.configuration).length,
+      required: targetVoterCount,
+    };
+    if (lacksMachines) {
+      logger.warn('too few control VMs for the fault tolerance', fields);
+    } else {
+      logger.info('enough control VMs for the fault tolerance', fields);
+    }
+  }
+
+  private async identifyFirst(
+    candidates: readonly VirtualMachine[],
   ): Promise<ControlMember | undefined> {
-    const {machines, log} = this.context;
-    const {members} = log.configuration;
-    const participants = new Set(
-      members.filter(member => !lost.includes(member)).map(({name}) => name),
-    );
-    const candidates = machines.current
-      .filter(
-        ({name, controlVoter, state}) =>
-          controlVoter && state === 'serving' && !participants.has(name),
-      )
-      .sort(
-        (left, right) =>
-          this.spareRank(left, lost) - this.spareRank(right, lost),
-      );
     for (const machine of candidates) {
       const spare = await this.identify(machine);
       if (spare !== undefined) return spare;
@@ -167,21 +155,6 @@
     return undefined;
   }
 
-  /**
-   * Returns the rank of a spare VM, lower being better: prefers the lost
-   * voter's own VM, then data centres with fewer voters.
-   */
-  private spareRank(
-    {name, dataCentre}: VirtualMachine,
-    lost: readonly ControlMember[],
-  ): number {
-    const [first] = lost;
-    if (name === first?.name) return -1;
-    return votersOf(this.context.log.configuration).filter(
-      voter => !lost.includes(voter) && voter.dataCentre === dataCentre,
-    ).length;
-  }
-
   private async identify({
     name,
     dataCentre,
--- a/packages/control/test/replicated_control_log_test.ts
+++ b/packages/control/test/replicated_control_log_test.ts
@@ -135,22 +135,14 @@
   });
 
   describe('voter replacement', () => {
-    function votersAt(name: string): readonly string[] {
-      return cluster
-        .log(name)
-        .report()
-        .members.filter(({role}) => role === 'voter')
-        .map(member => member.name)
-        .sort();
-    }
-
     it('replaces a lost voter and then tolerates another loss', async () => {
       cluster = await ControlCluster.start(3, 1);
       await proposeEdits(20);
       cluster.kill('vm-3');
       const firstLeader = await cluster.waitForLeader();
       await cluster.waitUntil('voter replacement', () => {
-        return votersAt(firstLeader).join() === 'vm-1,vm-2,vm-4';
+        const voters = [...cluster.votersAt(firstLeader)].sort();
+        return voters.join() === 'vm-1,vm-2,vm-4';
       });
       expect(cluster.log(firstLeader).report().margin).to.equal(1);
       cluster.kill(firstLeader);
@@ -185,6 +177,61 @@
     }
   });
 
+  describe('a cluster that must survive the loss of two disks', () => {
+    async function startOfThree(spares: number): Promise<string> {
+      cluster = await ControlCluster.start(3, spares, {
+        faultTolerance: {disks: 2, dataCentres: 1},
+        dataCentres: ['catania', 'palermo', 'messina', 'siracusa'],
+      });
+      return cluster.waitForLeader();
+    }
+
+    function waitForVoters(leader: string, count: number): Promise<void> {
+      return cluster.waitUntil(`${count} voters`, () => {
+        return cluster.votersAt(leader).length === count;
+      });
+    }
+
+    it('grows to five voters, no more than two in a data centre', async () => {
+      const leader = await startOfThree(5);
+      await waitForVoters(leader, 5);
+      const dataCentres = cluster
+        .votersAt(leader)
+        .map(name => cluster.dataCentreOf(name));
+      expect(new Set(dataCentres).size).to.equal(4);
+      expect(cluster.log(leader).report()).to.include({quorum: 3, margin: 2});
+    });
+
+    it('keeps every change when two disks are lost at once, twice', async () => {
+      const leader = await startOfThree(5);
+      await waitForVoters(leader, 5);
+      await proposeEdits(20);
+      for (const round of [0, 1]) {
+        const current = await cluster.waitForLeader();
+        const other = cluster
+          .votersAt(current)
+          .find(name => name !== current) as string;
+        for (const name of [current, other]) cluster.wipe(name);
+        for (const name of [current, other]) await cluster.startVm(name);
+        const next = await cluster.waitForLeader();
+        await proposeEdits(1, 20 + round);
+        await cluster.waitUntil('five live voters', () => {
+          return cluster.log(next).report().margin === 2;
+        });
+      }
+      const last = cluster.log(await cluster.waitForLeader());
+      expect(last.state.current.view.catalogue.version).to.equal(22);
+    });
+
+    it('serves with the voters that there are while VMs are missing', async () => {
+      const leader = await startOfThree(1);
+      await waitForVoters(leader, 4);
+      await proposeEdits(3);
+      expect(cluster.log(leader).targetVoterCount).to.equal(5);
+      expect(cluster.versionAt(leader)).to.equal(3);
+    });
+  });
+
   describe('stop', () => {
     it('hands leadership over', async () => {
       cluster = await ControlCluster.start(3);
--- a/packages/control/test/support/control_cluster.ts
+++ b/packages/control/test/support/control_cluster.ts
@@ -4,6 +4,7 @@
 import {VirtualMachine} from '@apricotlock/topology';
 import {
   ControlCommand,
+  FaultTolerance,
   RandomSource,
   ReplicatedControlLog,
 } from '../../src/index.js';
@@ -26,6 +27,13 @@
   repairIntervalMilliseconds: 30,
 };
 
+/** Options of {@link ControlCluster}. */
+export interface ClusterOptions {
+  readonly faultTolerance?: FaultTolerance;
+  /** The data centres over which the VMs are spread in turn. */
+  readonly dataCentres?: readonly string[];
+}
+
 /** Control VMs in one process, on disks in memory. */
 export class ControlCluster {
   readonly network = FakeNetwork.create();
@@ -38,18 +46,23 @@
   private constructor(
     private readonly voters: readonly string[],
     names: readonly string[],
+    private readonly options: ClusterOptions,
   ) {
     const machines = names.map(name => this.machineOf(name));
     this.machines = Observable.of<readonly VirtualMachine[]>(machines);
   }
 
   /** Starts `voters` initial voters and `spares` more VMs with disks. */
-  static async start(voters: number, spares = 0): Promise<ControlCluster> {
+  static async start(
+    voters: number,
+    spares = 0,
+    options: ClusterOptions = {},
+  ): Promise<ControlCluster> {
     const names = Array.from(
       {length: voters + spares},
       (_, index) => `vm-${index + 1}`,
     );
-    const cluster = new ControlCluster(names.slice(0, voters), names);
+    const cluster = new ControlCluster(names.slice(0, voters), names, options);
     for (const name of names) await cluster.startVm(name);
     return cluster;
   }
@@ -60,7 +73,7 @@
     return {
       name,
       incarnation: 1,
-      dataCentre: 'catania',
+      dataCentre: this.dataCentreOf(name),
       peerAddress: address,
       operatorAddress: address,
       controlVoter: true,
@@ -68,6 +81,19 @@
     };
   }
 
+  dataCentreOf(name: string): string {
+    const {dataCentres = ['catania']} = this.options;
+    return dataCentres[(this.portOf(name) - 1) % dataCentres.length] as string;
+  }
+
+  /** Returns the names of the voters that a VM knows to be committed. */
+  votersAt(name: string): readonly string[] {
+    return this.log(name)
+      .report()
+      .members.filter(({role}) => role === 'voter')
+      .map(member => member.name);
+  }
+
   portOf(name: string): number {
     return Number(name.replace('vm-', ''));
   }
@@ -80,7 +106,8 @@
     const {starts} = this;
     const started = await ReplicatedControlLog.start({
       self: name,
-      dataCentre: 'catania',
+      dataCentre: this.dataCentreOf(name),
+      faultTolerance: this.options.faultTolerance,
       initialVoters: this.voters.map(voter => ({
         name: voter,
         address: this.machineOf(voter).peerAddress,
--- a/packages/program/src/control_program.ts
+++ b/packages/program/src/control_program.ts
@@ -28,8 +28,6 @@
 const MAXIMUM_DOCUMENT_BYTES = 8 << 20;
 const LOG_FOLDER = 'control';
 const RANDOM_SEED_LIMIT = 2 ** 32;
-/** Equals the number of seeds that the platform provides. */
-const TARGET_VOTER_COUNT = 3;
 /**
  * A voter that has not answered for this long is replaced if another control VM
  * is available.
@@ -139,7 +137,7 @@
     self,
     dataCentre,
     initialVoters: initialVoters(settings),
-    targetVoterCount: TARGET_VOTER_COUNT,
+    faultTolerance: settings.faultTolerance,
     folder: await DiskFolder.open(join(dataFolder, LOG_FOLDER)),
     newDiskId: randomUUID,
     network,
@@ -224,6 +222,16 @@
       help: '1 on the VM that leads control',
       read: () => (log.leading.current ? 1 : 0),
     },
+    {
+      name: 'apricotlock_control_voters',
+      help: 'Voters of the control log, as known here',
+      read: () => log.voterCount,
+    },
+    {
+      name: 'apricotlock_control_voters_required',
+      help: 'Voters that the fault tolerance of the settings requires',
+      read: () => log.targetVoterCount,
+    },
     {
       name: 'apricotlock_view_index',
       help: 'The newest control entry in force here',
--- a/packages/program/src/program_settings.ts
+++ b/packages/program/src/program_settings.ts
@@ -1,4 +1,5 @@
 import {Either} from 'purify-ts';
+import {FaultTolerance} from '@apricotlock/control';
 import {Address} from '@apricotlock/topology';
 
 /** The settings of a process and of the VM that it runs on. */
@@ -19,6 +20,8 @@
   readonly seeds: readonly Address[];
   /** Whether the whole system is being started for the first time. */
   readonly firstStart: boolean;
+  /** The losses of control VMs that the system must survive. */
+  readonly faultTolerance: FaultTolerance;
   /** The folder for data that must survive restarts; on VMs with a disk. */
   readonly dataFolder: string | undefined;
   /** The address of the service that promotes members. */
--- a/packages/program/test/settings_watcher_test.ts
+++ b/packages/program/test/settings_watcher_test.ts
@@ -23,6 +23,7 @@
   dataFolder: undefined,
   promotionAddress: undefined,
   drainMilliseconds: 7_000,
+  faultTolerance: {disks: 1, dataCentres: 1},
   graceMilliseconds: 6_000,
 };
 
--- a/spec/check_model.sh
+++ b/spec/check_model.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Checks the models of a database group exhaustively within the bounds below,
-# and checks that an error is found in each broken variant. Prints the errors,
-# states and seconds of each run.
+# Checks the models of a database group and of the control voters exhaustively
+# within the bounds below, and checks that an error is found in each broken
+# variant. Prints the errors, states and seconds of each run.
 set -euo pipefail
 models="$(cd "$(dirname "$0")" && pwd)"
 model="$models/group.pml"
@@ -59,4 +59,11 @@
 expect 1 -DTERMS=3 -DWRITES=2 -DRENEW_OLD_TERM
 expect 1 -DTERMS=3 -DWRITES=2 -DONE_FENCED
 expect 1 -DTERMS=3 -DWRITES=2 -DANY_FENCED
+
+model="$models/voters.pml"
+expect 0 -DTERMS=3 -DENTRIES=3
+expect 0 -DTERMS=2 -DENTRIES=4
+expect 1 -DTERMS=3 -DENTRIES=4 -DTWO_AT_ONCE
+expect 1 -DTERMS=3 -DENTRIES=3 -DSAME_IDENTITY
+expect 1 -DDISKS=5 -DFOUNDERS=15 -DTERMS=3 -DENTRIES=3 -DNO_TERM_START
 exit "$status"
