--- a/packages/peer/src/peer_dial.ts
+++ b/packages/peer/src/peer_dial.ts
@@ -5,6 +5,7 @@
 import {getCurrentKeyRing} from './key_ring.js';
 import {LinkOptions} from './link_options.js';
 import {Address} from './peer_address.js';
+import {MESSAGE_COMPRESSION} from './message_compression.js';
 import {PeerError} from './peer_error.js';
 import {DialHandshake, PEER_PROTOCOL} from './peer_handshake.js';
 import {TlsIdentity} from './tls_identity.js';
@@ -25,7 +26,7 @@
   const socket = new WebSocket(buildUrl(to, identity), PEER_PROTOCOL, {
     headers: handshake.headers(),
     maxPayload: options.maximumMessageBytes,
-    perMessageDeflate: false,
+    perMessageDeflate: MESSAGE_COMPRESSION,
     skipUTF8Validation: true,
     ...createTlsOptions(identity),
   });
--- a/packages/peer/src/peer_server.ts
+++ b/packages/peer/src/peer_server.ts
@@ -7,6 +7,7 @@
 import {Logger} from '@apricotlock/logging';
 import {getCurrentKeyRing} from './key_ring.js';
 import {LinkOptions} from './link_options.js';
+import {MESSAGE_COMPRESSION} from './message_compression.js';
 import {Address} from './peer_address.js';
 import {
   createAcceptProof,
@@ -43,7 +44,7 @@
     this.webSocketServer = new WebSocketServer({
       noServer: true,
       maxPayload: options.maximumMessageBytes,
-      perMessageDeflate: false,
+      perMessageDeflate: MESSAGE_COMPRESSION,
       skipUTF8Validation: true,
     });
     this.connectionGuard = UnauthenticatedConnectionGuard.watch(
--- a/packages/peer/test/web_socket_peer_network_test.ts
+++ b/packages/peer/test/web_socket_peer_network_test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import {connect, createServer, Server, Socket} from 'node:net';
 import {Left, Right} from 'purify-ts';
 import {Logger} from '@apricotlock/logging';
 import {testPort} from '@apricotlock/testing';
@@ -25,6 +26,41 @@
   });
 }
 
+/** Relays connections to a port and counts the bytes sent to it. */
+class CountingRelay {
+  bytes = 0;
+  private readonly sockets = new Set<Socket>();
+
+  private constructor(private readonly server: Server) {}
+
+  static async start(port: number, target: number): Promise<CountingRelay> {
+    const server = createServer();
+    const relay = new CountingRelay(server);
+    server.on('connection', inbound => relay.relay(inbound, target));
+    await new Promise<void>(resolve => {
+      server.listen(port, '127.0.0.1', resolve);
+    });
+    return relay;
+  }
+
+  close(): void {
+    for (const socket of this.sockets) socket.destroy();
+    this.server.close();
+  }
+
+  private relay(inbound: Socket, target: number): void {
+    const outbound = connect(target, '127.0.0.1');
+    for (const socket of [inbound, outbound]) {
+      this.sockets.add(socket);
+      socket.on('error', () => socket.destroy());
+    }
+    inbound.on('data', (chunk: Buffer) => {
+      this.bytes += chunk.length;
+    });
+    inbound.pipe(outbound).pipe(inbound);
+  }
+}
+
 describe('WebSocketPeerNetwork', () => {
   const serverAddress = {host: '127.0.0.1', port: testPort(0)};
   let server: WebSocketPeerNetwork;
@@ -76,6 +112,42 @@
     });
   });
 
+  describe('a large message', () => {
+    const ECHO = PeerCall.define<unknown, unknown>(
+      'echo',
+      candidate => candidate,
+      candidate => candidate,
+    );
+    /** A second of an entry VM's link, shared by the children of a view. */
+    const LARGEST_SHARE_BYTES = 250_000 / 8;
+    const entries = Array.from({length: 1_000}, (_, index) => ({
+      name: `entry-${((index * 2_654_435_761) >>> 0).toString(36)}`,
+      owner: 'operators',
+      limits: {connections: 34, slots: 3, queueLength: 1_000},
+      terms: {consistency: 'primary', statementMilliseconds: 800 + (index % 3)},
+    }));
+
+    it('is compressed, and delivered in order with small ones', async () => {
+      const received: unknown[] = [];
+      server.handle(ECHO, async body => {
+        received.push(body);
+        return Right(body);
+      });
+      const relay = await CountingRelay.start(testPort(3), serverAddress.port);
+      const address = {host: '127.0.0.1', port: testPort(3)};
+      const bodies = ['before', entries, 'after'];
+      const answers = await Promise.all(
+        bodies.map(body =>
+          client.call(address, ECHO, body, TIMEOUT_MILLISECONDS),
+        ),
+      );
+      relay.close();
+      expect(answers.map(answer => answer.extract())).to.deep.equal(bodies);
+      expect(received).to.deep.equal(bodies);
+      expect(relay.bytes).to.be.below(LARGEST_SHARE_BYTES);
+    });
+  });
+
   describe('converse', () => {
     it('delivers messages in order and then ends', async () => {
       const channel = client.converse(serverAddress, COUNT, 3);
