Request one view update at a time, and forward views over control VMs first

Cause: a VM that waits for a large update asked three more VMs for the same update within a second; and every third of the inner nodes of the distribution tree was an entry VM, whose link carries the callers' work. Fetches beside an unanswered one ask for the age only, and control VMs come first in the tree. Tests for both; not yet measured on the bench.

--- a/packages/control/src/distribution_tree.ts
+++ b/packages/control/src/distribution_tree.ts
@@ -6,15 +6,25 @@
 /** Distances on the ring, from the VM's own position, to its neighbours. */
 const NEIGHBOUR_DISTANCES: readonly number[] = [1, 7, 61];
 
+/** The order in which the VMs fill the tree with one root. */
+interface TreeOrder {
+  readonly root: string;
+  readonly machines: readonly VirtualMachine[];
+  readonly positions: ReadonlyMap<string, number>;
+}
+
 /**
  * The tree over which views are distributed. VMs form a ring ordered by the
  * hash of their names, and the tree is filled level by level from its root, so
- * that all VMs with the same list of machines compute the same tree. Where the
- * lists differ, fetches from the parent and from neighbours reach the VMs that
- * the tree leaves out.
+ * that all VMs with the same list of machines compute the same tree. Control
+ * VMs come first, since the links of entry VMs also carry the callers' work.
+ * Where the lists differ, fetches from the parent and from neighbours reach the
+ * VMs that the tree leaves out.
  */
 export class DistributionTree {
   private readonly ringIndexes: ReadonlyMap<string, number>;
+  /** The order for the root that was asked for last. */
+  private latestOrder: TreeOrder | undefined;
 
   private constructor(private readonly ring: readonly VirtualMachine[]) {
     this.ringIndexes = new Map(
@@ -37,13 +47,11 @@
    * root.
    */
   childrenOf(name: string, root: string): readonly VirtualMachine[] {
-    const position = this.treePositionOf(name, root);
-    if (position === undefined) return [];
+    const order = this.orderFrom(root);
+    const position = order?.positions.get(name);
+    if (order === undefined || position === undefined) return [];
     const first = position * CHILDREN_PER_NODE + 1;
-    const end = Math.min(first + CHILDREN_PER_NODE, this.ring.length);
-    return Array.from({length: Math.max(0, end - first)}, (_, offset) =>
-      this.machineAt(root, first + offset),
-    );
+    return order.machines.slice(first, first + CHILDREN_PER_NODE);
   }
 
   /**
@@ -51,9 +59,10 @@
    * root.
    */
   parentOf(name: string, root: string): VirtualMachine | undefined {
-    const position = this.treePositionOf(name, root);
+    const order = this.orderFrom(root);
+    const position = order?.positions.get(name);
     if (position === undefined || position === 0) return undefined;
-    return this.machineAt(root, Math.floor((position - 1) / CHILDREN_PER_NODE));
+    return order?.machines[Math.floor((position - 1) / CHILDREN_PER_NODE)];
   }
 
   /**
@@ -68,16 +77,29 @@
       .map(offset => this.machineAt(name, offset));
   }
 
-  private treePositionOf(name: string, root: string): number | undefined {
-    const ringIndex = this.ringIndexes.get(name);
-    const start = this.ringIndexes.get(root);
-    if (ringIndex === undefined || start === undefined) return undefined;
-    return (ringIndex - start + this.ring.length) % this.ring.length;
+  /** Returns the order with a given root; `undefined` if it is not known. */
+  private orderFrom(root: string): TreeOrder | undefined {
+    if (this.latestOrder?.root === root) return this.latestOrder;
+    if (!this.ringIndexes.has(root)) return undefined;
+    const [first, ...rest] = this.ring.map((_, offset) =>
+      this.machineAt(root, offset),
+    );
+    const machines = [
+      first as VirtualMachine,
+      ...rest.filter(({controlVoter}) => controlVoter),
+      ...rest.filter(({controlVoter}) => !controlVoter),
+    ];
+    const positions = new Map(
+      machines.map(({name}, position) => [name, position]),
+    );
+    this.latestOrder = {root, machines, positions};
+    return this.latestOrder;
   }
 
-  private machineAt(root: string, position: number): VirtualMachine {
-    const start = this.ringIndexes.get(root) ?? 0;
-    const ringIndex = (start + position) % this.ring.length;
+  /** Returns the VM at a distance on the ring from another one. */
+  private machineAt(name: string, distance: number): VirtualMachine {
+    const start = this.ringIndexes.get(name) ?? 0;
+    const ringIndex = (start + distance) % this.ring.length;
     return this.ring[ringIndex] as VirtualMachine;
   }
 }
--- a/packages/control/src/view_distributor.ts
+++ b/packages/control/src/view_distributor.ts
@@ -17,6 +17,8 @@
  * unreachable children.
  */
 const MAXIMUM_PUSH_TARGETS = 64;
+/** The index in a fetch that asks for the age of the newest view only. */
+const NO_UPDATE_INDEX = Number.MAX_SAFE_INTEGER;
 const FETCH_INTERVAL_MILLISECONDS = 700;
 const FIRST_FETCH_INTERVAL_MILLISECONDS = 50;
 
@@ -54,6 +56,8 @@
   /** Latest time at which the active view is known to have been the newest. */
   private knownCurrentAt = -Infinity;
   private fetchCount = 0;
+  /** Whether a fetch that may be answered with an update is unanswered. */
+  private awaitsUpdate = false;
   /** Children that currently do not answer pushes. */
   private readonly unreachableChildren = new Set<string>();
   private stopped = false;
@@ -261,12 +265,17 @@
   private async fetchFrom(other: VirtualMachine): Promise<void> {
     const {network, timer} = this.options;
     const sentAt = timer.now();
+    // A large update that takes longer than the interval must not be requested
+    // again meanwhile: the link would carry nothing else.
+    const wantsUpdate = !this.awaitsUpdate;
+    if (wantsUpdate) this.awaitsUpdate = true;
     const answer = await network.call(
       other.peerAddress,
       FETCH_VIEW,
-      {index: this.newest.current.index},
+      {index: wantsUpdate ? this.newest.current.index : NO_UPDATE_INDEX},
       FETCH_TIMEOUT_MILLISECONDS,
     );
+    if (wantsUpdate) this.awaitsUpdate = false;
     if (this.stopped) return;
     answer.ifRight(fetched => void this.applyFetched(fetched, sentAt));
   }
--- a/packages/control/test/view_distributor_test.ts
+++ b/packages/control/test/view_distributor_test.ts
@@ -10,6 +10,7 @@
   ViewDistributor,
   ViewStore,
 } from '../src/index.js';
+import {FETCH_VIEW} from '../src/control_messages.js';
 import {catalogueEdit} from './support/control_cluster.js';
 import {FakeNetwork} from './support/fake_network.js';
 import {MemoryFolder} from './support/memory_folder.js';
@@ -53,6 +54,22 @@
   });
 });
 
+describe('DistributionTree with several control VMs', () => {
+  it('has as many entry VMs as possible as children of control VMs', () => {
+    const machines = machinesOf(93).map(machine => ({
+      ...machine,
+      controlVoter: Number(machine.name.replace('vm-', '')) > 85,
+    }));
+    const tree = DistributionTree.of(machines);
+    const forwarded = machines
+      .filter(({controlVoter}) => !controlVoter)
+      .map(({name}) => tree.childrenOf(name, 'vm-90').length);
+    const byControlVms = 92 - forwarded.reduce((sum, each) => sum + each, 0);
+    expect(byControlVms).to.equal(8 * 8);
+    expect(forwarded.filter(each => each > 0).length).to.be.at.most(4);
+  });
+});
+
 describe('ViewDistributor', () => {
   const timer = SystemTimerService.create();
   const log = SingleNodeControlLog.create('vm-1');
@@ -177,3 +194,28 @@
     expect(nodes[1].ageMilliseconds).to.equal(Infinity);
   });
 });
+
+describe('ViewDistributor with a VM that answers slowly', () => {
+  it('requests an update again only after the fetch before has ended', async () => {
+    const timer = SystemTimerService.create();
+    const network = FakeNetwork.create();
+    const requested: number[] = [];
+    network.join(1).handle(FETCH_VIEW, async ({index}) => {
+      requested.push(index);
+      return new Promise(() => undefined);
+    });
+    const distributor = await ViewDistributor.start({
+      self: 'vm-2',
+      network: network.join(2),
+      timer,
+      machines: Observable.of(machinesOf(2)),
+      log: undefined,
+      store: undefined,
+    });
+    await timer.sleep(500);
+    distributor.stop();
+    const updates = requested.filter(index => index < Number.MAX_SAFE_INTEGER);
+    expect(requested.length).to.be.above(1);
+    expect(updates).to.deep.equal([0]);
+  });
+});
