Keep a control VM running while its disk refuses writes or stalls

Cause: any refused write ended the control process, which then could not start either until there was room. The log now repeats the write as a whole new file, since it is not known how much of the refused one the old file contains; nothing is reported as synced meanwhile. A leader hands leadership over, no VM with such a disk stands for election, and one that starts waits for its disk. A write that takes a second counts as refused until it ends.

Tests: refusals at each of the first 24 operations, followed by a power loss; a leader with a full disk gives up within a second and catches up; all disks full.

--- a/packages/apricotlock/src/control_node.ts
+++ b/packages/apricotlock/src/control_node.ts
@@ -5,7 +5,6 @@
   DiskFolder,
   RandomSource,
   ReplicatedControlLog,
-  StorageError,
   StorageFolder,
 } from '@apricotlock/control';
 import {Observable} from '@apricotlock/flow';
@@ -17,7 +16,6 @@
 
 const LOG_FOLDER = 'control';
 const RANDOM_SEED_LIMIT = 2 ** 32;
-const EXIT_DISK_FAILED = 1;
 
 /** Dependencies of the replicated log. */
 export interface ControlNodeOptions {
@@ -36,7 +34,7 @@
 export async function startControlLog(
   options: ControlNodeOptions,
 ): Promise<ReplicatedControlLog | undefined> {
-  const {settings, logger} = options;
+  const {settings} = options;
   const {controlVoter, dataFolder, name: self, dataCentre} = settings;
   if (!controlVoter || dataFolder === undefined) return undefined;
   const started = await ReplicatedControlLog.start({
@@ -48,7 +46,6 @@
     folder: await DiskFolder.open(join(dataFolder, LOG_FOLDER)),
     newDiskId: randomUUID,
     random: RandomSource.of(randomInt(RANDOM_SEED_LIMIT)),
-    failed: error => exitOnDiskFailure(logger, error),
     timings: {replaceMilliseconds: settings.replaceVoterMilliseconds},
   });
   return started.caseOf({
@@ -65,14 +62,3 @@
 }: Settings): Promise<StorageFolder | undefined> {
   return dataFolder === undefined ? undefined : DiskFolder.open(dataFolder);
 }
-
-/**
- * Ends the process, because a voter whose disk failed must not answer any
- * further request.
- */
-function exitOnDiskFailure(logger: Logger, error: StorageError): void {
-  logger.error('control log storage failed; ending the process', {
-    failure: describeStorageError(error),
-  });
-  process.exit(EXIT_DISK_FAILED);
-}
--- a/packages/bench/src/log_restart_measurement_main.ts
+++ b/packages/bench/src/log_restart_measurement_main.ts
@@ -80,9 +80,6 @@
     timer,
     random: RandomSource.of(1),
     logger: Logger.silent(),
-    failed: error => {
-      throw new Error(error.kind);
-    },
   });
   return started.unsafeCoerce();
 }
--- a/packages/control/src/consensus.ts
+++ b/packages/control/src/consensus.ts
@@ -108,6 +108,11 @@
     return this.election.campaign(false);
   }
 
+  /** Ends the leadership of this VM, if it leads. */
+  giveUpLeadership(): void {
+    this.stepDown();
+  }
+
   /** Leaves the consensus and steps down if this VM leads. */
   stop(): void {
     this.stopped = true;
@@ -128,7 +133,8 @@
       return Right({term, granted: false});
     }
     if (request.trial) {
-      const granted = request.term > term && this.isUpToDate(request);
+      const canVote = log.writable.current && this.isUpToDate(request);
+      const granted = request.term > term && canVote;
       return Right({term, granted});
     }
     this.adoptTerm(request.term);
--- a/packages/control/src/durable_log.ts
+++ b/packages/control/src/durable_log.ts
@@ -1,5 +1,5 @@
 import {Either, Left, Right} from 'purify-ts';
-import {Deferred} from '@apricotlock/flow';
+import {Deferred, Observable} from '@apricotlock/flow';
 import {TimerService} from '@apricotlock/timer';
 import {
   ControlConfiguration,
@@ -31,6 +31,9 @@
  */
 const SNAPSHOT_INTERVAL_SIZE_FACTOR = 2;
 const SLOW_WRITE_MILLISECONDS = 300;
+/** A write that takes longer counts as refused until it ends. */
+const STALLED_WRITE_MILLISECONDS = 1_000;
+const WRITE_RETRY_INTERVAL_MILLISECONDS = 200;
 const BEFORE_FIRST_ENTRY: LogPosition = {index: 0, term: 0};
 const EMPTY_SNAPSHOT: Snapshot = {
   ...BEFORE_FIRST_ENTRY,
@@ -41,8 +44,11 @@
 /** Dependencies of {@link DurableLog}, and its notifications about the disk. */
 export interface DurableLogContext {
   readonly timer: TimerService;
-  /** Called when a write failed; from then on nothing is reported as synced. */
-  readonly failed: (error: StorageError) => void;
+  /**
+   * Called when the disk refused a write. Nothing is reported as synced until
+   * the disk accepts writes again.
+   */
+  readonly onWriteFailed: (error: StorageError) => void;
   /** Called when a write and its sync took long. */
   readonly slow: (milliseconds: number) => void;
 }
@@ -59,15 +65,21 @@
 
 type WriteTask =
   | {readonly kind: 'append'; readonly item: LogItem}
-  | {readonly kind: 'rewrite'; readonly items: readonly LogItem[]};
+  /** A new file with everything that is in memory at the time of the write. */
+  | {readonly kind: 'rewrite'};
 
 /**
  * A control VM's log, vote and snapshot. Changes apply in memory at once and
  * are written to one file in the data folder, in the same order. Messages to
  * other VMs that depend on a change must wait for {@link flushed}. A snapshot
- * starts a new file, which atomically replaces the old one.
+ * starts a new file, which atomically replaces the old one. So does the first
+ * write after a refused one, because it is not known how much of the refused
+ * write the old file contains.
  */
 export class DurableLog {
+  /** Whether the disk accepts writes. */
+  readonly writable = Observable.of(true);
+  private closed = false;
   private latestSnapshot = EMPTY_SNAPSHOT;
   private base: LogPosition = BEFORE_FIRST_ENTRY;
   private entries: LogEntry[] = [];
@@ -268,9 +280,14 @@
     return deferred.promise;
   }
 
-  /** Waits until all changes are synced, then closes the file. */
+  /**
+   * Waits until all changes are synced, unless the disk accepts no writes, and
+   * closes the file.
+   */
   async close(): Promise<void> {
-    await this.flushed();
+    const refused = this.writable.waitUntil(writable => !writable);
+    await Promise.race([this.flushed(), refused]);
+    this.closed = true;
     await this.file.close();
   }
 
@@ -304,13 +321,18 @@
 
   private rewrite(snapshot: Snapshot, base: LogPosition): void {
     this.applyItem({kind: 'snapshot', snapshot, base});
-    const items: readonly LogItem[] = [
-      {kind: 'vote', vote: this.currentVote},
+    this.addedBytes = 0;
+    this.addTask({kind: 'rewrite'});
+  }
+
+  /** Returns the content of a new file. */
+  private get currentItems(): readonly LogItem[] {
+    const {currentVote: vote, latestSnapshot: snapshot, base, entries} = this;
+    return [
+      {kind: 'vote', vote},
       {kind: 'snapshot', snapshot, base},
-      ...this.entries.map((entry): LogItem => ({kind: 'entry', entry})),
+      ...entries.map((entry): LogItem => ({kind: 'entry', entry})),
     ];
-    this.addedBytes = 0;
-    this.addTask({kind: 'rewrite', items});
   }
 
   private enqueue(item: LogItem): void {
@@ -344,44 +366,43 @@
 
   /** Writes all pending changes, in order; only one call runs at a time. */
   private async writeAll(): Promise<void> {
-    try {
-      while (this.pendingTasks.length > 0) {
-        // Changes made in the same tick are written as one record.
-        await Promise.resolve();
-        const startedAt = this.context.timer.now();
-        await this.writePending();
-        const elapsed = this.context.timer.now() - startedAt;
-        if (elapsed > SLOW_WRITE_MILLISECONDS) this.context.slow(elapsed);
+    const {timer, slow} = this.context;
+    while (this.pendingTasks.length > 0 && !this.closed) {
+      // Changes made in the same tick are written as one record.
+      await Promise.resolve();
+      const startedAt = timer.now();
+      if (!(await this.writePending())) {
+        await timer.sleep(WRITE_RETRY_INTERVAL_MILLISECONDS);
+        continue;
       }
-      this.writing = false;
-      this.resolveFlushWaiters(this.flushWaiters);
-    } catch (failure) {
-      // `writing` stays set, so that no further change is reported as synced.
-      this.context.failed(toDiskError(this.folder, failure));
+      const elapsed = timer.now() - startedAt;
+      if (elapsed > SLOW_WRITE_MILLISECONDS) slow(elapsed);
     }
+    this.writing = false;
+    if (!this.closed) this.resolveFlushWaiters(this.flushWaiters);
   }
 
-  private async writePending(): Promise<void> {
+  /** Writes what is pending; returns whether the disk accepted it. */
+  private async writePending(): Promise<boolean> {
     const {pendingTasks, flushWaiters} = this;
     const lastIndex = this.last.index;
     this.pendingTasks = [];
     this.flushWaiters = [];
-    let syncedUpTo = lastIndex;
-    const rewriteAt = pendingTasks.findLastIndex(
-      task => task.kind === 'rewrite',
+    const stopWatch = this.context.timer.once(STALLED_WRITE_MILLISECONDS, () =>
+      this.writeFailed('a write takes too long'),
     );
-    const rewrite = pendingTasks[rewriteAt];
-    // A rewrite already contains the changes that precede it.
-    if (rewrite?.kind === 'rewrite') await this.startNewFile(rewrite.items);
-    const items = pendingTasks
-      .slice(rewriteAt + 1)
-      .flatMap(task => (task.kind === 'append' ? [task.item] : []));
-    if (items.length > 0) {
-      const bytes = encodeRecord(items);
-      this.addedBytes += bytes.length;
-      await this.file.append(bytes);
-      await this.file.sync();
+    try {
+      await this.writeTasks(pendingTasks);
+    } catch (failure) {
+      this.writeFailed(failure);
+      this.pendingTasks = [{kind: 'rewrite'}, ...this.pendingTasks];
+      this.flushWaiters = [...flushWaiters, ...this.flushWaiters];
+      return false;
+    } finally {
+      stopWatch();
     }
+    if (!this.writable.current) this.writable.set(true);
+    let syncedUpTo = lastIndex;
     // An entry that was overwritten during the write has not been synced.
     for (const task of this.pendingTasks) {
       if (task.kind !== 'append' || task.item.kind !== 'entry') continue;
@@ -389,6 +410,25 @@
     }
     this.syncedIndex = syncedUpTo;
     this.resolveFlushWaiters(flushWaiters);
+    return true;
+  }
+
+  private async writeTasks(tasks: readonly WriteTask[]): Promise<void> {
+    // A new file contains the changes of all other tasks.
+    if (tasks.some(({kind}) => kind === 'rewrite')) return this.startNewFile();
+    const items = tasks.flatMap(task =>
+      task.kind === 'append' ? [task.item] : [],
+    );
+    const bytes = encodeRecord(items);
+    this.addedBytes += bytes.length;
+    await this.file.append(bytes);
+    await this.file.sync();
+  }
+
+  private writeFailed(failure: unknown): void {
+    if (!this.writable.current || this.closed) return;
+    this.writable.set(false);
+    this.context.onWriteFailed(toDiskError(this.folder, failure));
   }
 
   private resolveFlushWaiters(waiters: ReadonlyArray<Deferred<void>>): void {
@@ -398,10 +438,10 @@
     for (const deferred of waiters) deferred.resolve();
   }
 
-  private async startNewFile(items: readonly LogItem[]): Promise<void> {
+  private async startNewFile(): Promise<void> {
     const old = fileName(this.generation);
     const name = fileName(this.generation + 1);
-    const bytes = encodeRecord(items);
+    const bytes = encodeRecord(this.currentItems);
     await this.folder.replace(name, bytes);
     await this.file.close();
     this.file = await this.folder.openForAppend(name, bytes.length);
--- a/packages/control/src/election.ts
+++ b/packages/control/src/election.ts
@@ -57,7 +57,9 @@
    */
   async campaign(handOver: boolean): Promise<void> {
     const {log, isLeading, onElected, logger} = this.context;
-    if (!this.isVoter() || isLeading()) return;
+    // A vote for itself that is not synced would not count.
+    const canVote = this.isVoter() && log.writable.current;
+    if (!canVote || isLeading()) return;
     const term = log.vote.term + 1;
     if (!handOver) {
       const wouldWin = await this.collectVotes(term, {trial: true, handOver});
--- a/packages/control/src/replicated_control_log.ts
+++ b/packages/control/src/replicated_control_log.ts
@@ -28,11 +28,12 @@
   requiredVoterCount,
 } from './fault_tolerance.js';
 import {RandomSource} from './random_source.js';
-import {StorageError} from './storage_error.js';
+import {describeStorageError, StorageError} from './storage_error.js';
 import {StorageFolder} from './storage_folder.js';
 import {VoterRepair} from './voter_repair.js';
 
 const RETRY_INTERVAL_MILLISECONDS = 40;
+const OPEN_RETRY_INTERVAL_MILLISECONDS = 300;
 const CONFIRM_TIMEOUT_MILLISECONDS = 700;
 const CONFIRM_POLL_INTERVAL_MILLISECONDS = 10;
 
@@ -51,11 +52,6 @@
   readonly timer: TimerService;
   readonly random: RandomSource;
   readonly logger: Logger;
-  /**
-   * Called when the disk failed. The process must end, as it can no longer
-   * store its votes and log entries.
-   */
-  readonly failed: (error: StorageError) => void;
   readonly timings?: Partial<ConsensusTimings>;
   /**
    * The losses to survive, which decide the number of voters; by default there
@@ -109,6 +105,7 @@
       onSnapshotInstalled: () => this.restoreSnapshot(),
     });
     this.consensus.leader.subscribe(() => this.publishLeading());
+    log.writable.subscribe(writable => this.handleDisk(writable));
     this.bootstrap = Bootstrap.start(shared, () => this.consensus.campaign());
     this.repair = VoterRepair.start({
       ...shared,
@@ -126,22 +123,15 @@
   }
 
   /**
-   * Opens the log and joins the consensus. `Left` if the disk cannot be read or
-   * its data is damaged.
+   * Opens the log and joins the consensus. While the disk refuses the files, it
+   * tries again. `Left` if their data is damaged.
    */
   static async start(
     options: ReplicatedControlLogOptions,
   ): Promise<Either<StorageError, ReplicatedControlLog>> {
-    const {folder, newDiskId, timer, failed, logger} = options;
+    const {timer, logger} = options;
     const startedAt = timer.now();
-    const opened = await DurableLog.open(folder, newDiskId, {
-      timer,
-      failed,
-      slow: milliseconds =>
-        logger.warn('slow write to the control log', {
-          milliseconds: Math.round(milliseconds),
-        }),
-    });
+    const opened = await openWhenDiskAllows(options);
     return opened.map(log => {
       logger.info('opened the control log', {
         index: log.last.index,
@@ -244,14 +234,9 @@
 
   /** Hands leadership over if this VM leads, then leaves the consensus. */
   async stop(): Promise<void> {
-    const successor = this.mostUpToDateVoter();
-    const {term} = this.log.vote;
     this.bootstrap.stop();
     this.repair.stop();
-    if (successor !== undefined) {
-      await this.peers.call(successor, TAKE_OVER, {to: successor.diskId, term});
-      await this.waitUntilNotLeading();
-    }
+    if (await this.handOver()) await this.waitUntilNotLeading();
     this.consensus.stop();
     await this.log.close();
   }
@@ -345,6 +330,34 @@
     if (leading !== this.leading.current) this.leading.set(leading);
   }
 
+  /**
+   * Asks the most up-to-date voter to take over the leadership. Returns whether
+   * there was one to ask.
+   */
+  private async handOver(): Promise<boolean> {
+    const successor = this.mostUpToDateVoter();
+    if (successor === undefined) return false;
+    const {term} = this.log.vote;
+    await this.peers.call(successor, TAKE_OVER, {to: successor.diskId, term});
+    return true;
+  }
+
+  /**
+   * Gives up leadership when the disk accepts no writes. Another voter leads
+   * until then, and this VM catches up when its disk accepts writes again.
+   */
+  private handleDisk(writable: boolean): void {
+    const {logger} = this.options;
+    if (writable) {
+      logger.info('the disk of the control log accepts writes again', {});
+      return;
+    }
+    if (this.consensus.leadership === undefined) return;
+    logger.warn('giving up control leadership: the disk accepts no writes', {});
+    void this.handOver();
+    this.consensus.giveUpLeadership();
+  }
+
   private mostUpToDateVoter() {
     const {leadership} = this.consensus;
     if (leadership === undefined) return undefined;
@@ -365,3 +378,33 @@
     );
   }
 }
+
+/** Opens the log; waits while the disk refuses its files. */
+async function openWhenDiskAllows(
+  options: ReplicatedControlLogOptions,
+): Promise<Either<StorageError, DurableLog>> {
+  const {folder, newDiskId, timer, logger} = options;
+  const context = {
+    timer,
+    onWriteFailed: (error: StorageError) =>
+      logger.error('failed to write the control log', {
+        failure: describeStorageError(error),
+      }),
+    slow: (milliseconds: number) =>
+      logger.warn('slow write to the control log', {
+        milliseconds: Math.round(milliseconds),
+      }),
+  };
+  for (let attempt = 0; ; attempt++) {
+    const opened = await DurableLog.open(folder, newDiskId, context);
+    if (opened.isRight()) return opened;
+    const error = opened.extract() as StorageError;
+    if (error.kind !== 'disk') return opened;
+    if (attempt === 0) {
+      logger.error('cannot open the control log yet', {
+        failure: describeStorageError(error),
+      });
+    }
+    await timer.sleep(OPEN_RETRY_INTERVAL_MILLISECONDS);
+  }
+}
--- a/packages/control/test/durable_log_test.ts
+++ b/packages/control/test/durable_log_test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import {Deferred} from '@apricotlock/flow';
 import {ManualTimerService} from '@apricotlock/timer';
 import {
   DurableLog,
@@ -16,10 +17,13 @@
   return {index, term, body: {kind: 'termStart'}};
 }
 
-async function openLog(folder: MemoryFolder, failed = () => undefined) {
+async function openLog(
+  folder: MemoryFolder,
+  onWriteFailed: () => void = () => undefined,
+  timer = ManualTimerService.create(),
+) {
   const slow = () => undefined;
-  const timer = ManualTimerService.create();
-  return DurableLog.open(folder, () => 'disk', {timer, failed, slow});
+  return DurableLog.open(folder, () => 'disk', {timer, onWriteFailed, slow});
 }
 
 async function reopenLog(folder: MemoryFolder): Promise<DurableLog> {
@@ -46,7 +50,7 @@
   };
   const crash = new Promise<'crashed'>(resolve => {
     const failed = () => resolve('crashed');
-    void openLog(folder, failed as () => undefined).then(async opened => {
+    void openLog(folder, failed).then(async opened => {
       if (opened.isLeft()) return failed();
       const log = opened.unsafeCoerce();
       for (const step of STEPS) {
@@ -157,6 +161,96 @@
     });
   });
 
+  describe('on a disk that refuses writes for some time', () => {
+    /** Lets the log repeat its writes until it is idle. */
+    async function flush(
+      log: DurableLog,
+      timer: ManualTimerService,
+    ): Promise<void> {
+      let flushed = false;
+      void log.flushed().then(() => {
+        flushed = true;
+      });
+      for (let round = 0; round < 200 && !flushed; round++) {
+        await new Promise(resolve => setImmediate(resolve));
+        timer.advance(100);
+      }
+      expect(flushed).to.equal(true);
+    }
+
+    it('retains every change, and acknowledges it only when it is synced', async () => {
+      for (let refusedFrom = 1; refusedFrom <= 24; refusedFrom++) {
+        for (const refusedCount of [1, 2, 5]) {
+          const folder = MemoryFolder.create();
+          const timer = ManualTimerService.create();
+          const log = (
+            await openLog(folder, () => undefined, timer)
+          ).unsafeCoerce();
+          folder.refuse(folder.operations + refusedFrom, refusedCount);
+          for (const step of STEPS) {
+            step(log);
+            await flush(log, timer);
+            const crashed = folder.afterCrash(RandomSource.of(refusedFrom));
+            const reopened = await reopenLog(crashed);
+            expect(reopened.vote).to.deep.equal(log.vote);
+            expect(reopened.last).to.deep.equal(log.last);
+            expect(reopened.snapshot.index).to.equal(log.snapshot.index);
+          }
+          expect(log.writable.current).to.equal(true);
+        }
+      }
+    });
+
+    it('reports the refusal once, and when writes are accepted again', async () => {
+      const folder = MemoryFolder.create();
+      const timer = ManualTimerService.create();
+      let failures = 0;
+      const countFailure = () => {
+        failures += 1;
+      };
+      const log = (await openLog(folder, countFailure, timer)).unsafeCoerce();
+      const states: boolean[] = [];
+      log.writable.subscribe(writable => states.push(writable));
+      folder.refuse(folder.operations + 1, 5);
+      log.append([entry(1, 1)]);
+      expect(log.flushedIndex).to.equal(0);
+      await flush(log, timer);
+      expect(log.flushedIndex).to.equal(1);
+      expect(failures).to.equal(1);
+      expect(states).to.deep.equal([false, true]);
+    });
+
+    it('counts a write that takes too long as refused until it ends', async () => {
+      const folder = MemoryFolder.create();
+      const timer = ManualTimerService.create();
+      const log = (
+        await openLog(folder, () => undefined, timer)
+      ).unsafeCoerce();
+      const ended = Deferred.create<void>();
+      folder.writeGate = ended.promise;
+      log.compact({index: 0, term: 0}, EMPTY_CONTROL_STATE);
+      await new Promise(resolve => setImmediate(resolve));
+      timer.advance(900);
+      expect(log.writable.current).to.equal(true);
+      timer.advance(200);
+      expect(log.writable.current).to.equal(false);
+      ended.resolve();
+      await log.flushed();
+      expect(log.writable.current).to.equal(true);
+    });
+
+    it('can be closed meanwhile', async () => {
+      const folder = MemoryFolder.create();
+      const timer = ManualTimerService.create();
+      const log = (
+        await openLog(folder, () => undefined, timer)
+      ).unsafeCoerce();
+      folder.refuse(folder.operations + 1, Infinity);
+      log.append([entry(1, 1)]);
+      await log.close();
+    });
+  });
+
   describe('with many entries', () => {
     it('drops entries before a snapshot and retains the newest ones', async () => {
       const folder = MemoryFolder.create();
--- a/packages/control/test/replicated_control_log_test.ts
+++ b/packages/control/test/replicated_control_log_test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {ControlCluster, catalogueEdit} from './support/control_cluster.js';
+import {MemoryFolder} from './support/memory_folder.js';
 
 describe('ReplicatedControlLog', () => {
   let cluster: ControlCluster;
@@ -232,6 +233,49 @@
     });
   });
 
+  describe('a leader whose disk refuses writes', () => {
+    it('gives up leadership, and catches up when there is room', async () => {
+      cluster = await ControlCluster.start(3);
+      await proposeEdits(5);
+      const full = await cluster.waitForLeader();
+      const disk = cluster.disks.get(full) as MemoryFolder;
+      disk.refuse(disk.operations + 1, Infinity);
+      const refusedAt = cluster.timer.now();
+      const outcome = await cluster.log(full).propose(catalogueEdit('full', 5));
+      expect(outcome.extract()).to.include({kind: 'accepted', version: 6});
+      const leader = await cluster.waitForLeader([full]);
+      expect(cluster.timer.now() - refusedAt).to.be.lessThan(1_000);
+      expect(cluster.log(full).leading.current).to.equal(false);
+      await proposeEdits(10, 6);
+      disk.refuse(Infinity, 0);
+      await cluster.waitUntil('catch-up of the VM with a full disk', () => {
+        return cluster.versionAt(full) === 16;
+      });
+      cluster.kill(leader);
+      await cluster.waitForLeader();
+      await proposeEdits(1, 16);
+    });
+
+    it('answers nothing as accepted while all disks refuse writes', async () => {
+      cluster = await ControlCluster.start(3);
+      await proposeEdits(5);
+      const leader = await cluster.waitForLeader();
+      for (const disk of cluster.disks.values()) {
+        disk.refuse(disk.operations + 1, Infinity);
+      }
+      const outcome = await cluster
+        .log(leader)
+        .propose(catalogueEdit('nowhere', 5));
+      expect(outcome.isLeft()).to.equal(true);
+      for (const disk of cluster.disks.values()) disk.refuse(Infinity, 0);
+      await cluster.waitForLeader();
+      const resent = await cluster
+        .log(leader)
+        .propose(catalogueEdit('nowhere', 5));
+      expect(resent.extract()).to.include({kind: 'accepted', version: 6});
+    });
+  });
+
   describe('stop', () => {
     it('hands leadership over', async () => {
       cluster = await ControlCluster.start(3);
--- a/packages/control/test/support/control_cluster.ts
+++ b/packages/control/test/support/control_cluster.ts
@@ -119,7 +119,6 @@
       timer: this.timer,
       random: RandomSource.of(starts),
       logger: Logger.silent(),
-      failed: () => undefined,
       timings: TIMINGS,
     });
     this.logs.set(name, started.unsafeCoerce());
--- a/packages/control/test/support/memory_folder.ts
+++ b/packages/control/test/support/memory_folder.ts
@@ -13,6 +13,9 @@
   /** The operation at which power is lost; it and all later ones fail. */
   crashAt = Infinity;
 
+  private refusedFrom = Infinity;
+  private refusedUntil = Infinity;
+
   /** Writes wait for this promise, which simulates a slow disk. */
   writeGate: Promise<void> = Promise.resolve();
 
@@ -57,8 +60,18 @@
     return synced.length + unsynced.length;
   }
 
+  /** Refuses `count` operations from the given one on. */
+  refuse(from: number, count: number): void {
+    this.refusedFrom = from;
+    this.refusedUntil = from + count;
+  }
+
   countOperation(): void {
     this.operations += 1;
+    const isRefused =
+      this.operations >= this.refusedFrom &&
+      this.operations < this.refusedUntil;
+    if (isRefused) throw new Error('no space left on device');
     if (this.operations >= this.crashAt) throw new Error('power loss');
   }
 
--- a/packages/program/src/control_program.ts
+++ b/packages/program/src/control_program.ts
@@ -44,7 +44,6 @@
 const VIEW_FETCH_INTERVAL_MILLISECONDS = 350;
 /** The drain time where the settings name none. */
 const DEFAULT_DRAIN_MILLISECONDS = 3_000;
-const EXIT_DISK_FAILED = 1;
 
 /** The protocols of the platform on which a control VM runs. */
 export abstract class ControlPlatform {
@@ -145,12 +144,6 @@
     timer,
     random: RandomSource.of(randomInt(RANDOM_SEED_LIMIT)),
     logger,
-    failed: error => {
-      logger.error('control log storage failed; ending the process', {
-        failure: describeStorageError(error),
-      });
-      process.exit(EXIT_DISK_FAILED);
-    },
     timings: {
       replaceMilliseconds: REPLACE_VOTER_MILLISECONDS,
       electionMinimumMilliseconds: ELECTION_MINIMUM_MILLISECONDS,
