Count a lease holder as silent only by requests that this VM could read

Cause: the silence of a lease holder was counted from its last grant. Silence counts from the arrival of a request now, and not across a pause of the leader's own ticks. Leases are as before.

--- a/packages/appointment/src/lease_grantor.ts
+++ b/packages/appointment/src/lease_grantor.ts
@@ -31,6 +31,10 @@
  */
 export class LeaseGrantor {
   private readonly grantedAt = new Map<string, number>();
+  /** When the lease holder of a group last requested a renewal. */
+  private readonly requestedAt = new Map<string, number>();
+  /** Until when silence does not count, because this VM was held up. */
+  private silenceExcusedUntil = -Infinity;
   /** When this VM first saw a primary in each term of each group. */
   private readonly termFirstSeenAt = new Map<string, number>();
   private leadingTerm: number | undefined;
@@ -60,10 +64,23 @@
     // A term that is seen for the first time counts as just begun.
     const since = this.termFirstSeenAt.get(key) ?? timer.now();
     this.termFirstSeenAt.set(key, since);
-    return Math.min(
-      timer.now() - since,
-      this.sinceLastGrantMilliseconds(database),
+    // A request counts when it arrives: its grant may wait for a quorum.
+    const lastRequestAt = this.requestedAt.get(database) ?? -Infinity;
+    const lastSignAt = Math.max(
+      since,
+      lastRequestAt,
+      this.leadingSince,
+      this.silenceExcusedUntil,
     );
+    return timer.now() - lastSignAt;
+  }
+
+  /**
+   * Counts the silence of lease holders only from now on. To be called when this
+   * VM was held up, as it could not read their requests.
+   */
+  excuseSilence(): void {
+    this.silenceExcusedUntil = this.options.timer.now();
   }
 
   /**
@@ -88,6 +105,7 @@
     groups: readonly GroupTerm[],
   ): Promise<Either<string, LeaseAnswer>> {
     const {log, timer} = this.options;
+    this.recordRequest(holder, groups);
     if (!(await log.confirmLeading())) return Left('not leading');
     const {view} = log.state.current;
     const granted = groups.filter(({database, term}) => {
@@ -100,6 +118,15 @@
     return Right({granted, leaseMilliseconds: LEASE_MILLISECONDS});
   }
 
+  private recordRequest(holder: string, groups: readonly GroupTerm[]): void {
+    const {log, timer} = this.options;
+    const {view} = log.state.current;
+    for (const {database, term} of groups) {
+      if (!isLeaseHolder(findGroup(view, database), holder, term)) continue;
+      this.requestedAt.set(database, timer.now());
+    }
+  }
+
   /** Returns whether the primary of a group is not past its drain deadline. */
   private mayBeUsed(group: DatabaseGroup): boolean {
     const primary = findMember(group, group.primary ?? '');
@@ -117,6 +144,7 @@
     this.leadingTerm = term;
     this.leadingSince = timer.now();
     this.grantedAt.clear();
+    this.requestedAt.clear();
     this.termFirstSeenAt.clear();
   }
 }
--- a/packages/appointment/src/primary_supervisor.ts
+++ b/packages/appointment/src/primary_supervisor.ts
@@ -16,6 +16,8 @@
 import {requiredFencedCount, haveNotAdvanced} from './replication_state.js';
 
 const TICK_INTERVAL_MILLISECONDS = 50;
+/** A longer pause between two ticks means that this VM was held up. */
+const HELD_UP_MILLISECONDS = 3 * TICK_INTERVAL_MILLISECONDS;
 /** A lease holder that requests no renewal for this long is replaced. */
 const HOLDER_SILENCE_MILLISECONDS = 450;
 /** How long a VM that could not reach its primary is avoided as lease holder. */
@@ -62,6 +64,7 @@
   private readonly avoidUntil = new Map<string, number>();
   private readonly stalledAt = new Map<string, number>();
   private reports: readonly PrimaryReport[] = [];
+  private lastTickAt = -Infinity;
 
   private constructor(private readonly options: PrimarySupervisorOptions) {}
 
@@ -78,7 +81,11 @@
   }
 
   private tick(): void {
-    const {log} = this.options;
+    const {log, timer, grantor} = this.options;
+    const now = timer.now();
+    // Requests that arrived while this VM was held up have not been read yet.
+    if (now - this.lastTickAt > HELD_UP_MILLISECONDS) grantor.excuseSilence();
+    this.lastTickAt = now;
     if (!log.leading.current) return;
     for (const group of log.state.current.view.groups) {
       const cause = this.causeFor(group);
--- a/packages/appointment/test/lease_grantor_test.ts
+++ b/packages/appointment/test/lease_grantor_test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {Either} from 'purify-ts';
+import {Deferred} from '@apricotlock/flow';
 import {SingleNodeControlLog} from '@apricotlock/control';
 import {ManualTimerService} from '@apricotlock/timer';
 import {RENEW_LEASES} from '@apricotlock/work';
@@ -86,4 +87,33 @@
     );
     expect(grantor.silentMilliseconds({database: DATABASE, term: 2})).equal(0);
   });
+
+  it('does not count a holder as silent whose request waits for a quorum', async () => {
+    timer.advance(50_000);
+    const term = {database: DATABASE, term: 1};
+    expect(grantor.silentMilliseconds(term)).to.equal(0);
+    const confirmed = Deferred.create<boolean>();
+    log.confirmLeading = () => confirmed.promise;
+    timer.advance(400);
+    const renewal = renew('entry-1', 1);
+    timer.advance(400);
+    expect(grantor.silentMilliseconds(term)).to.equal(400);
+    // A request of another VM says nothing about the holder.
+    void renew('entry-2', 1);
+    expect(grantor.silentMilliseconds(term)).to.equal(400);
+    confirmed.resolve(false);
+    expect(await renewal).to.equal(-1);
+    expect(grantor.remainingLeaseMilliseconds(DATABASE)).to.equal(0);
+  });
+
+  it('does not count the time in which this VM was held up as silence', () => {
+    timer.advance(50_000);
+    const term = {database: DATABASE, term: 1};
+    expect(grantor.silentMilliseconds(term)).to.equal(0);
+    timer.advance(600);
+    grantor.excuseSilence();
+    expect(grantor.silentMilliseconds(term)).to.equal(0);
+    timer.advance(300);
+    expect(grantor.silentMilliseconds(term)).to.equal(300);
+  });
 });
