Pack a large view update once and forward it as it was received

A VM of an earlier version refuses it and gets the update as before; so does one that does not ask for it in a fetch.

--- a/packages/bench/src/view_spread_measurement.ts
+++ b/packages/bench/src/view_spread_measurement.ts
@@ -1,3 +1,4 @@
+import {Logger} from '@apricotlock/logging';
 import {SingleNodeControlLog, ViewDistributor} from '@apricotlock/control';
 import {Observable} from '@apricotlock/flow';
 import {TimerService} from '@apricotlock/timer';
@@ -62,6 +63,7 @@
       const network = hub.join(peerAddress.port);
       this.networks.push(network);
       const node = await ViewDistributor.start({
+        logger: Logger.silent(),
         self: name,
         network,
         timer: this.timer,
--- a/packages/control/src/control_messages.ts
+++ b/packages/control/src/control_messages.ts
@@ -7,6 +7,7 @@
   proposeOutcomeSchema,
   viewUpdateSchema,
 } from './control_schemas.js';
+import {PackedUpdate} from './packed_update.js';
 import {ViewUpdate} from './view_history.js';
 
 const MAXIMUM_NAME_CHARACTERS = 100;
@@ -26,7 +27,15 @@
    */
   readonly root: string | null;
   /** `null` if the sender has nothing newer. */
-  readonly update: ViewUpdate | null;
+  readonly update: ViewUpdate | PackedUpdate | null;
+}
+
+/** A request for a newer view. */
+export interface ViewRequest {
+  /** The index of the view that the VM has. */
+  readonly index: number;
+  /** Whether the VM understands packed updates; earlier versions do not. */
+  readonly acceptsPacked?: boolean | undefined;
 }
 
 /** The requested part of the audit trail; both bounds apply. */
@@ -46,19 +55,21 @@
   checkFromSchema(proposeOutcomeSchema),
 );
 
+const sentUpdate = z.union([
+  viewUpdateSchema,
+  z.object({kind: z.literal('packed'), bytes: z.instanceof(Uint8Array)}),
+]);
+
 /** Requests the newest view, if it is newer than `index`. */
-export const FETCH_VIEW = PeerCall.define<
-  {readonly index: number},
-  FetchedView
->(
+export const FETCH_VIEW = PeerCall.define<ViewRequest, FetchedView>(
   'control.fetchView',
-  checkFromSchema(z.object({index})),
+  checkFromSchema(z.object({index, acceptsPacked: z.boolean().optional()})),
   checkFromSchema(
     z.object({
       index,
       ageMilliseconds: z.number().min(0),
       root: name.nullable(),
-      update: viewUpdateSchema.nullable(),
+      update: sentUpdate.nullable(),
     }),
   ),
 );
@@ -67,11 +78,11 @@
  * Pushes a new view; the answer has the index of the receiver's newest view.
  */
 export const PUSH_VIEW = PeerCall.define<
-  {readonly root: string; readonly update: ViewUpdate},
+  {readonly root: string; readonly update: ViewUpdate | PackedUpdate},
   {readonly index: number}
 >(
   'control.pushView',
-  checkFromSchema(z.object({root: name, update: viewUpdateSchema})),
+  checkFromSchema(z.object({root: name, update: sentUpdate})),
   checkFromSchema(z.object({index})),
 );
 
--- a/packages/control/src/view_distributor.ts
+++ b/packages/control/src/view_distributor.ts
@@ -1,11 +1,18 @@
 import {Either} from 'purify-ts';
 import {Observable} from '@apricotlock/flow';
+import {Logger} from '@apricotlock/logging';
 import {PeerNetwork} from '@apricotlock/peer';
 import {TimerService} from '@apricotlock/timer';
 import {ClusterView, EMPTY_VIEW, VirtualMachine} from '@apricotlock/topology';
 import {ControlLog} from './control_log.js';
-import {FETCH_VIEW, FetchedView, PUSH_VIEW} from './control_messages.js';
+import {
+  FETCH_VIEW,
+  FetchedView,
+  PUSH_VIEW,
+  ViewRequest,
+} from './control_messages.js';
 import {DistributionTree} from './distribution_tree.js';
+import {PackedUpdate, unpackUpdate} from './packed_update.js';
 import {applyDelta} from './view_delta.js';
 import {ViewHistory, ViewUpdate} from './view_history.js';
 import {ViewPusher} from './view_pusher.js';
@@ -27,6 +34,7 @@
   readonly self: string;
   readonly network: PeerNetwork;
   readonly timer: TimerService;
+  readonly logger: Logger;
   readonly machines: Observable<readonly VirtualMachine[]>;
   /** The replicated log; `undefined` unless this is a control VM. */
   readonly log: ControlLog | undefined;
@@ -81,11 +89,11 @@
     const distributor = new ViewDistributor(options, first);
     network.handle(PUSH_VIEW, async ({root, update}) => {
       distributor.setRoot(root);
-      distributor.applyUpdate(update);
+      distributor.applySent(update);
       return Either.of({index: distributor.newest.current.index});
     });
-    network.handle(FETCH_VIEW, async ({index}) =>
-      Either.of(distributor.fetchedViewSince(index)),
+    network.handle(FETCH_VIEW, async request =>
+      Either.of(distributor.fetchedViewSince(request)),
     );
     machines.subscribe(current => {
       distributor.tree = DistributionTree.of(current);
@@ -150,6 +158,22 @@
     if (view.index > this.view.current.index) this.view.set(view);
   }
 
+  private applySent(sent: ViewUpdate | PackedUpdate): void {
+    if (sent.kind !== 'packed') {
+      this.applyUpdate(sent);
+      return;
+    }
+    const update = unpackUpdate(sent);
+    if (update === undefined) {
+      this.options.logger.warn('ignoring a malformed view update', {});
+      return;
+    }
+    const before = this.newest.current.index;
+    this.applyUpdate(update);
+    const isApplied = this.newest.current.index > before;
+    if (isApplied) this.history.keepPacked(update, sent);
+  }
+
   private applyUpdate(update: ViewUpdate): void {
     if (update.kind === 'full') {
       this.adoptView(update.view);
@@ -221,10 +245,13 @@
     this.updatePushers();
   }
 
-  private fetchedViewSince(index: number): FetchedView {
+  private fetchedViewSince({index, acceptsPacked}: ViewRequest): FetchedView {
+    const {history} = this;
     const {current} = this.newest;
-    const update =
-      current.index > index ? this.history.updateFrom(index) : null;
+    const updateFrom = acceptsPacked
+      ? () => history.packedUpdateFrom(index)
+      : () => history.updateFrom(index);
+    const update = current.index > index ? updateFrom() : null;
     return {
       index: current.index,
       ageMilliseconds: Math.min(this.newestViewAge(), Number.MAX_SAFE_INTEGER),
@@ -272,7 +299,10 @@
     const answer = await network.call(
       other.peerAddress,
       FETCH_VIEW,
-      {index: wantsUpdate ? this.newest.current.index : NO_UPDATE_INDEX},
+      {
+        index: wantsUpdate ? this.newest.current.index : NO_UPDATE_INDEX,
+        acceptsPacked: true,
+      },
       FETCH_TIMEOUT_MILLISECONDS,
     );
     if (wantsUpdate) this.awaitsUpdate = false;
@@ -284,7 +314,7 @@
     fetched: FetchedView,
     sentAt: number,
   ): Promise<void> {
-    if (fetched.update !== null) this.applyUpdate(fetched.update);
+    if (fetched.update !== null) this.applySent(fetched.update);
     if (fetched.root !== null && this.root === undefined) {
       this.setRoot(fetched.root);
     }
--- a/packages/control/src/view_pusher.ts
+++ b/packages/control/src/view_pusher.ts
@@ -26,6 +26,8 @@
  */
 export class ViewPusher {
   private knownIndex: number;
+  /** Whether the VM understands packed updates. */
+  private acceptsPacked = true;
   private stopped = false;
 
   private constructor(
@@ -73,13 +75,20 @@
 
   private async push(): Promise<boolean> {
     const {network, history, root} = this.context;
+    const update = this.acceptsPacked
+      ? history.packedUpdateFrom(this.knownIndex)
+      : history.updateFrom(this.knownIndex);
     const answer = await network.call(
       this.machine.peerAddress,
       PUSH_VIEW,
-      {root: root(), update: history.updateFrom(this.knownIndex)},
+      {root: root(), update},
       PUSH_TIMEOUT_MILLISECONDS,
     );
     if (this.stopped) return false;
+    answer.ifLeft(({kind}) => {
+      // A VM of an earlier version refuses the message as malformed.
+      if (kind === 'refused') this.acceptsPacked = false;
+    });
     answer.ifRight(({index}) => {
       this.knownIndex = index;
     });
--- a/packages/control/test/view_distributor_test.ts
+++ b/packages/control/test/view_distributor_test.ts
@@ -1,16 +1,18 @@
 import {expect} from 'chai';
+import {Left, Right} from 'purify-ts';
 import {Deferred, Observable} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
 import {SystemTimerService} from '@apricotlock/timer';
-import {VirtualMachine} from '@apricotlock/topology';
+import {CatalogueEntry, VirtualMachine} from '@apricotlock/topology';
 import {
+  ControlCommand,
   DistributionTree,
   RandomSource,
   SingleNodeControlLog,
   ViewDistributor,
   ViewStore,
 } from '../src/index.js';
-import {FETCH_VIEW} from '../src/control_messages.js';
+import {FETCH_VIEW, PUSH_VIEW} from '../src/control_messages.js';
 import {catalogueEdit} from './support/control_cluster.js';
 import {FakeNetwork} from './support/fake_network.js';
 import {MemoryFolder} from './support/memory_folder.js';
@@ -18,6 +20,15 @@
 const ACTIVATION_TIMEOUT_MILLISECONDS = 3_000;
 const NODES = 60;
 
+const ENTRY: CatalogueEntry = {
+  name: 'holds',
+  owner: 'operators',
+  class: 'standard',
+  database: 'ledger',
+  members: 3,
+  limits: {connections: 4, slots: 2, queueLength: 10, queueMilliseconds: 500},
+};
+
 function machineOf(vmNumber: number): VirtualMachine {
   const address = {host: '127.0.0.1', port: vmNumber};
   return {
@@ -80,6 +91,7 @@
   async function startNode(vmNumber: number): Promise<ViewDistributor> {
     const logger = Logger.silent();
     return ViewDistributor.start({
+      logger,
       self: `vm-${vmNumber}`,
       network: network.join(vmNumber),
       timer,
@@ -108,6 +120,18 @@
     return log.state.current.view.index;
   }
 
+  /** Proposes a catalogue with so many entries that views are packed. */
+  async function proposeLargeCatalogue(): Promise<number> {
+    const {version} = log.state.current.view.catalogue;
+    const entries = Array.from({length: 300}, (_, number) => ({
+      ...ENTRY,
+      name: `entry-${number}-${version}`,
+    }));
+    const edit = catalogueEdit(`large-${version}`, version);
+    await log.propose({...edit, entries} as ControlCommand);
+    return log.state.current.view.index;
+  }
+
   async function waitUntilActive(
     index: number,
     distributors: readonly ViewDistributor[] = nodes,
@@ -135,6 +159,34 @@
     await waitUntilActive(await proposeChange(), live);
   });
 
+  it('distributes a large catalogue, also to VMs of an earlier version', async () => {
+    const [, old] = DistributionTree.of(machinesOf(NODES)).childrenOf(
+      'vm-1',
+      'vm-1',
+    );
+    const oldPort = Number(old?.name.replace('vm-', ''));
+    nodes[oldPort - 1]?.stop();
+    const received: string[] = [];
+    const oldNetwork = network.join(oldPort);
+    oldNetwork.handle(PUSH_VIEW, async ({update}) => {
+      if (update.kind === 'packed') return Left('malformed request');
+      received.push(update.kind);
+      const index =
+        update.kind === 'full' ? update.view.index : update.delta.index;
+      return Right({index});
+    });
+    const others = nodes.filter((_, index) => index !== oldPort - 1);
+    await waitUntilActive(await proposeLargeCatalogue(), others);
+    await waitUntilActive(await proposeLargeCatalogue(), others);
+    const [first] = others;
+    const expected = log.state.current.view.catalogue;
+    for (const node of others) {
+      expect(node.view.current.catalogue).to.deep.equal(expected);
+    }
+    expect(first?.view.current.catalogue.entries).to.have.length(300);
+    expect(received.length).to.be.above(0);
+  });
+
   it('never returns to an older view, and reports the age of the current one', async () => {
     await waitUntilActive(await proposeChange());
     const stale = nodes.slice(30);
@@ -205,6 +257,7 @@
       return new Promise(() => undefined);
     });
     const distributor = await ViewDistributor.start({
+      logger: Logger.silent(),
       self: 'vm-2',
       network: network.join(2),
       timer,
