Move the file of the control log out of DurableLog

LogFile has the generations of the file and their sizes; DurableLog keeps memory and the order of the writes.

--- a/packages/control/src/durable_log.ts
+++ b/packages/control/src/durable_log.ts
@@ -7,12 +7,11 @@
 } from './control_configuration.js';
 import {EMPTY_CONTROL_STATE} from './control_state.js';
 import {LogEntry, LogPosition, Snapshot, VoteState} from './log_entry.js';
-import {decodeRecords, encodeRecord} from './record_file.js';
+import {LogFile, LogItem, OpenedLogFile} from './log_file.js';
+import {encodeRecord} from './record_file.js';
 import {StorageError} from './storage_error.js';
-import {StorageFile, StorageFolder} from './storage_folder.js';
+import {StorageFolder} from './storage_folder.js';
 
-const LOG_FILE_PATTERN = /^log-([0-9]{8})$/;
-const GENERATION_DIGITS = 8;
 /**
  * Log entries kept from before a snapshot, so that voters that are slightly
  * behind need no snapshot.
@@ -53,16 +52,6 @@
   readonly slow: (milliseconds: number) => void;
 }
 
-type LogItem =
-  | {readonly kind: 'vote'; readonly vote: VoteState}
-  /** Replaces the entries at the same and at later indexes. */
-  | {readonly kind: 'entry'; readonly entry: LogEntry}
-  | {
-      readonly kind: 'snapshot';
-      readonly snapshot: Snapshot;
-      readonly base: LogPosition;
-    };
-
 type WriteTask =
   | {readonly kind: 'append'; readonly item: LogItem}
   /** A new file with everything that is in memory at the time of the write. */
@@ -87,17 +76,12 @@
   private flushWaiters: ReadonlyArray<Deferred<void>> = [];
   private writing = false;
   private syncedIndex = 0;
-  /** Size of the first record of the file. */
-  private firstRecordBytes = 0;
-  /** Bytes added to the file since its first record. */
-  private addedBytes = 0;
   private latestConfiguration: ControlConfiguration | undefined;
 
   private constructor(
     private readonly folder: StorageFolder,
     private currentVote: VoteState,
-    private generation: number,
-    private file: StorageFile,
+    private readonly file: LogFile,
     private readonly context: DurableLogContext,
   ) {}
 
@@ -111,66 +95,38 @@
     context: DurableLogContext,
   ): Promise<Either<StorageError, DurableLog>> {
     try {
-      const generations = await generationsIn(folder);
-      const newest = generations.at(-1);
-      if (newest === undefined) {
-        const created = await createLog(folder, newDiskId(), context);
-        return Right(created);
-      }
-      const read = await DurableLog.read(folder, newest, context);
-      for (const old of read.isRight() ? generations.slice(0, -1) : []) {
-        await folder.remove(fileName(old));
+      const opened = await LogFile.open(folder);
+      const existing = opened.orDefault(undefined);
+      if (opened.isLeft()) return opened as Either<StorageError, never>;
+      if (existing !== undefined) {
+        return DurableLog.restore(folder, existing, context);
       }
-      return read;
+      const diskId = newDiskId();
+      const vote = {diskId, cluster: undefined, term: 0, vote: undefined};
+      const file = await LogFile.create(folder, [{kind: 'vote', vote}]);
+      return Right(new DurableLog(folder, vote, file, context));
     } catch (failure) {
       return Left(toDiskError(folder, failure));
     }
   }
 
-  private static async read(
+  private static restore(
     folder: StorageFolder,
-    generation: number,
+    {file, items}: OpenedLogFile,
     context: DurableLogContext,
-  ): Promise<Either<StorageError, DurableLog>> {
-    const name = fileName(generation);
-    const path = folder.pathOf(name);
-    const bytes = await folder.read(name);
-    const decoded = decodeRecords(bytes);
-    if (decoded.isLeft()) {
-      const offsetBytes = decoded.extract() as number;
-      return Left({kind: 'corrupt', file: path, offsetBytes});
-    }
-    const {records, validBytes, firstRecordBytes} = decoded.unsafeCoerce();
-    const items = (records as ReadonlyArray<readonly LogItem[]>).flat();
+  ): Either<StorageError, DurableLog> {
     const vote = items.find(item => item.kind === 'vote')?.vote;
     // The first record contains the vote and was synced before the file was
     // renamed into place.
     if (vote === undefined) {
-      return Left({kind: 'corrupt', file: path, offsetBytes: 0});
+      return Left({kind: 'corrupt', file: file.path, offsetBytes: 0});
     }
-    const file = await folder.openForAppend(name, validBytes);
-    const log = new DurableLog(folder, vote, generation, file, context);
+    const log = new DurableLog(folder, vote, file, context);
     for (const item of items) log.applyItem(item);
     log.syncedIndex = log.last.index;
-    log.firstRecordBytes = firstRecordBytes;
-    log.addedBytes = validBytes - firstRecordBytes;
     return Right(log);
   }
 
-  /**
-   * Creates a log on a new file that contains only the vote.
-   *
-   * @internal
-   */
-  static forNewFile(
-    folder: StorageFolder,
-    vote: VoteState,
-    file: StorageFile,
-    context: DurableLogContext,
-  ): DurableLog {
-    return new DurableLog(folder, vote, 1, file, context);
-  }
-
   /** The term, the vote and the identity of the disk. */
   get vote(): VoteState {
     return this.currentVote;
@@ -199,10 +155,11 @@
     const entries = this.last.index - this.latestSnapshot.index;
     const intervalBytes = Math.max(
       SNAPSHOT_INTERVAL_MINIMUM_BYTES,
-      this.firstRecordBytes * SNAPSHOT_INTERVAL_SIZE_FACTOR,
+      this.file.firstRecordBytes * SNAPSHOT_INTERVAL_SIZE_FACTOR,
     );
     return (
-      entries >= SNAPSHOT_INTERVAL_ENTRIES || this.addedBytes >= intervalBytes
+      entries >= SNAPSHOT_INTERVAL_ENTRIES ||
+      this.file.addedBytes >= intervalBytes
     );
   }
 
@@ -321,7 +278,7 @@
 
   private rewrite(snapshot: Snapshot, base: LogPosition): void {
     this.applyItem({kind: 'snapshot', snapshot, base});
-    this.addedBytes = 0;
+    this.file.resetAddedBytes();
     this.addTask({kind: 'rewrite'});
   }
 
@@ -415,14 +372,13 @@
 
   private async writeTasks(tasks: readonly WriteTask[]): Promise<void> {
     // A new file contains the changes of all other tasks.
-    if (tasks.some(({kind}) => kind === 'rewrite')) return this.startNewFile();
+    if (tasks.some(({kind}) => kind === 'rewrite')) {
+      return this.file.replace(this.currentItems);
+    }
     const items = tasks.flatMap(task =>
       task.kind === 'append' ? [task.item] : [],
     );
-    const bytes = encodeRecord(items);
-    this.addedBytes += bytes.length;
-    await this.file.append(bytes);
-    await this.file.sync();
+    return this.file.append(items);
   }
 
   private writeFailed(failure: unknown): void {
@@ -437,44 +393,6 @@
     );
     for (const deferred of waiters) deferred.resolve();
   }
-
-  private async startNewFile(): Promise<void> {
-    const old = fileName(this.generation);
-    const name = fileName(this.generation + 1);
-    const bytes = encodeRecord(this.currentItems);
-    await this.folder.replace(name, bytes);
-    await this.file.close();
-    this.file = await this.folder.openForAppend(name, bytes.length);
-    this.firstRecordBytes = bytes.length;
-    this.generation += 1;
-    await this.folder.remove(old);
-  }
-}
-
-async function createLog(
-  folder: StorageFolder,
-  diskId: string,
-  context: DurableLogContext,
-): Promise<DurableLog> {
-  const vote = {diskId, cluster: undefined, term: 0, vote: undefined};
-  const bytes = encodeRecord([{kind: 'vote', vote}]);
-  await folder.replace(fileName(1), bytes);
-  const file = await folder.openForAppend(fileName(1), bytes.length);
-  return DurableLog.forNewFile(folder, vote, file, context);
-}
-
-async function generationsIn(
-  folder: StorageFolder,
-): Promise<readonly number[]> {
-  const names = await folder.list();
-  return names
-    .flatMap(name => LOG_FILE_PATTERN.exec(name)?.[1] ?? [])
-    .map(Number)
-    .sort((left, right) => left - right);
-}
-
-function fileName(generation: number): string {
-  return `log-${String(generation).padStart(GENERATION_DIGITS, '0')}`;
 }
 
 function toDiskError(folder: StorageFolder, failure: unknown): StorageError {
