Give lease holders more time while none of them is heard

HolderSilence holds the decision: three times the usual silence while no holder of any group was heard, and twice as much with each holder that was replaced unheard. A lost holder beside others that are heard is replaced as fast as before.

--- a/packages/appointment/src/lease_grantor.ts
+++ b/packages/appointment/src/lease_grantor.ts
@@ -5,6 +5,7 @@
 import {DatabaseGroup, findGroup, findMember} from '@apricotlock/topology';
 import {GroupTerm, RENEW_LEASES} from '@apricotlock/work';
 import {DrainDeadlines} from './drain_deadlines.js';
+import {HolderSilence} from './holder_silence.js';
 import {LEASE_MILLISECONDS} from './lease_duration.js';
 
 /** Maximum relative difference in rate between the steady clocks of two VMs. */
@@ -31,16 +32,13 @@
  */
 export class LeaseGrantor {
   private readonly grantedAt = new Map<string, number>();
-  /** When the lease holder of a group last requested a renewal. */
-  private readonly requestedAt = new Map<string, number>();
-  /** Until when silence does not count, because this VM was held up. */
-  private silenceExcusedUntil = -Infinity;
-  /** When this VM first saw a primary in each term of each group. */
-  private readonly termFirstSeenAt = new Map<string, number>();
+  private holderSilence: HolderSilence;
   private leadingTerm: number | undefined;
   private leadingSince = 0;
 
-  private constructor(private readonly options: LeaseGrantorOptions) {}
+  private constructor(private readonly options: LeaseGrantorOptions) {
+    this.holderSilence = HolderSilence.start(options.timer);
+  }
 
   /** Starts handling renewal requests of entry VMs. */
   static start(options: LeaseGrantorOptions): LeaseGrantor {
@@ -54,33 +52,9 @@
     return grantor;
   }
 
-  /**
-   * Returns for how many milliseconds the lease holder of a group has not
-   * requested a renewal, counted at most from when its term was first seen.
-   */
-  silentMilliseconds({database, term}: GroupTerm): number {
-    const key = `${database} ${term}`;
-    const {timer} = this.options;
-    // A term that is seen for the first time counts as just begun.
-    const since = this.termFirstSeenAt.get(key) ?? timer.now();
-    this.termFirstSeenAt.set(key, since);
-    // A request counts when it arrives: its grant may wait for a quorum.
-    const lastRequestAt = this.requestedAt.get(database) ?? -Infinity;
-    const lastSignAt = Math.max(
-      since,
-      lastRequestAt,
-      this.leadingSince,
-      this.silenceExcusedUntil,
-    );
-    return timer.now() - lastSignAt;
-  }
-
-  /**
-   * Counts the silence of lease holders only from now on. To be called when this
-   * VM was held up, as it could not read their requests.
-   */
-  excuseSilence(): void {
-    this.silenceExcusedUntil = this.options.timer.now();
+  /** The silence of the lease holders since this VM leads. */
+  get silence(): HolderSilence {
+    return this.holderSilence;
   }
 
   /**
@@ -119,11 +93,10 @@
   }
 
   private recordRequest(holder: string, groups: readonly GroupTerm[]): void {
-    const {log, timer} = this.options;
-    const {view} = log.state.current;
+    const {view} = this.options.log.state.current;
     for (const {database, term} of groups) {
       if (!isLeaseHolder(findGroup(view, database), holder, term)) continue;
-      this.requestedAt.set(database, timer.now());
+      this.holderSilence.recordRequest(database);
     }
   }
 
@@ -144,8 +117,7 @@
     this.leadingTerm = term;
     this.leadingSince = timer.now();
     this.grantedAt.clear();
-    this.requestedAt.clear();
-    this.termFirstSeenAt.clear();
+    this.holderSilence = HolderSilence.start(timer);
   }
 }
 
--- a/packages/appointment/src/primary_supervisor.ts
+++ b/packages/appointment/src/primary_supervisor.ts
@@ -18,8 +18,6 @@
 const TICK_INTERVAL_MILLISECONDS = 50;
 /** A longer pause between two ticks means that this VM was held up. */
 const HELD_UP_MILLISECONDS = 3 * TICK_INTERVAL_MILLISECONDS;
-/** A lease holder that requests no renewal for this long is replaced. */
-const HOLDER_SILENCE_MILLISECONDS = 450;
 /** How long a VM that could not reach its primary is avoided as lease holder. */
 const AVOID_HOLDER_MILLISECONDS = 5_000;
 /** Period within which reports of different VMs are counted together. */
@@ -84,7 +82,7 @@
     const {log, timer, grantor} = this.options;
     const now = timer.now();
     // Requests that arrived while this VM was held up have not been read yet.
-    if (now - this.lastTickAt > HELD_UP_MILLISECONDS) grantor.excuseSilence();
+    if (now - this.lastTickAt > HELD_UP_MILLISECONDS) grantor.silence.excuse();
     this.lastTickAt = now;
     if (!log.leading.current) return;
     for (const group of log.state.current.view.groups) {
@@ -109,10 +107,7 @@
     }
     const holder = entryMachines().find(({name}) => name === group.holder);
     if (holder?.state === 'draining') return 'holderLost';
-    const silentMilliseconds = grantor.silentMilliseconds(group);
-    return silentMilliseconds > HOLDER_SILENCE_MILLISECONDS
-      ? 'holderLost'
-      : undefined;
+    return grantor.silence.isLost(group) ? 'holderLost' : undefined;
   }
 
   /** Runs at most one task at a time for each group. */
@@ -139,7 +134,10 @@
     cause: FailoverCause,
   ): Promise<void> {
     const {timer} = this.options;
-    if (cause === 'holderLost') this.avoidHolder(group.holder);
+    if (cause === 'holderLost') {
+      this.avoidHolder(group.holder);
+      this.options.grantor.silence.recordReplacement(group);
+    }
     const succeeded = await PrimaryFailover.run(group, cause, {
       ...this.options,
       holderCandidates: () => this.holderCandidates(),
--- a/packages/appointment/test/lease_grantor_test.ts
+++ b/packages/appointment/test/lease_grantor_test.ts
@@ -80,27 +80,31 @@
 
   it('counts the silence of a lease holder only from the start of its term', async () => {
     timer.advance(50_000);
-    expect(grantor.silentMilliseconds({database: DATABASE, term: 1})).equal(0);
+    expect(
+      grantor.silence.silentMilliseconds({database: DATABASE, term: 1}),
+    ).equal(0);
     timer.advance(300);
-    expect(grantor.silentMilliseconds({database: DATABASE, term: 1})).equal(
-      300,
-    );
-    expect(grantor.silentMilliseconds({database: DATABASE, term: 2})).equal(0);
+    expect(
+      grantor.silence.silentMilliseconds({database: DATABASE, term: 1}),
+    ).equal(300);
+    expect(
+      grantor.silence.silentMilliseconds({database: DATABASE, term: 2}),
+    ).equal(0);
   });
 
   it('does not count a holder as silent whose request waits for a quorum', async () => {
     timer.advance(50_000);
     const term = {database: DATABASE, term: 1};
-    expect(grantor.silentMilliseconds(term)).to.equal(0);
+    expect(grantor.silence.silentMilliseconds(term)).to.equal(0);
     const confirmed = Deferred.create<boolean>();
     log.confirmLeading = () => confirmed.promise;
     timer.advance(400);
     const renewal = renew('entry-1', 1);
     timer.advance(400);
-    expect(grantor.silentMilliseconds(term)).to.equal(400);
+    expect(grantor.silence.silentMilliseconds(term)).to.equal(400);
     // A request of another VM says nothing about the holder.
     void renew('entry-2', 1);
-    expect(grantor.silentMilliseconds(term)).to.equal(400);
+    expect(grantor.silence.silentMilliseconds(term)).to.equal(400);
     confirmed.resolve(false);
     expect(await renewal).to.equal(-1);
     expect(grantor.remainingLeaseMilliseconds(DATABASE)).to.equal(0);
@@ -109,11 +113,11 @@
   it('does not count the time in which this VM was held up as silence', () => {
     timer.advance(50_000);
     const term = {database: DATABASE, term: 1};
-    expect(grantor.silentMilliseconds(term)).to.equal(0);
+    expect(grantor.silence.silentMilliseconds(term)).to.equal(0);
     timer.advance(600);
-    grantor.excuseSilence();
-    expect(grantor.silentMilliseconds(term)).to.equal(0);
+    grantor.silence.excuse();
+    expect(grantor.silence.silentMilliseconds(term)).to.equal(0);
     timer.advance(300);
-    expect(grantor.silentMilliseconds(term)).to.equal(300);
+    expect(grantor.silence.silentMilliseconds(term)).to.equal(300);
   });
 });
