--- a/packages/dispatch/src/statement_router.ts
+++ b/packages/dispatch/src/statement_router.ts
@@ -383,9 +383,11 @@
       elapsed: Math.round(timer.now() - receivedAt),
     };
     if (result.kind === 'answered') {
+      const {end} = result.answer;
       logger.info('statement answered', {
         ...fields,
-        end: result.answer.end.kind,
+        end: end.kind,
+        error: end.kind === 'error' ? end.error.code : undefined,
       });
     } else if (result.kind === 'refused') {
       logger.info('statement not run', {
