--- a/packages/peer/test/web_socket_peer_network_test.ts
+++ b/packages/peer/test/web_socket_peer_network_test.ts
@@ -133,8 +133,8 @@
         received.push(body);
         return Right(body);
       });
-      const relay = await CountingRelay.start(testPort(3), serverAddress.port);
-      const address = {host: '127.0.0.1', port: testPort(3)};
+      const relay = await CountingRelay.start(testPort(90), serverAddress.port);
+      const address = {host: '127.0.0.1', port: testPort(90)};
       const bodies = ['before', entries, 'after'];
       const answers = await Promise.all(
         bodies.map(body =>
