Wait until every VM has the operators' token back in its test

The traced race of KNOWN-RED: all VMs read the token file that one test rotates, and the next test asked a VM that still had the other token. The test now restores the token on each VM and waits for it; the checks are as before.

--- a/packages/bench/test/process_life_test.ts
+++ b/packages/bench/test/process_life_test.ts
@@ -172,8 +172,8 @@
     });
 
     it('for operators are rotated without a restart', async () => {
-      const answersTo = async (token: string) =>
-        (await get(0, '/v1/status', token)).status === 200;
+      const answersTo = async (token: string, index = 0) =>
+        (await get(index, '/v1/status', token)).status === 200;
       const write = async (text: string, test: () => Promise<boolean>) => {
         writeFileSync(system.tokenFile, text);
         system.processes.signal(system.machine(0).name, 'SIGHUP');
@@ -188,6 +188,13 @@
       await timer.sleep(300);
       expect(await answersTo(NEW_TOKEN)).to.equal(true);
       await write(OLD_TOKEN, () => answersTo(OLD_TOKEN));
+      // The VMs share the file, and another one may have read it meanwhile.
+      for (const [index, {name}] of system.layout.machines.entries()) {
+        system.processes.signal(name, 'SIGHUP');
+        await system.waitUntil(`the old token on ${name}`, () =>
+          answersTo(OLD_TOKEN, index),
+        );
+      }
     });
 
     it('between VMs are rotated without losing a VM', async () => {
