Assign a lease holder that answers the control leader

All candidates are asked for a sign of life at once, and the first in the ranking that answers becomes the holder; VMs elsewhere are asked too, in case the data centre of the primary is lost.

--- a/packages/appointment/src/primary_failover.ts
+++ b/packages/appointment/src/primary_failover.ts
@@ -8,13 +8,13 @@
   findGroup,
   findMember,
   Member,
-  ownerRanking,
   VirtualMachine,
 } from '@apricotlock/topology';
 import {findCaughtUpReplica} from './caught_up_replica.js';
 import {DrainDeadlines} from './drain_deadlines.js';
-import {LeaseRevocation} from './lease_revocation.js';
+import {holderRanking, selectLeaseHolder} from './holder_selection.js';
 import {LeaseGrantor} from './lease_grantor.js';
+import {LeaseRevocation} from './lease_revocation.js';
 import {MemberWithReport, MemberAdminClient} from './member_admin_client.js';
 import {PromotionClient} from './promotion_client.js';
 import {restoreReplication} from './replication_repair.js';
@@ -31,7 +31,6 @@
 const PROMOTION_TIMEOUT_MILLISECONDS = 4_000;
 const PROMOTION_POLL_INTERVAL_MILLISECONDS = 40;
 const PROMOTION_RETRY_INTERVAL_MILLISECONDS = 200;
-const MAXIMUM_HOLDER_CANDIDATES = 8;
 
 /** Why a failover is started. */
 export type FailoverCause =
@@ -343,7 +342,10 @@
       });
       return false;
     }
-    const holder = this.selectLeaseHolder(primary);
+    const {network, holderCandidates} = this.options;
+    const ranking = holderRanking(primary, holderCandidates());
+    const selected = await selectLeaseHolder(ranking, network);
+    const holder = selected?.name;
     if (holder === undefined) {
       this.logInfo('no entry VM is available as lease holder', {
         primary: primary.name,
@@ -366,17 +368,6 @@
     return accepted;
   }
 
-  /** Selects a lease holder, in the data centre of the primary if possible. */
-  private selectLeaseHolder({name, dataCentre}: Member): string | undefined {
-    const [bestCandidate] = ownerRanking(
-      name,
-      dataCentre,
-      this.options.holderCandidates(),
-      MAXIMUM_HOLDER_CANDIDATES,
-    );
-    return bestCandidate?.name;
-  }
-
   /** Makes the other members replicate from a member that was promoted. */
   private async restoreReplication(
     group: DatabaseGroup,
