Answer requests that have arrived before an idle session is closed

This holds for a planned stop as for an isolated VM. What has arrived is read first now, and a session with a request among it ends after its answer. What remains is a request that crosses the close on the network.

--- a/packages/dispatch/src/session_host.ts
+++ b/packages/dispatch/src/session_host.ts
@@ -39,7 +39,7 @@
   async serve(link: CallerConnection): Promise<void> {
     const session = StatementSession.create({...this.options, link});
     this.sessions.add(session);
-    if (this.draining) session.drain();
+    if (this.draining) void session.drain();
     try {
       await session.run();
     } catch (failure) {
@@ -56,14 +56,14 @@
   }
 
   /**
-   * Closes the sessions that are idle and began before a given time, so that
-   * their callers reconnect. Returns the number of closed sessions.
+   * Ends the sessions that are idle and began before a given time, so that
+   * their callers reconnect. Returns their number.
    */
   closeIdle(before: number): number {
     const idle = [...this.sessions].filter(
       ({busy, begunAt}) => !busy && begunAt < before,
     );
-    for (const session of idle) session.drain();
+    for (const session of idle) void session.drain();
     return idle.length;
   }
 
@@ -74,8 +74,8 @@
   async drain(milliseconds: number): Promise<number> {
     const {timer} = this.options;
     this.draining = true;
-    for (const session of this.sessions) session.drain();
     const deadline = timer.now() + milliseconds;
+    await Promise.all([...this.sessions].map(session => session.drain()));
     while (this.busyCount > 0 && timer.now() < deadline) {
       await timer.sleep(DRAIN_POLL_MILLISECONDS);
     }
--- a/packages/dispatch/src/statement_session.ts
+++ b/packages/dispatch/src/statement_session.ts
@@ -101,10 +101,17 @@
     link.close();
   }
 
-  /** Ends the session as soon as no request or transaction is in progress. */
-  drain(): void {
+  /**
+   * Ends the session as soon as no request or transaction is in progress.
+   * Resolves once it has ended, or is known to be busy. A request that has
+   * arrived but was not read yet, because this VM is slow, is answered first.
+   */
+  async drain(): Promise<void> {
+    const {link} = this.options;
     this.draining = true;
-    if (!this.busy) this.options.link.close();
+    if (this.busy) return;
+    await link.readArrived();
+    if (!this.busy) link.close();
   }
 
   private async serveRequests(): Promise<void> {
--- a/packages/dispatch/test/statement_session_test.ts
+++ b/packages/dispatch/test/statement_session_test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import {Right} from 'purify-ts';
 import {Deferred, Observable} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
 import {
@@ -8,7 +9,7 @@
   CallerRequest,
 } from '@apricotlock/statement';
 import {ManualTimerService} from '@apricotlock/timer';
-import {EMPTY_VIEW} from '@apricotlock/topology';
+import {CatalogueEntry, EMPTY_VIEW} from '@apricotlock/topology';
 import {
   SessionObserver,
   StatementRouter,
@@ -42,12 +43,49 @@
     throw new Error('unexpected answer: the caller sent nothing');
   }
 
+  override async readArrived(): Promise<void> {
+    return undefined;
+  }
+
   override close(): void {
     this.closed = true;
     this.closing.resolve();
   }
 }
 
+/** A connection with a request that has arrived but was not read yet. */
+class SlowlyReadConnection extends SilentConnection {
+  readonly answers: CallerAnswer[] = [];
+  private readonly arrived = Deferred.create<CallerRequest | undefined>();
+  private received = false;
+
+  override async start(): Promise<string | undefined> {
+    return 'writes';
+  }
+
+  override accept(): void {
+    return undefined;
+  }
+
+  override async receive(): Promise<CallerRequest | undefined> {
+    if (this.received) return this.ended.then(() => undefined);
+    this.received = true;
+    return this.arrived.promise;
+  }
+
+  override async readArrived(): Promise<void> {
+    this.arrived.resolve({
+      id: 'q1',
+      statement: Right({kind: 'setValue', name: 'zone', value: 'akl'}),
+    });
+    await new Promise(resolve => setImmediate(resolve));
+  }
+
+  override answer(answer: CallerAnswer): void {
+    this.answers.push(answer);
+  }
+}
+
 class CountingObserver extends SessionObserver {
   count = 0;
 
@@ -61,6 +99,29 @@
 }
 
 describe('StatementSession', () => {
+  it('answers a request that has arrived before it drains', async () => {
+    const timer = ManualTimerService.create();
+    const link = new SlowlyReadConnection();
+    const entry = {name: 'writes', database: 'ledger'} as CatalogueEntry;
+    const session = StatementSession.create({
+      link,
+      view: Observable.of({
+        ...EMPTY_VIEW,
+        catalogue: {version: 1, entries: [entry]},
+      }),
+      router: undefined as unknown as StatementRouter,
+      timer,
+      logger: Logger.silent(),
+      observer: new CountingObserver(),
+    });
+    const running = session.run();
+    await timer.advanceAsync(10);
+    await session.drain();
+    await running;
+    expect(link.answers).to.have.length(1);
+    expect(link.closed).to.equal(true);
+  });
+
   it('closes a connection whose caller sends nothing', async () => {
     const timer = ManualTimerService.create();
     const link = new SilentConnection();
--- a/packages/statement/src/caller_connection.ts
+++ b/packages/statement/src/caller_connection.ts
@@ -75,6 +75,12 @@
   /** Answers the most recently received request. */
   abstract answer(answer: CallerAnswer): void;
 
+  /**
+   * Resolves once everything that has arrived from the caller so far was read,
+   * so that a request among it has been received.
+   */
+  abstract readArrived(): Promise<void>;
+
   /** Closes the connection after all answers have been sent. */
   abstract close(): void;
 }
