Limit how often all entry VMs ask one lease holder for a position

Cause, by reading and by count: each entry VM asked the lease holder of each group that it had read in the last 3 s for its position every 300 ms: 230 requests a second for a holder among 69 entry VMs, 500 to 650 among 194, on a third of a core. The interval grows with the number of VMs up to 750 ms, half of the smallest usual staleness bound; small systems ask as before. One holder at least is asked each 300 ms, since an answer is also the sign that a VM is not isolated.

--- a/packages/dispatch/src/primary_position_tracker.ts
+++ b/packages/dispatch/src/primary_position_tracker.ts
@@ -3,14 +3,13 @@
 import {TimerService, Unsubscribe} from '@apricotlock/timer';
 import {ClusterView, findGroup, VirtualMachine} from '@apricotlock/topology';
 import {CURRENT_POSITION, WorkService} from '@apricotlock/work';
+import {groupsToRefresh} from './position_refresh.js';
 import {
   PositionSample,
   PositionSampleHistory,
 } from './position_sample_history.js';
 
 const REQUEST_TIMEOUT_MILLISECONDS = 500;
-/** A new position is requested if the newest sample is older than this. */
-const REFRESH_MILLISECONDS = 300;
 const TICK_INTERVAL_MILLISECONDS = 100;
 /** How long after a read the position of a group is refreshed. */
 const TRACKING_DURATION_MILLISECONDS = 3_000;
@@ -109,14 +108,21 @@
   }
 
   private refresh(): void {
-    const now = this.options.timer.now();
+    const {timer, machines} = this.options;
+    const now = timer.now();
     for (const [database, readAt] of this.lastReadAt) {
-      if (now - readAt > TRACKING_DURATION_MILLISECONDS) {
-        this.lastReadAt.delete(database);
-        continue;
-      }
-      const newest = this.history.newest(database)?.requestedAt ?? -Infinity;
-      if (now - newest >= REFRESH_MILLISECONDS) void this.poll(database);
+      if (now - readAt <= TRACKING_DURATION_MILLISECONDS) continue;
+      this.lastReadAt.delete(database);
+    }
+    const groups = [...this.lastReadAt.keys()].map(database => {
+      const requestedAt = this.history.newest(database)?.requestedAt;
+      return {
+        database,
+        sampleAgeMilliseconds: now - (requestedAt ?? -Infinity),
+      };
+    });
+    for (const database of groupsToRefresh(groups, machines.current.length)) {
+      void this.poll(database);
     }
   }
 
