--- a/packages/apricotlock/src/metrics.ts
+++ b/packages/apricotlock/src/metrics.ts
@@ -5,8 +5,7 @@
   CounterSet,
   Gauge,
   renderGauge,
-  renderMetricHeader,
-  LatencySummary,
+  LatencySummarySet,
 } from '@apricotlock/metrics';
 import {TimerService} from '@apricotlock/timer';
 
@@ -16,11 +15,12 @@
 export class Metrics implements SessionObserver {
   private readonly batches = CounterSet.create();
   private readonly failures = CounterSet.create();
-  private readonly latencies = new Map<string, LatencySummary>();
+  private readonly latencies: LatencySummarySet;
   private readonly eventLoopDelay = monitorEventLoopDelay();
   private gauges: readonly Gauge[] = [];
 
   private constructor(private readonly timer: TimerService) {
+    this.latencies = LatencySummarySet.create(timer);
     this.eventLoopDelay.enable();
   }
 
@@ -38,12 +38,7 @@
   ): void => {
     const labels = `by="${by}",purpose="${purpose}"`;
     this.batches.increment(labels);
-    let latency = this.latencies.get(labels);
-    if (latency === undefined) {
-      latency = LatencySummary.create(this.timer);
-      this.latencies.set(labels, latency);
-    }
-    latency.record(milliseconds);
+    this.latencies.record(labels, milliseconds);
   };
 
   readonly onFailure = (failure: Failure): void => {
@@ -71,7 +66,10 @@
         'Batches that failed, by kind',
         this.failures,
       ),
-      ...this.latencyLines(),
+      ...this.latencies.render(
+        'apricotlock_batch_duration_seconds',
+        'From request to answer',
+      ),
       ...this.gauges.flatMap(renderGauge),
       ...renderGauge({
         name: 'apricotlock_event_loop_delay_seconds',
@@ -82,15 +80,6 @@
     ].join('\n');
   }
 
-  private latencyLines(): readonly string[] {
-    const name = 'apricotlock_batch_duration_seconds';
-    const head = renderMetricHeader(name, 'From request to answer', 'summary');
-    const lines = [...this.latencies].flatMap(([labels, latency]) =>
-      latency.render(name, labels),
-    );
-    return [...head, ...lines];
-  }
-
   private readEventLoopDelay(): number {
     const seconds = this.eventLoopDelay.percentile(99) / NANOSECONDS_PER_SECOND;
     this.eventLoopDelay.reset();
--- a/packages/metrics/src/index.ts
+++ b/packages/metrics/src/index.ts
@@ -7,4 +7,5 @@
 export {renderCounters, CounterSet} from './counter_set.js';
 export {renderGauge, type Gauge} from './gauge.js';
 export {LatencySummary} from './latency_summary.js';
+export {LatencySummarySet} from './latency_summary_set.js';
 export {renderMetricHeader, type MetricType} from './metric_header.js';
--- a/packages/program/src/session_metrics.ts
+++ b/packages/program/src/session_metrics.ts
@@ -4,29 +4,27 @@
   CounterSet,
   Gauge,
   renderGauge,
-  renderMetricHeader,
-  LatencySummary,
+  LatencySummarySet,
 } from '@apricotlock/metrics';
 import {CallerFailure} from '@apricotlock/statement';
 import {TimerService} from '@apricotlock/timer';
 import {Consistency} from '@apricotlock/topology';
 import {MemberRole} from '@apricotlock/work';
 
-const LATENCY_NAME = 'apricotlock_statement_duration_seconds';
-
 /**
  * Counts failures and measures latencies of callers' requests. No metric has the
  * entry as a label, so that the number of metrics does not grow with the
  * catalogue; details about a single entry are in the log.
  */
 export class SessionMetrics extends SessionObserver {
-  private readonly latencies = new Map<Consistency, LatencySummary>();
+  private readonly latencies: LatencySummarySet;
   private readonly failures = CounterSet.create();
   private readonly drainingWork = CounterSet.create();
   private gauges: readonly Gauge[] = [];
 
-  private constructor(private readonly timer: TimerService) {
+  private constructor(timer: TimerService) {
     super();
+    this.latencies = LatencySummarySet.create(timer);
   }
 
   /** Creates metrics without observations. */
@@ -35,12 +33,7 @@
   }
 
   override onAnswer(consistency: Consistency, milliseconds: number): void {
-    let latency = this.latencies.get(consistency);
-    if (latency === undefined) {
-      latency = LatencySummary.create(this.timer);
-      this.latencies.set(consistency, latency);
-    }
-    latency.record(milliseconds);
+    this.latencies.record(`consistency="${consistency}"`, milliseconds);
   }
 
   override onFailure(kind: CallerFailure['kind']): void {
@@ -70,13 +63,9 @@
         'Statements and transactions begun on a draining member, by its role',
         this.drainingWork,
       ),
-      ...renderMetricHeader(
-        LATENCY_NAME,
+      ...this.latencies.render(
+        'apricotlock_statement_duration_seconds',
         'From statement to answer',
-        'summary',
-      ),
-      ...[...this.latencies].flatMap(([consistency, latency]) =>
-        latency.render(LATENCY_NAME, `consistency="${consistency}"`),
       ),
       ...this.gauges.flatMap(renderGauge),
       '',
