--- a/packages/control/test/durable_log_test.ts
+++ b/packages/control/test/durable_log_test.ts
@@ -162,6 +162,14 @@
   });
 
   describe('on a disk that refuses writes for some time', () => {
+    async function openOn(
+      folder: MemoryFolder,
+      timer: ManualTimerService,
+      onWriteFailed: () => void = () => undefined,
+    ): Promise<DurableLog> {
+      return (await openLog(folder, onWriteFailed, timer)).unsafeCoerce();
+    }
+
     /** Lets the log repeat its writes until it is idle. */
     async function flush(
       log: DurableLog,
@@ -183,9 +191,7 @@
         for (const refusedCount of [1, 2, 5]) {
           const folder = MemoryFolder.create();
           const timer = ManualTimerService.create();
-          const log = (
-            await openLog(folder, () => undefined, timer)
-          ).unsafeCoerce();
+          const log = await openOn(folder, timer);
           folder.refuse(folder.operations + refusedFrom, refusedCount);
           for (const step of STEPS) {
             step(log);
@@ -208,7 +214,7 @@
       const countFailure = () => {
         failures += 1;
       };
-      const log = (await openLog(folder, countFailure, timer)).unsafeCoerce();
+      const log = await openOn(folder, timer, countFailure);
       const states: boolean[] = [];
       log.writable.subscribe(writable => states.push(writable));
       folder.refuse(folder.operations + 1, 5);
@@ -223,9 +229,7 @@
     it('counts a write that takes too long as refused until it ends', async () => {
       const folder = MemoryFolder.create();
       const timer = ManualTimerService.create();
-      const log = (
-        await openLog(folder, () => undefined, timer)
-      ).unsafeCoerce();
+      const log = await openOn(folder, timer);
       const ended = Deferred.create<void>();
       folder.writeGate = ended.promise;
       log.compact({index: 0, term: 0}, EMPTY_CONTROL_STATE);
@@ -242,9 +246,7 @@
     it('can be closed meanwhile', async () => {
       const folder = MemoryFolder.create();
       const timer = ManualTimerService.create();
-      const log = (
-        await openLog(folder, () => undefined, timer)
-      ).unsafeCoerce();
+      const log = await openOn(folder, timer);
       folder.refuse(folder.operations + 1, Infinity);
       log.append([entry(1, 1)]);
       await log.close();
