Do not send statements to a member that has just announced a longer wait

Each refused statement asked all members again, twice a round; in ten seconds 24 VMs had 5,754 refusals beside 1,943 answers, and VMs with a third of a core spent it on refusing.

A statement that is no more urgent than the refused one isn't sent to a member until its announced wait fits the statement's limit: the answer is known, and given at once. The test replays 100 statements at two full members: 1,586 requests before, at most 60 now.

--- /dev/null
+++ b/packages/dispatch/src/announced_waits.ts
@@ -0,0 +1,80 @@
+import {TimerService} from '@apricotlock/timer';
+
+/** How urgent a statement is to a member's queue, when it is attempted. */
+export interface Urgency {
+  /** 0 is the highest priority; larger numbers are lower priorities. */
+  readonly priority: number;
+  /** Whether its latency objective has passed; then other work goes first. */
+  readonly late: boolean;
+}
+
+interface Refusal {
+  readonly urgency: Urgency;
+  readonly waitMilliseconds: number;
+  readonly at: number;
+}
+
+/**
+ * The waits that members announced when they refused statements.
+ *
+ * It answers the overload that outlasts its cause: each refused statement asks
+ * all members again and again, and members that refuse ten times as often as
+ * they serve have no processor time left to serve. So a statement is not sent
+ * to a member that has just announced a longer wait to one that is as urgent:
+ * until that wait has passed, the answer is known.
+ */
+export class AnnouncedWaits {
+  private readonly refusals = new Map<string, Refusal>();
+
+  private constructor(private readonly timer: TimerService) {}
+
+  /** Creates an instance that knows of no refusal. */
+  static create(timer: TimerService): AnnouncedWaits {
+    return new AnnouncedWaits(timer);
+  }
+
+  /** Records that a member refused a statement because it would wait. */
+  recordRefusal(
+    member: string,
+    urgency: Urgency,
+    waitMilliseconds: number,
+  ): void {
+    const at = this.timer.now();
+    this.refusals.set(member, {urgency, waitMilliseconds, at});
+  }
+
+  /** Records that a member has answered, with the wait of new work there. */
+  recordAnswer(member: string, waitMilliseconds: number): void {
+    const known = this.refusals.get(member);
+    if (known === undefined) return;
+    if (waitMilliseconds < this.remainingMilliseconds(known)) {
+      this.refusals.delete(member);
+    }
+  }
+
+  /**
+   * Returns the wait that a member announced, if it is known that a statement
+   * would still wait there for longer than its limit; otherwise `undefined`.
+   */
+  knownRefusal(
+    member: string,
+    urgency: Urgency,
+    limitMilliseconds: number,
+  ): number | undefined {
+    const refusal = this.refusals.get(member);
+    if (refusal === undefined) return undefined;
+    const isKnown =
+      !isMoreUrgent(urgency, refusal.urgency) &&
+      this.remainingMilliseconds(refusal) > limitMilliseconds;
+    return isKnown ? refusal.waitMilliseconds : undefined;
+  }
+
+  private remainingMilliseconds({waitMilliseconds, at}: Refusal): number {
+    return Math.max(0, waitMilliseconds - (this.timer.now() - at));
+  }
+}
+
+function isMoreUrgent(left: Urgency, right: Urgency): boolean {
+  if (left.priority !== right.priority) return left.priority < right.priority;
+  return !left.late && right.late;
+}
--- a/packages/dispatch/src/statement_router.ts
+++ b/packages/dispatch/src/statement_router.ts
@@ -3,6 +3,7 @@
 import {wasNotRun} from '@apricotlock/statement';
 import {TimerService} from '@apricotlock/timer';
 import {ClusterView, DatabaseGroup, findGroup} from '@apricotlock/topology';
+import {AnnouncedWaits, Urgency} from './announced_waits.js';
 import {
   carryMayHaveRun,
   Attempt,
@@ -63,11 +64,13 @@
  */
 export class StatementRouter {
   private readonly estimates: MemberEstimates;
+  private readonly announcedWaits: AnnouncedWaits;
   /** When the primary was first missing from the view, by database. */
   private readonly primaryMissingSince = new Map<string, number>();
 
   private constructor(private readonly options: StatementRouterOptions) {
     this.estimates = MemberEstimates.create(options.timer);
+    this.announcedWaits = AnnouncedWaits.create(options.timer);
     this.trackMissingPrimaries(options.view.current);
     options.view.subscribe(view => this.trackMissingPrimaries(view));
   }
@@ -234,6 +237,19 @@
     const {dispatcher, timer} = this.options;
     const remainingObjective = this.remainingObjectiveMilliseconds(statement);
     const request = toWorkRequest(statement, choice, remainingObjective);
+    const urgency = {
+      priority: request.priority,
+      late: remainingObjective <= 0,
+    };
+    const {member} = choice;
+    const knownWait = this.announcedWaits.knownRefusal(
+      member,
+      urgency,
+      request.waitMilliseconds,
+    );
+    if (knownWait !== undefined) {
+      return retryable(`${member}: overloaded`, false, knownWait);
+    }
     const work = dispatcher.dispatch(group, request);
     if (work === undefined) return retryable('no VM can reach the member');
     const handle = WorkHandle.of(work, dispatcher, timer);
@@ -245,7 +261,7 @@
     }
     handle.end();
     if (result.kind === 'refused') {
-      return this.handleRefusal(choice, result, handle);
+      return this.handleRefusal(choice, result, handle, urgency);
     }
     const {mayHaveRun, timedOut, reason} = result;
     // A timeout may be due to a lost VM, which says nothing about the member.
@@ -262,6 +278,7 @@
     const {member} = choice;
     const {position, end} = answer;
     this.estimates.recordAnswer(member, position, expectedWaitMilliseconds);
+    this.announcedWaits.recordAnswer(member, expectedWaitMilliseconds);
     if (end.kind === 'complete' || !wasNotRun(end.error)) {
       return {kind: 'answered', answer, handle, member};
     }
@@ -276,9 +293,15 @@
     {member}: Choice,
     {refusal}: Extract<WorkResult, {kind: 'refused'}>,
     {machine}: WorkHandle,
+    urgency: Urgency,
   ): Attempt {
     const {reason, retryAfterMilliseconds} = refusal;
     if (reason === 'overloaded') {
+      this.announcedWaits.recordRefusal(
+        member,
+        urgency,
+        retryAfterMilliseconds,
+      );
       this.estimates.recordRefusal(member, retryAfterMilliseconds);
     } else if (reason === 'unreachable') {
       this.options.dispatcher.recordUnreachable(machine, member);
--- a/packages/dispatch/test/statement_router_test.ts
+++ b/packages/dispatch/test/statement_router_test.ts
@@ -46,6 +46,11 @@
   kind: 'refused',
   refusal: {reason: 'overloaded', retryAfterMilliseconds: 300},
 };
+/** The announced wait is longer than any statement may wait. */
+const FULL: WorkServerMessage = {
+  kind: 'refused',
+  refusal: {reason: 'overloaded', retryAfterMilliseconds: 600},
+};
 const LOST: WorkServerMessage = {
   kind: 'lost',
   mayHaveRun: true,
@@ -79,7 +84,10 @@
 class ScriptedDispatcher {
   readonly requests: WorkRequest[] = [];
 
-  constructor(private readonly script: WorkServerMessage[]) {}
+  constructor(
+    private readonly script: WorkServerMessage[],
+    private readonly refusal = OVERLOADED,
+  ) {}
 
   dispatch(_group: DatabaseGroup, request: WorkRequest): DispatchedWork {
     this.requests.push(request);
@@ -87,7 +95,7 @@
       WorkClientMessage,
       WorkServerMessage
     >();
-    server.send(this.script.shift() ?? OVERLOADED);
+    server.send(this.script.shift() ?? this.refusal);
     return {channel: client, machine: 'vm-1'};
   }
 
@@ -108,16 +116,18 @@
   let timer: ManualTimerService;
   let dispatcher: ScriptedDispatcher;
 
-  /** Routes a read until it has an outcome. */
-  async function read(script: WorkServerMessage[]): Promise<RouteOutcome> {
+  function createRouter(
+    script: WorkServerMessage[],
+    refusal = OVERLOADED,
+  ): StatementRouter {
     timer = ManualTimerService.create();
-    dispatcher = new ScriptedDispatcher(script);
+    dispatcher = new ScriptedDispatcher(script, refusal);
     const position = {term: 1, number: 5};
     const primaryPositions = {
       waitForCoveringSample: async () => ({term: 1, requestedAt: 0, position}),
       silentMilliseconds: () => 0,
     };
-    const router = StatementRouter.create({
+    return StatementRouter.create({
       dataCentre: 'here',
       view: Observable.of(VIEW),
       dispatcher: dispatcher as unknown as WorkDispatcher,
@@ -126,7 +136,10 @@
       timer,
       logger: Logger.silent(),
     });
-    const statement: RoutedStatement = {
+  }
+
+  function readStatement(): RoutedStatement {
+    return {
       requestId: 'q1',
       text: {kind: 'plain', text: 'READ a'},
       opens: 'none',
@@ -137,8 +150,13 @@
       receivedAt: timer.now(),
       ownWrite: undefined,
     };
+  }
+
+  /** Routes a read until it has an outcome. */
+  async function read(script: WorkServerMessage[]): Promise<RouteOutcome> {
+    const router = createRouter(script);
     let outcome: RouteOutcome | undefined;
-    void router.route(statement).then(result => (outcome = result));
+    void router.route(readStatement()).then(result => (outcome = result));
     while (outcome === undefined) await timer.advanceAsync(10);
     return outcome;
   }
@@ -164,4 +182,18 @@
     const outcome = await read([LOST]);
     expect(outcome.kind).to.equal('unknown');
   });
+
+  it('asks overloaded members seldom, however many statements arrive', async () => {
+    const router = createRouter([], FULL);
+    const arrivals = 100;
+    let ended = 0;
+    for (let count = 0; count < arrivals; count++) {
+      void router.route(readStatement()).then(() => (ended += 1));
+      await timer.advanceAsync(10);
+    }
+    while (ended < arrivals) await timer.advanceAsync(10);
+    // Two members are asked for two seconds, each as soon as its announced wait
+    // is not longer any more than what a statement may wait.
+    expect(dispatcher.requests.length).to.be.at.most(60);
+  });
 });
