--- a/packages/dispatch/src/statement_router.ts
+++ b/packages/dispatch/src/statement_router.ts
@@ -3,6 +3,7 @@
 import {wasNotRun} from '@apricotlock/statement';
 import {TimerService} from '@apricotlock/timer';
 import {ClusterView, DatabaseGroup, findGroup} from '@apricotlock/topology';
+import {WorkRequest} from '@apricotlock/work';
 import {AnnouncedWaits, Urgency} from './announced_waits.js';
 import {
   carryMayHaveRun,
@@ -237,19 +238,10 @@
     const {dispatcher, timer} = this.options;
     const remainingObjective = this.remainingObjectiveMilliseconds(statement);
     const request = toWorkRequest(statement, choice, remainingObjective);
-    const urgency = {
-      priority: request.priority,
-      late: remainingObjective <= 0,
-    };
-    const {member} = choice;
-    const knownWait = this.announcedWaits.knownRefusal(
-      member,
-      urgency,
-      request.waitMilliseconds,
-    );
-    if (knownWait !== undefined) {
-      return retryable(`${member}: overloaded`, false, knownWait);
-    }
+    const late = remainingObjective <= 0;
+    const urgency = {priority: request.priority, late};
+    const knownRefusal = this.knownRefusal(request, urgency);
+    if (knownRefusal !== undefined) return knownRefusal;
     const work = dispatcher.dispatch(group, request);
     if (work === undefined) return retryable('no VM can reach the member');
     const handle = WorkHandle.of(work, dispatcher, timer);
@@ -270,6 +262,21 @@
     return {kind: 'unknown', timedOut, reason};
   }
 
+  /** Returns the refusal of a member that has just announced a longer wait. */
+  private knownRefusal(
+    {member, waitMilliseconds}: WorkRequest,
+    urgency: Urgency,
+  ): RetryableFailure | undefined {
+    const announced = this.announcedWaits.knownRefusal(
+      member,
+      urgency,
+      waitMilliseconds,
+    );
+    if (announced === undefined) return undefined;
+    const reason = `${member}: overloaded, as it has announced`;
+    return retryable(reason, false, announced);
+  }
+
   private handleAnswer(
     choice: Choice,
     {answer, expectedWaitMilliseconds}: Extract<WorkResult, {kind: 'answered'}>,
