Add the types that organisations, quotas and connections share

Parts that are built side by side need one definition of an organisation, of its quota and of the credential of a session. Nothing uses them yet: a catalogue without organisations is served as before.

--- a/packages/dispatch/src/statement_session.ts
+++ b/packages/dispatch/src/statement_session.ts
@@ -78,13 +78,14 @@
   /** Serves the caller until it disconnects. */
   async run(): Promise<void> {
     const {link, timer} = this.options;
-    const database = await withTimeout(
+    const start = await withTimeout(
       timer,
       START_UP_TIMEOUT_MILLISECONDS,
       link.start(),
     );
     // Silent connections would use up the file descriptors of this VM.
-    if (database === undefined || database === TIMED_OUT) return link.close();
+    if (start === undefined || start === TIMED_OUT) return link.close();
+    const {database} = start;
     await this.catalogue.waitForCatalogue();
     if (this.catalogue.lacksDatabase(database)) {
       this.options.observer.onFailure('unknownDatabase');
--- a/packages/dispatch/test/statement_session_test.ts
+++ b/packages/dispatch/test/statement_session_test.ts
@@ -7,6 +7,7 @@
   CallerFailure,
   CallerConnection,
   CallerRequest,
+  SessionStart,
 } from '@apricotlock/statement';
 import {ManualTimerService} from '@apricotlock/timer';
 import {CatalogueEntry, EMPTY_VIEW} from '@apricotlock/topology';
@@ -22,7 +23,7 @@
   override readonly ended = this.closing.promise;
   closed = false;
 
-  override async start(): Promise<string | undefined> {
+  override async start(): Promise<SessionStart | undefined> {
     await this.ended;
     return undefined;
   }
@@ -59,8 +60,8 @@
   private readonly arrived = Deferred.create<CallerRequest | undefined>();
   private received = false;
 
-  override async start(): Promise<string | undefined> {
-    return 'writes';
+  override async start(): Promise<SessionStart | undefined> {
+    return {database: 'writes', credential: undefined};
   }
 
   override accept(): void {
--- a/packages/statement/src/caller_connection.ts
+++ b/packages/statement/src/caller_connection.ts
@@ -10,6 +10,13 @@
   readonly statement: Either<string, Statement>;
 }
 
+/** What a caller names when its session starts. */
+export interface SessionStart {
+  readonly database: string;
+  /** What identifies the caller, such as a key; a secret, never logged. */
+  readonly credential: string | undefined;
+}
+
 /** The reasons for which a caller's request fails. */
 export type CallerFailure =
   /** Nothing was run; the same request may succeed if it is sent later. */
@@ -26,6 +33,8 @@
   | {readonly kind: 'timeout'; readonly reason: string}
   /** No catalogue entry has this name; nothing was run. */
   | {readonly kind: 'unknownDatabase'; readonly database: string}
+  /** The caller's key is not, or no longer, valid; nothing was run. */
+  | {readonly kind: 'unauthenticated'}
   /** The session has no prepared statement of this name; nothing was run. */
   | {readonly kind: 'unknownStatement'; readonly name: string}
   /**
@@ -58,10 +67,10 @@
   abstract readonly ended: Promise<void>;
 
   /**
-   * Waits for the start of the session. Resolves to the name of the database
-   * that the caller requests, or `undefined` if it does not name one.
+   * Waits for the start of the session. Resolves to what the caller names, or
+   * `undefined` if it names no database.
    */
-  abstract start(): Promise<string | undefined>;
+  abstract start(): Promise<SessionStart | undefined>;
 
   /** Confirms to the caller that its session has started. */
   abstract accept(): void;
--- a/packages/statement/src/index.ts
+++ b/packages/statement/src/index.ts
@@ -17,6 +17,7 @@
   type CallerAnswer,
   type CallerFailure,
   type CallerRequest,
+  type SessionStart,
 } from './caller_connection.js';
 export {
   comparePositions,
--- a/packages/statement/src/member_connection.ts
+++ b/packages/statement/src/member_connection.ts
@@ -133,10 +133,12 @@
 export abstract class MemberConnector {
   /**
    * Opens a connection and verifies that the target member answers on it;
-   * otherwise resolves to `Left` with kind `otherMember`.
+   * otherwise resolves to `Left` with kind `otherMember`. The member is told the
+   * organisation for which the connection is used, if there is one.
    */
   abstract connect(
     target: MemberTarget,
     timeoutMilliseconds: number,
+    organisation?: string,
   ): Promise<Either<ConnectError, MemberConnection>>;
 }
--- a/packages/topology/src/catalogue.ts
+++ b/packages/topology/src/catalogue.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {Either, Left, Right} from 'purify-ts';
+import {Organisation} from './organisation.js';
 
 const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,252}$/;
 const MAXIMUM_DURATION_MILLISECONDS = 3_600_000;
@@ -41,6 +42,7 @@
   idleTransactionMilliseconds: milliseconds.optional(),
   priority: z.int().min(0).max(LOWEST_PRIORITY),
   synchronousReplicas: z.int().min(0).max(MAXIMUM_MEMBERS).optional(),
+  allowsAnonymous: z.boolean().optional(),
 });
 
 /** The schema of one catalogue entry; unknown fields are errors. */
@@ -124,6 +126,8 @@
   readonly priority: number;
   /** The number of replicas that store a commit before it is acknowledged. */
   readonly synchronousReplicas?: number | undefined;
+  /** Whether callers need no key although the catalogue has organisations. */
+  readonly allowsAnonymous?: boolean | undefined;
 }
 
 /** One database service: its owner, importance, limits and terms. */
@@ -146,6 +150,8 @@
 export interface Catalogue {
   readonly version: number;
   readonly entries: readonly CatalogueEntry[];
+  /** Callers are identified only if there are organisations. */
+  readonly organisations?: readonly Organisation[] | undefined;
 }
 
 /** The catalogue before the first change, without entries. */
--- a/packages/topology/src/index.ts
+++ b/packages/topology/src/index.ts
@@ -34,6 +34,12 @@
   type MemberCapacity,
   type MemberState,
 } from './database_group.js';
+export {
+  digestOfKey,
+  organisationSchema,
+  type Organisation,
+  type Quota,
+} from './organisation.js';
 export {ownerOf, ownerRanking} from './rendezvous.js';
 export {
   type VirtualMachine,
--- a/packages/work/src/work_messages.ts
+++ b/packages/work/src/work_messages.ts
@@ -42,6 +42,8 @@
   readonly waitMilliseconds: number;
   /** The time until the answer is late, in milliseconds; 0 if it is already. */
   readonly objectiveMilliseconds: number;
+  /** The organisation for whose caller the work is done, if there is one. */
+  readonly organisation?: string | undefined;
   readonly first: WorkStatement;
 }
 
