Count a removed member for promotions until its log is on another replica

While a primary was cut off from most replicas, commits were acknowledged by it and a draining member. When that member left, two of the remaining three counted as enough to promote one of them, although only the primary held the commits.

A member that leaves is now counted among the possible holders of a commit until the control leader has seen a present replica with all that the primary holds (control command confirmRemovedLogs), a member has taken over its address and log, or another member was promoted.

--- a/packages/appointment/src/index.ts
+++ b/packages/appointment/src/index.ts
@@ -27,6 +27,10 @@
   type PromotionAuthority,
   type PromotionError,
 } from './promotion_client.js';
+export {
+  RemovedLogCheck,
+  type RemovedLogCheckOptions,
+} from './removed_log_check.js';
 export {
   requiredFencedCount,
   haveNotAdvanced,
--- a/packages/appointment/src/primary_supervisor.ts
+++ b/packages/appointment/src/primary_supervisor.ts
@@ -13,6 +13,7 @@
   PrimaryFailoverOptions,
 } from './primary_failover.js';
 import {MemberWithReport, MemberAdminError} from './member_admin_client.js';
+import {RemovedLogCheck} from './removed_log_check.js';
 import {requiredFencedCount, haveNotAdvanced} from './replication_state.js';
 
 const TICK_INTERVAL_MILLISECONDS = 50;
@@ -63,8 +64,11 @@
   private readonly stalledAt = new Map<string, number>();
   private reports: readonly PrimaryReport[] = [];
   private lastTickAt = -Infinity;
+  private readonly removedLogs: RemovedLogCheck;
 
-  private constructor(private readonly options: PrimarySupervisorOptions) {}
+  private constructor(private readonly options: PrimarySupervisorOptions) {
+    this.removedLogs = RemovedLogCheck.create(options);
+  }
 
   /** Starts checking groups periodically and handling reports of primaries. */
   static start(options: PrimarySupervisorOptions): PrimarySupervisor {
@@ -86,6 +90,7 @@
     this.lastTickAt = now;
     if (!log.leading.current) return;
     for (const group of log.state.current.view.groups) {
+      this.removedLogs.start(group);
       const cause = this.causeFor(group);
       if (cause !== undefined) {
         this.runExclusively(group, () => this.failOver(group, cause));
--- a/packages/appointment/src/replication_state.ts
+++ b/packages/appointment/src/replication_state.ts
@@ -3,6 +3,7 @@
   ClusterView,
   DatabaseGroup,
   Member,
+  possibleLogHolders,
   votingMembers,
 } from '@apricotlock/topology';
 import {MemberWithReport} from './member_admin_client.js';
@@ -13,12 +14,14 @@
 /**
  * Returns how many members must be fenced before one of them may be promoted.
  * Each acknowledged commit is on at least two members, so any set of all
- * members but one contains every such commit. A single fenced member is never
- * enough, because the known list of members may be incomplete.
+ * members but one contains every such commit. A removed member counts until its
+ * log is known to be on another replica, because the primary may be the only
+ * other holder of a commit. A single fenced member is never enough, because the
+ * known list of members may be incomplete.
  */
 export function requiredFencedCount(group: DatabaseGroup): number {
-  const members = votingMembers(group).length;
-  return Math.max(COPIES_PER_COMMIT, members - 1);
+  const holders = possibleLogHolders(group).length;
+  return Math.max(COPIES_PER_COMMIT, holders - 1);
 }
 
 /**
--- a/packages/appointment/test/primary_failover_test.ts
+++ b/packages/appointment/test/primary_failover_test.ts
@@ -83,6 +83,18 @@
       expect(b.fencedTerm, 'released again').to.equal(0);
     });
 
+    it('promotes no member without commits that only it and a removed member held', async () => {
+      b.number = 8;
+      await reportMember(log, 'd', 'draining', 1);
+      await reportMember(log, 'd', 'removed', 2);
+      a.reachable = false;
+      expect(await run('primaryLost')).to.equal(false);
+      expect(promotions.ordered).to.deep.equal([]);
+      a.reachable = true;
+      expect(await run('noPrimary')).to.equal(true);
+      expect(groupIn(log).primary).to.equal('a');
+    });
+
     it('assigns no lease holder before the lease of the former one runs out', async () => {
       a.reachable = false;
       network.reachable = false;
--- a/packages/control/src/apply_command.ts
+++ b/packages/control/src/apply_command.ts
@@ -12,7 +12,12 @@
   registerMember,
   setMemberState,
 } from './member_change.js';
-import {beginTerm, orderPromotion, setPrimary} from './term_change.js';
+import {
+  beginTerm,
+  confirmRemovedLogs,
+  orderPromotion,
+  setPrimary,
+} from './term_change.js';
 import {ViewChange} from './view_change.js';
 
 const MAXIMUM_STORED_ANSWERS = 10_000;
@@ -93,6 +98,9 @@
     .with({kind: 'setPrimary'}, ({database, term, primary, holder}) =>
       setPrimary(view, {database, term, primary, holder}),
     )
+    .with({kind: 'confirmRemovedLogs'}, ({database, term, members}) =>
+      confirmRemovedLogs(view, database, term, members),
+    )
     .exhaustive();
 }
 
@@ -218,6 +226,10 @@
         `${set.database} term ${set.term}: ${set.primary}` +
         (set.holder === undefined ? '' : `, used by ${set.holder}`),
     )
+    .with(
+      {kind: 'confirmRemovedLogs'},
+      ({database, members}) => `${database}: ${members.join(' ')}`,
+    )
     .exhaustive();
 }
 
--- a/packages/control/src/control_command.ts
+++ b/packages/control/src/control_command.ts
@@ -82,6 +82,17 @@
        */
       readonly holder?: string | undefined;
       readonly at: number;
+    }
+  /**
+   * Records that the logs of removed members are on a present replica, as far as
+   * the primary of the term held them.
+   */
+  | {
+      readonly kind: 'confirmRemovedLogs';
+      readonly database: string;
+      readonly term: number;
+      readonly members: readonly string[];
+      readonly at: number;
     };
 
 /** A member's report on itself; `removed` means that it has shut down. */
--- a/packages/control/src/control_schemas.ts
+++ b/packages/control/src/control_schemas.ts
@@ -99,6 +99,13 @@
     holder: text.optional(),
     at: time,
   }),
+  confirmRemovedLogs: z.object({
+    kind: z.literal('confirmRemovedLogs'),
+    database: text,
+    term: count,
+    members: z.array(text),
+    at: time,
+  }),
 };
 
 /** Validates a command from another process. */
--- a/packages/control/src/member_change.ts
+++ b/packages/control/src/member_change.ts
@@ -6,7 +6,12 @@
   Member,
 } from '@apricotlock/topology';
 import {MemberReport} from './control_command.js';
-import {changeGroup, changeMember, ViewChange} from './view_change.js';
+import {
+  changeGroup,
+  changeMember,
+  ViewChange,
+  withConfirmedLog,
+} from './view_change.js';
 
 /**
  * Removed members retained per group, so that a late report of a removed member
@@ -51,8 +56,8 @@
   if (group === undefined) {
     return {kind: 'refused', reason: 'no catalogue entry names the database'};
   }
-  const member: Member = {...report, apiAddress: report.address};
-  const known = findMember(group, member.name);
+  const known = findMember(group, report.name);
+  const member = toMember(report, known);
   if (known !== undefined && !isNewerReport(report, known)) {
     return {kind: 'unchanged'};
   }
@@ -71,6 +76,9 @@
     .filter(({name}) => name !== member.name)
     .map(other =>
       sameAddressMembers.includes(other) ? asRemoved(other) : other,
+    )
+    .map(other =>
+      isReplacedBy(other, member) ? withConfirmedLog(other) : other,
     );
   return changeGroup(view, {
     ...group,
@@ -78,6 +86,27 @@
   });
 }
 
+/**
+ * Returns the member that a report describes. The log of a member that leaves is
+ * unconfirmed at first: a commit may be on it and on the primary only.
+ */
+function toMember(report: MemberReport, known: Member | undefined): Member {
+  const member: Member = {...report, apiAddress: report.address};
+  if (member.state !== 'removed' || known === undefined) return member;
+  const hasUnconfirmedLog =
+    known.state === 'removed' ? known.hasUnconfirmedLog : true;
+  return hasUnconfirmedLog === true ? {...member, hasUnconfirmedLog} : member;
+}
+
+/** Returns whether a member received the log of a removed one at its address. */
+function isReplacedBy(removed: Member, member: Member): boolean {
+  return (
+    removed.state === 'removed' &&
+    member.state !== 'removed' &&
+    isSameAddress(removed.address, member.address)
+  );
+}
+
 function isNewerReport(report: MemberReport, known: Member): boolean {
   if (report.incarnation !== known.incarnation) {
     return report.incarnation > known.incarnation;
--- a/packages/control/src/term_change.ts
+++ b/packages/control/src/term_change.ts
@@ -1,5 +1,5 @@
 import {ClusterView, findGroup, findMember} from '@apricotlock/topology';
-import {changeGroup, ViewChange} from './view_change.js';
+import {changeGroup, ViewChange, withConfirmedLog} from './view_change.js';
 
 /** Begins a term, unless the current term is not the expected one. */
 export function beginTerm(
@@ -63,5 +63,35 @@
     ...rest
   } = group;
   const holderField = holder === undefined ? {} : {holder};
-  return changeGroup(view, {...rest, ...holderField, primary});
+  // A promoted member holds all acknowledged commits, and removed members can't
+  // receive those that follow.
+  const members =
+    group.promoting === primary
+      ? group.members.map(withConfirmedLog)
+      : group.members;
+  return changeGroup(view, {...rest, ...holderField, members, primary});
+}
+
+/** Records that the logs of removed members are on a present replica. */
+export function confirmRemovedLogs(
+  view: ClusterView,
+  database: string,
+  term: number,
+  names: readonly string[],
+): ViewChange {
+  const group = findGroup(view, database);
+  if (group === undefined) {
+    return {kind: 'refused', reason: `no database "${database}"`};
+  }
+  if (group.term !== term || group.primary === undefined) {
+    return {kind: 'conflict'};
+  }
+  const members = group.members.map(member =>
+    names.includes(member.name) ? withConfirmedLog(member) : member,
+  );
+  const isUnchanged = members.every(
+    (member, index) => member === group.members[index],
+  );
+  if (isUnchanged) return {kind: 'unchanged'};
+  return changeGroup(view, {...group, members});
 }
--- a/packages/control/src/view_change.ts
+++ b/packages/control/src/view_change.ts
@@ -20,6 +20,13 @@
   return changeGroup(view, {...group, members});
 }
 
+/** Returns a member whose log is known to be on other replicas. */
+export function withConfirmedLog(member: Member): Member {
+  if (member.hasUnconfirmedLog !== true) return member;
+  const {hasUnconfirmedLog: _confirmed, ...rest} = member;
+  return rest;
+}
+
 /** Returns the change that replaces one group. */
 export function changeGroup(
   view: ClusterView,
--- a/packages/topology/src/database_group.ts
+++ b/packages/topology/src/database_group.ts
@@ -30,6 +30,11 @@
    * itself in this incarnation.
    */
   readonly reportSequence?: number | undefined;
+  /**
+   * Set on a removed member for as long as commits may exist that only the
+   * primary and this member held.
+   */
+  readonly hasUnconfirmedLog?: boolean | undefined;
 }
 
 /** The members of one database: a primary and its replicas. */
@@ -67,6 +72,18 @@
   return group.members.filter(member => member.state !== 'removed');
 }
 
+/**
+ * Returns the members of which any two may be the only ones that held a commit
+ * when it was acknowledged: the voting members, and the removed members whose
+ * log is not known to be on other replicas.
+ */
+export function possibleLogHolders(group: DatabaseGroup): readonly Member[] {
+  return group.members.filter(
+    ({state, hasUnconfirmedLog}) =>
+      state !== 'removed' || hasUnconfirmedLog === true,
+  );
+}
+
 /**
  * Returns the number of members that form a majority. The count includes
  * members that have never announced themselves, because a majority of only the
--- a/packages/topology/src/index.ts
+++ b/packages/topology/src/index.ts
@@ -28,6 +28,7 @@
 export {
   findMember,
   majorityOf,
+  possibleLogHolders,
   votingMembers,
   type DatabaseGroup,
   type Member,
