--- a/packages/control/src/control_messages.ts
+++ b/packages/control/src/control_messages.ts
@@ -8,7 +8,7 @@
   viewUpdateSchema,
 } from './control_schemas.js';
 import {PackedUpdate} from './packed_update.js';
-import {ViewUpdate} from './view_history.js';
+import {ViewUpdate} from './view_update.js';
 
 const MAXIMUM_NAME_CHARACTERS = 100;
 
--- a/packages/control/src/control_schemas.ts
+++ b/packages/control/src/control_schemas.ts
@@ -3,7 +3,7 @@
 import {ControlCommand} from './control_command.js';
 import {AuditTrail, ControlState} from './control_state.js';
 import {LogEntry, Snapshot} from './log_entry.js';
-import {ViewUpdate} from './view_history.js';
+import {ViewUpdate} from './view_update.js';
 
 const MAXIMUM_TEXT_CHARACTERS = 1_000;
 const MAXIMUM_DOCUMENT_CHARACTERS = 8 << 20;
--- a/packages/control/src/packed_update.ts
+++ b/packages/control/src/packed_update.ts
@@ -1,7 +1,7 @@
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {Packr} from 'msgpackr';
 import {viewUpdateSchema} from './control_schemas.js';
-import {ViewUpdate} from './view_history.js';
+import {ViewUpdate} from './view_update.js';
 
 /**
  * An update with many entries, compressed. It is packed once and forwarded as it
--- a/packages/control/src/view_distributor.ts
+++ b/packages/control/src/view_distributor.ts
@@ -14,7 +14,8 @@
 import {DistributionTree} from './distribution_tree.js';
 import {PackedUpdate, unpackUpdate} from './packed_update.js';
 import {applyDelta} from './view_delta.js';
-import {ViewHistory, ViewUpdate} from './view_history.js';
+import {ViewHistory} from './view_history.js';
+import {ViewUpdate} from './view_update.js';
 import {ViewPusher} from './view_pusher.js';
 import {ViewStore} from './view_store.js';
 
--- a/packages/control/src/view_history.ts
+++ b/packages/control/src/view_history.ts
@@ -1,17 +1,10 @@
 import {ClusterView} from '@apricotlock/topology';
 import {isWorthPacking, PackedUpdate, packUpdate} from './packed_update.js';
-import {deltaBetween, ViewDelta} from './view_delta.js';
+import {deltaBetween} from './view_delta.js';
+import {ViewUpdate} from './view_update.js';
 
 const RETAINED_VIEWS = 64;
 
-/**
- * An update for another VM: the delta from the view that it has, or the full
- * view.
- */
-export type ViewUpdate =
-  | {readonly kind: 'delta'; readonly delta: ViewDelta}
-  | {readonly kind: 'full'; readonly view: ClusterView};
-
 /** Keeps the most recent views, in order to compute deltas from older ones. */
 export class ViewHistory {
   private views: readonly ClusterView[];
--- a/packages/control/test/packed_update_test.ts
+++ b/packages/control/test/packed_update_test.ts
@@ -6,7 +6,8 @@
   packUpdate,
   unpackUpdate,
 } from '../src/packed_update.js';
-import {ViewHistory, ViewUpdate} from '../src/view_history.js';
+import {ViewHistory} from '../src/view_history.js';
+import {ViewUpdate} from '../src/view_update.js';
 
 const SEED = 20_261_204;
 
