Bind the listener of a checkout to its account in the scheduler

connection_checkout and entry_account imported each other. A checkout now knows neither account nor purpose. No behaviour changes; 41 tests of the package pass.

--- a/packages/backend/src/connection_checkout.ts
+++ b/packages/backend/src/connection_checkout.ts
@@ -1,7 +1,6 @@
 import {TimerService} from '@apricotlock/timer';
 import {BackendConnection} from './backend_connection.js';
 import {ConnectionPool} from './connection_pool.js';
-import {EntryAccount, Purpose} from './entry_account.js';
 
 /**
  * How long cleaning a connection may wait for a slot before the connection is
@@ -14,28 +13,16 @@
  */
 const ABANDONED_SLOT_HOLD_MILLISECONDS = 1_000;
 
-/** The scheduler's side of a {@link ConnectionCheckout}. */
+/** The scheduler's side of one {@link ConnectionCheckout}. */
 export interface CheckoutListener {
   readonly timer: TimerService;
   readonly pool: ConnectionPool;
   /** Waits for a slot; `false` if none became available in time. */
-  waitForSlot(
-    account: EntryAccount,
-    purpose: Purpose,
-    waitMilliseconds: number,
-  ): Promise<boolean>;
+  waitForSlot(waitMilliseconds: number): Promise<boolean>;
   /** Records that a statement released its slot after holding it this long. */
-  recordStatementEnd(
-    account: EntryAccount,
-    purpose: Purpose,
-    heldMilliseconds: number,
-  ): void;
-  /** Records that a lease ended after holding its connection this long. */
-  recordLeaseEnd(
-    account: EntryAccount,
-    purpose: Purpose,
-    heldMilliseconds: number,
-  ): void;
+  recordStatementEnd(heldMilliseconds: number): void;
+  /** Records that the lease ended after holding its connection this long. */
+  recordLeaseEnd(heldMilliseconds: number): void;
 }
 
 /**
@@ -49,8 +36,6 @@
 
   private constructor(
     readonly connection: BackendConnection,
-    private readonly account: EntryAccount,
-    private readonly purpose: Purpose,
     private readonly listener: CheckoutListener,
   ) {
     this.leasedAt = listener.timer.now();
@@ -60,11 +45,9 @@
   /** Starts a checkout that already has a slot. */
   static start(
     connection: BackendConnection,
-    account: EntryAccount,
-    purpose: Purpose,
     listener: CheckoutListener,
   ): ConnectionCheckout {
-    return new ConnectionCheckout(connection, account, purpose, listener);
+    return new ConnectionCheckout(connection, listener);
   }
 
   /**
@@ -73,10 +56,8 @@
    */
   async acquireSlot(waitMilliseconds: number): Promise<boolean> {
     if (this.slotAcquiredAt !== undefined) return true;
-    const {listener, account, purpose} = this;
-    if (!(await listener.waitForSlot(account, purpose, waitMilliseconds))) {
-      return false;
-    }
+    const {listener} = this;
+    if (!(await listener.waitForSlot(waitMilliseconds))) return false;
     this.slotAcquiredAt = listener.timer.now();
     return true;
   }
@@ -86,11 +67,7 @@
     if (this.slotAcquiredAt === undefined) return;
     const heldMilliseconds = this.listener.timer.now() - this.slotAcquiredAt;
     this.slotAcquiredAt = undefined;
-    this.listener.recordStatementEnd(
-      this.account,
-      this.purpose,
-      heldMilliseconds,
-    );
+    this.listener.recordStatementEnd(heldMilliseconds);
   }
 
   /**
@@ -120,7 +97,7 @@
   }
 
   private finish(returnConnection: () => void): void {
-    const {listener, account, purpose} = this;
+    const {listener} = this;
     // The connection goes back before the slot: otherwise the scheduler would
     // open another connection for the next lease.
     returnConnection();
@@ -133,10 +110,6 @@
     } else {
       this.releaseSlot();
     }
-    listener.recordLeaseEnd(
-      account,
-      purpose,
-      listener.timer.now() - this.leasedAt,
-    );
+    listener.recordLeaseEnd(listener.timer.now() - this.leasedAt);
   }
 }
--- a/packages/backend/src/work_scheduler.ts
+++ b/packages/backend/src/work_scheduler.ts
@@ -44,7 +44,7 @@
  * precedence over new leases, since they hold locks and connections. Source:
  * Goyal, Vin and Cheng, "Start-time fair queuing", 1996.
  */
-export class WorkScheduler implements CheckoutListener {
+export class WorkScheduler {
   readonly pool: ConnectionPool;
   readonly timer: TimerService;
   private readonly accounts = new Map<string, EntryAccount>();
@@ -143,7 +143,20 @@
     this.refuseAll({kind: 'notOwner'});
   }
 
-  async waitForSlot(
+  /** Returns the scheduler's side of a checkout of one flow. */
+  private createListener({account, purpose}: Flow): CheckoutListener {
+    const {timer, pool} = this;
+    return {
+      timer,
+      pool,
+      waitForSlot: wait => this.waitForSlot(account, purpose, wait),
+      recordStatementEnd: held =>
+        this.recordStatementEnd(account, purpose, held),
+      recordLeaseEnd: held => this.recordLeaseEnd(account, purpose, held),
+    };
+  }
+
+  private async waitForSlot(
     account: EntryAccount,
     purpose: Purpose,
     waitMilliseconds: number,
@@ -163,7 +176,7 @@
     return slotGranted;
   }
 
-  recordStatementEnd(
+  private recordStatementEnd(
     account: EntryAccount,
     purpose: Purpose,
     heldMilliseconds: number,
@@ -178,7 +191,7 @@
     this.dispatch();
   }
 
-  recordLeaseEnd(
+  private recordLeaseEnd(
     account: EntryAccount,
     purpose: Purpose,
     heldMilliseconds: number,
@@ -278,7 +291,7 @@
     account.countLease(purpose, 1);
     this.countStatement(flow);
     waiting.outcome.resolve(
-      Right(ConnectionCheckout.start(connection, account, purpose, this)),
+      Right(ConnectionCheckout.start(connection, this.createListener(flow))),
     );
     return true;
   }
