--- a/eslint.config.js
+++ b/eslint.config.js
@@ -54,5 +54,19 @@
       '@typescript-eslint/no-unused-expressions': 'off',
     },
   },
+  {
+    files: ['deploy/**'],
+    languageOptions: {
+      globals: {
+        __dirname: 'readonly',
+        __filename: 'readonly',
+        exports: 'readonly',
+        module: 'readonly',
+        process: 'readonly',
+        require: 'readonly',
+      },
+    },
+    rules: {'@typescript-eslint/no-require-imports': 'off'},
+  },
   {files: ['eslint.config.js'], rules: {'no-restricted-exports': 'off'}},
 );
