Replicate the organisations of the catalogue

A delta carries only those that changed, and one without the field changes none. Commands, views and deltas without organisations remain valid.

--- a/packages/control/src/apply_command.ts
+++ b/packages/control/src/apply_command.ts
@@ -1,6 +1,7 @@
 import {match} from 'ts-pattern';
 import {ClusterView} from '@apricotlock/topology';
 import {putCatalogue, replaceCatalogue} from './catalogue_change.js';
+import {describeCatalogueChange} from './catalogue_change_summary.js';
 import {
   ChangeOrigin,
   CommandAnswer,
@@ -20,7 +21,6 @@
 const DAY_MILLISECONDS = 86_400_000;
 const MAXIMUM_AUDIT_AGE_MILLISECONDS = 30 * DAY_MILLISECONDS;
 const MAXIMUM_ANSWER_AGE_MILLISECONDS = 7 * DAY_MILLISECONDS;
-const MAXIMUM_LISTED_NAMES = 10;
 const SYSTEM_ACTOR = 'apricotlock';
 
 /** The state after a command was applied, and the answer to its proposer. */
@@ -72,10 +72,10 @@
 function computeChange(view: ClusterView, command: ControlCommand): ViewChange {
   return match(command)
     .with({kind: 'putCatalogue'}, put =>
-      putCatalogue(view, put.baseVersion, put.entries),
+      putCatalogue(view, put.baseVersion, put),
     )
-    .with({kind: 'replaceCatalogue'}, ({version, entries}) =>
-      replaceCatalogue(view, version, entries),
+    .with({kind: 'replaceCatalogue'}, replacement =>
+      replaceCatalogue(view, replacement.version, replacement),
     )
     .with({kind: 'reportMember'}, ({report}) => applyMemberReport(view, report))
     .with({kind: 'registerMember'}, ({announcement}) =>
@@ -190,12 +190,12 @@
   return match(command)
     .with({kind: 'putCatalogue'}, put =>
       change.kind === 'changed'
-        ? describeCatalogueChange(before, change.view)
+        ? describeCatalogueChange(before.catalogue, change.view.catalogue)
         : `catalogue ${put.baseVersion}`,
     )
     .with({kind: 'replaceCatalogue'}, put =>
       change.kind === 'changed'
-        ? describeCatalogueChange(before, change.view)
+        ? describeCatalogueChange(before.catalogue, change.view.catalogue)
         : `catalogue ${put.version}`,
     )
     .with(
@@ -220,26 +220,3 @@
     )
     .exhaustive();
 }
-
-/**
- * Returns a summary of the entries that were added (+), changed (~) and deleted
- * (-).
- */
-function describeCatalogueChange(from: ClusterView, to: ClusterView): string {
-  const before = new Map(
-    from.catalogue.entries.map(entry => [entry.name, entry]),
-  );
-  const after = new Map(to.catalogue.entries.map(entry => [entry.name, entry]));
-  const marks = [
-    ...[...after]
-      .filter(([name, entry]) => before.get(name) !== entry)
-      .map(([name]) => `${before.has(name) ? '~' : '+'}${name}`),
-    ...[...before.keys()]
-      .filter(name => !after.has(name))
-      .map(name => `-${name}`),
-  ];
-  if (marks.length === 0) return 'no entry';
-  const omittedCount = marks.length - MAXIMUM_LISTED_NAMES;
-  const listed = marks.slice(0, MAXIMUM_LISTED_NAMES).join(' ');
-  return omittedCount > 0 ? `${listed} and ${omittedCount} more` : listed;
-}
--- a/packages/control/src/catalogue_change.ts
+++ b/packages/control/src/catalogue_change.ts
@@ -1,28 +1,36 @@
 import {isDeepStrictEqual} from 'node:util';
 import {
+  Catalogue,
   CatalogueEntry,
   ClusterView,
   DatabaseGroup,
+  Organisation,
 } from '@apricotlock/topology';
 import {ViewChange} from './view_change.js';
 
+/** What an operator's change puts into the catalogue. */
+export interface CatalogueContent {
+  readonly entries: readonly CatalogueEntry[];
+  readonly organisations?: readonly Organisation[] | undefined;
+}
+
 /**
- * Replaces the entries of the catalogue if `baseVersion`, from which they were
- * edited, is still the current version; otherwise the result is a conflict.
+ * Replaces the content of the catalogue if `baseVersion`, from which it was
+ * edited, is still the current version; otherwise the result is a conflict. An
+ * edit without organisations, such as one by an earlier version of the product,
+ * leaves them as they are.
  */
 export function putCatalogue(
   view: ClusterView,
   baseVersion: number,
-  entries: readonly CatalogueEntry[],
+  {entries, organisations}: CatalogueContent,
 ): ViewChange {
-  const {version} = view.catalogue;
-  if (baseVersion !== version) return {kind: 'conflict'};
-  const catalogue = {
-    version: version + 1,
-    entries: reuseUnchangedEntries(entries, view.catalogue.entries),
-  };
-  const groups = updateGroups(entries, view.groups);
-  return {kind: 'changed', view: {...view, catalogue, groups}};
+  const {catalogue} = view;
+  if (baseVersion !== catalogue.version) return {kind: 'conflict'};
+  return changeCatalogue(view, catalogue.version + 1, {
+    entries,
+    organisations: organisations ?? catalogue.organisations,
+  });
 }
 
 /**
@@ -33,33 +41,46 @@
 export function replaceCatalogue(
   view: ClusterView,
   version: number,
-  entries: readonly CatalogueEntry[],
+  content: CatalogueContent,
 ): ViewChange {
   if (version <= view.catalogue.version) return {kind: 'unchanged'};
-  const catalogue = {
+  return changeCatalogue(view, version, content);
+}
+
+function changeCatalogue(
+  view: ClusterView,
+  version: number,
+  {entries, organisations = []}: CatalogueContent,
+): ViewChange {
+  const before = view.catalogue;
+  const catalogue: Catalogue = {
     version,
-    entries: reuseUnchangedEntries(entries, view.catalogue.entries),
+    entries: reuseUnchanged(entries, before.entries),
+    // A catalogue without organisations is equal to one of an earlier version.
+    ...(organisations.length > 0 && {
+      organisations: reuseUnchanged(organisations, before.organisations ?? []),
+    }),
   };
   const groups = updateGroups(entries, view.groups);
   return {kind: 'changed', view: {...view, catalogue, groups}};
 }
 
 /**
- * Returns the entries sorted by name, so that catalogues with the same entries
- * are equal. Unchanged entries remain the same objects, so that a delta between
- * views can compare by identity.
+ * Returns the items sorted by name, so that catalogues with the same content are
+ * equal. Unchanged items remain the same objects, so that a delta between views
+ * can compare by identity.
  */
-function reuseUnchangedEntries(
-  entries: readonly CatalogueEntry[],
-  before: readonly CatalogueEntry[],
-): readonly CatalogueEntry[] {
-  const known = new Map(before.map(entry => [entry.name, entry]));
-  return entries
-    .map(entry => {
-      const previous = known.get(entry.name);
-      return previous !== undefined && isDeepStrictEqual(previous, entry)
+function reuseUnchanged<Item extends {readonly name: string}>(
+  items: readonly Item[],
+  before: readonly Item[],
+): readonly Item[] {
+  const known = new Map(before.map(item => [item.name, item]));
+  return items
+    .map(item => {
+      const previous = known.get(item.name);
+      return previous !== undefined && isDeepStrictEqual(previous, item)
         ? previous
-        : entry;
+        : item;
     })
     .sort((left, right) => (left.name < right.name ? -1 : 1));
 }
--- a/packages/control/src/control_command.ts
+++ b/packages/control/src/control_command.ts
@@ -1,5 +1,10 @@
 import {Announcement} from '@apricotlock/member';
-import {CatalogueEntry, Member, MemberState} from '@apricotlock/topology';
+import {
+  CatalogueEntry,
+  Member,
+  MemberState,
+  Organisation,
+} from '@apricotlock/topology';
 
 /** Who requested a change, and the id by which a resend is recognised. */
 export interface ChangeOrigin {
@@ -21,6 +26,8 @@
       /** The version on which the edit is based. */
       readonly baseVersion: number;
       readonly entries: readonly CatalogueEntry[];
+      /** If absent, the organisations remain as they are. */
+      readonly organisations?: readonly Organisation[] | undefined;
     }
   /**
    * Replaces the whole catalogue, under a version that the operators choose.
@@ -30,6 +37,8 @@
       /** Has an effect only if it is above the current version. */
       readonly version: number;
       readonly entries: readonly CatalogueEntry[];
+      /** If absent, the new catalogue has no organisations. */
+      readonly organisations?: readonly Organisation[] | undefined;
       /** The operators' own document, returned to them on request. */
       readonly document: string;
       readonly at: number;
--- a/packages/control/src/control_schemas.ts
+++ b/packages/control/src/control_schemas.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import {catalogueEntrySchema} from '@apricotlock/topology';
+import {catalogueEntrySchema, organisationSchema} from '@apricotlock/topology';
 import {ControlCommand} from './control_command.js';
 import {AuditTrail, ControlState} from './control_state.js';
 import {LogEntry, Snapshot} from './log_entry.js';
@@ -12,6 +12,8 @@
 const text = z.string().max(MAXIMUM_TEXT_CHARACTERS);
 const count = z.int().min(0);
 const time = z.number();
+// Absent in what earlier versions have written.
+const organisations = z.array(organisationSchema).optional();
 
 const address = z.object({
   host: text,
@@ -43,11 +45,13 @@
     origin,
     baseVersion: count,
     entries: z.array(catalogueEntrySchema),
+    organisations,
   }),
   replaceCatalogue: z.object({
     kind: z.literal('replaceCatalogue'),
     version: count,
     entries: z.array(catalogueEntrySchema),
+    organisations,
     document: z.string().max(MAXIMUM_DOCUMENT_CHARACTERS),
     at: time,
   }),
@@ -147,6 +151,10 @@
 // These schemas check the structure only: the contents were validated when they
 // were proposed as commands.
 const entryOutline = z.looseObject({name: text, database: text});
+const organisationOutline = z.looseObject({
+  name: text,
+  keyDigests: z.array(text),
+});
 const groupOutline = z.looseObject({
   database: text,
   size: count,
@@ -156,7 +164,11 @@
 
 const view = z.looseObject({
   index: count,
-  catalogue: z.looseObject({version: count, entries: z.array(entryOutline)}),
+  catalogue: z.looseObject({
+    version: count,
+    entries: z.array(entryOutline),
+    organisations: z.array(organisationOutline).optional(),
+  }),
   groups: z.array(groupOutline),
 });
 
@@ -170,6 +182,8 @@
       catalogueVersion: count,
       entries: z.array(entryOutline),
       removedEntries: z.array(text),
+      organisations: z.array(organisationOutline).optional(),
+      removedOrganisations: z.array(text).optional(),
       groups: z.array(groupOutline),
     }),
   }),
--- a/packages/control/src/packed_update.ts
+++ b/packages/control/src/packed_update.ts
@@ -12,7 +12,7 @@
   readonly bytes: Uint8Array;
 }
 
-/** Updates with fewer entries are cheaper to send as they are. */
+/** Updates with fewer entries and organisations are cheaper to send as they are. */
 const MINIMUM_PACKED_ENTRIES = 32;
 /** Protects against a message that expands without bound. */
 const MAXIMUM_UNPACKED_BYTES = 64 << 20;
@@ -23,11 +23,9 @@
 
 /** Returns whether an update is large enough to be packed. */
 export function isWorthPacking(update: ViewUpdate): boolean {
-  const entries =
-    update.kind === 'full'
-      ? update.view.catalogue.entries
-      : update.delta.entries;
-  return entries.length >= MINIMUM_PACKED_ENTRIES;
+  const {entries, organisations = []} =
+    update.kind === 'full' ? update.view.catalogue : update.delta;
+  return entries.length + organisations.length >= MINIMUM_PACKED_ENTRIES;
 }
 
 /** Compresses an update. */
--- a/packages/control/src/view_delta.ts
+++ b/packages/control/src/view_delta.ts
@@ -1,7 +1,9 @@
 import {
+  Catalogue,
   CatalogueEntry,
   ClusterView,
   DatabaseGroup,
+  Organisation,
 } from '@apricotlock/topology';
 
 /** The difference between two views. */
@@ -14,53 +16,101 @@
   readonly entries: readonly CatalogueEntry[];
   /** Names of deleted entries. */
   readonly removedEntries: readonly string[];
+  /**
+   * New and changed organisations; absent if there are none, and in a delta of an
+   * earlier version.
+   */
+  readonly organisations?: readonly Organisation[] | undefined;
+  /** Names of deleted organisations; absent as above. */
+  readonly removedOrganisations?: readonly string[] | undefined;
   /** New and changed groups; groups are never deleted. */
   readonly groups: readonly DatabaseGroup[];
 }
 
+interface Named {
+  readonly name: string;
+}
+
+/** The difference between two lists of items with unique names. */
+interface ListDelta<Item extends Named> {
+  readonly changed: readonly Item[];
+  readonly removed: readonly string[];
+}
+
 /**
  * Returns the difference between a view and a later one. Views of one process
  * share their unchanged objects, so that objects are compared by identity. An
  * equal entry that is another object is sent needlessly but does no harm.
  */
 export function deltaBetween(from: ClusterView, to: ClusterView): ViewDelta {
-  const names = new Set(to.catalogue.entries.map(({name}) => name));
-  const sameEntries = new Set(from.catalogue.entries);
+  const entries = listDelta(from.catalogue.entries, to.catalogue.entries);
+  const organisations = listDelta(
+    from.catalogue.organisations ?? [],
+    to.catalogue.organisations ?? [],
+  );
   const sameGroups = new Set(from.groups);
   return {
     fromIndex: from.index,
     index: to.index,
     catalogueVersion: to.catalogue.version,
-    entries: to.catalogue.entries.filter(entry => !sameEntries.has(entry)),
-    removedEntries: from.catalogue.entries
-      .map(({name}) => name)
-      .filter(name => !names.has(name)),
+    entries: entries.changed,
+    removedEntries: entries.removed,
+    ...(organisations.changed.length > 0 && {
+      organisations: organisations.changed,
+    }),
+    ...(organisations.removed.length > 0 && {
+      removedOrganisations: organisations.removed,
+    }),
     groups: to.groups.filter(group => !sameGroups.has(group)),
   };
 }
 
 /** Returns the later view. The delta must start from the index of `view`. */
 export function applyDelta(view: ClusterView, delta: ViewDelta): ClusterView {
-  const {index, catalogueVersion: version} = delta;
+  const {index} = delta;
   return {
     index,
-    catalogue: {version, entries: mergeEntries(view, delta)},
+    catalogue: mergeCatalogue(view.catalogue, delta),
     groups: mergeGroups(view.groups, delta.groups),
   };
 }
 
-function mergeEntries(
-  {catalogue}: ClusterView,
-  {entries, removedEntries}: ViewDelta,
-): readonly CatalogueEntry[] {
-  if (entries.length === 0 && removedEntries.length === 0) {
-    return catalogue.entries;
-  }
-  const merged = new Map(
-    catalogue.entries.map(entry => [entry.name, entry] as const),
-  );
-  for (const name of removedEntries) merged.delete(name);
-  for (const entry of entries) merged.set(entry.name, entry);
+function mergeCatalogue(catalogue: Catalogue, delta: ViewDelta): Catalogue {
+  const organisations = mergeList(catalogue.organisations ?? [], {
+    changed: delta.organisations ?? [],
+    removed: delta.removedOrganisations ?? [],
+  });
+  return {
+    version: delta.catalogueVersion,
+    entries: mergeList(catalogue.entries, {
+      changed: delta.entries,
+      removed: delta.removedEntries,
+    }),
+    ...(organisations.length > 0 && {organisations}),
+  };
+}
+
+function listDelta<Item extends Named>(
+  from: readonly Item[],
+  to: readonly Item[],
+): ListDelta<Item> {
+  if (from === to) return {changed: [], removed: []};
+  const names = new Set(to.map(({name}) => name));
+  const same = new Set(from);
+  return {
+    changed: to.filter(item => !same.has(item)),
+    removed: from.map(({name}) => name).filter(name => !names.has(name)),
+  };
+}
+
+function mergeList<Item extends Named>(
+  items: readonly Item[],
+  {changed, removed}: ListDelta<Item>,
+): readonly Item[] {
+  if (changed.length === 0 && removed.length === 0) return items;
+  const merged = new Map(items.map(item => [item.name, item] as const));
+  for (const name of removed) merged.delete(name);
+  for (const item of changed) merged.set(item.name, item);
   return [...merged.values()].sort((left, right) =>
     left.name < right.name ? -1 : 1,
   );
