Fetch the newest view on request

A VM learns a new view by a push or within its fetch interval, so that a decision such as the refusal of a key can be made on a view without the key. ControlClient.refreshView asks the leader, and the other control VMs in turn if it does not answer, until the active view has every change acknowledged before the call or the time is over.

--- a/packages/control/src/control_client.ts
+++ b/packages/control/src/control_client.ts
@@ -111,6 +111,14 @@
     return this.viewAgeMilliseconds <= CURRENT_VIEW_MAXIMUM_AGE_MILLISECONDS;
   }
 
+  /**
+   * Resolves once a view is active that has all changes acknowledged before this
+   * call, or the time is over.
+   */
+  refreshView(timeoutMilliseconds: number): Promise<void> {
+    return this.distributor.refresh(timeoutMilliseconds);
+  }
+
   /**
    * Proposes a command to the log through any control VM that can reach the
    * leader.
--- a/packages/control/src/view_distributor.ts
+++ b/packages/control/src/view_distributor.ts
@@ -16,6 +16,7 @@
 import {applyDelta} from './view_delta.js';
 import {ViewHistory, ViewUpdate} from './view_history.js';
 import {ViewPusher} from './view_pusher.js';
+import {ViewRefresher} from './view_refresher.js';
 import {ViewStore} from './view_store.js';
 
 const FETCH_TIMEOUT_MILLISECONDS = 1_000;
@@ -69,6 +70,7 @@
   /** Children that currently do not answer pushes. */
   private readonly unreachableChildren = new Set<string>();
   private stopped = false;
+  private readonly refresher: ViewRefresher;
 
   private constructor(
     private readonly options: ViewDistributorOptions,
@@ -78,6 +80,12 @@
     this.newest = Observable.of(first);
     this.history = ViewHistory.of(first);
     this.tree = DistributionTree.of(options.machines.current);
+    this.refresher = ViewRefresher.create({
+      ...options,
+      root: () => this.root,
+      knownCurrentAt: () => this.knownCurrentAt,
+      fetchFrom: other => this.fetchUpdateFrom(other),
+    });
   }
 
   /** Starts from the stored view, if there is one. */
@@ -118,6 +126,14 @@
     return isNewestActive ? this.newestViewAge() : this.knownAge();
   }
 
+  /**
+   * Resolves once a view is active that has all changes acknowledged before this
+   * call, or the time is over.
+   */
+  refresh(timeoutMilliseconds: number): Promise<void> {
+    return this.refresher.refresh(timeoutMilliseconds);
+  }
+
   /** Stops pushing and fetching. */
   stop(): void {
     this.stopped = true;
@@ -290,24 +306,41 @@
   }
 
   private async fetchFrom(other: VirtualMachine): Promise<void> {
-    const {network, timer} = this.options;
-    const sentAt = timer.now();
     // A large update that takes longer than the interval must not be requested
     // again meanwhile: the link would carry nothing else.
     const wantsUpdate = !this.awaitsUpdate;
     if (wantsUpdate) this.awaitsUpdate = true;
-    const answer = await network.call(
+    const sentAt = this.options.timer.now();
+    const fetched = await this.callForView(
+      other,
+      wantsUpdate ? this.newest.current.index : NO_UPDATE_INDEX,
+    );
+    if (wantsUpdate) this.awaitsUpdate = false;
+    if (fetched !== undefined) void this.applyFetched(fetched, sentAt);
+  }
+
+  /** Fetches also while the answer to a periodic fetch is awaited. */
+  private async fetchUpdateFrom(
+    other: VirtualMachine,
+  ): Promise<FetchedView | undefined> {
+    const sentAt = this.options.timer.now();
+    const fetched = await this.callForView(other, this.newest.current.index);
+    if (fetched === undefined) return undefined;
+    await this.applyFetched(fetched, sentAt);
+    return this.view.current.index >= fetched.index ? fetched : undefined;
+  }
+
+  private async callForView(
+    other: VirtualMachine,
+    index: number,
+  ): Promise<FetchedView | undefined> {
+    const answer = await this.options.network.call(
       other.peerAddress,
       FETCH_VIEW,
-      {
-        index: wantsUpdate ? this.newest.current.index : NO_UPDATE_INDEX,
-        acceptsPacked: true,
-      },
+      {index, acceptsPacked: true},
       FETCH_TIMEOUT_MILLISECONDS,
     );
-    if (wantsUpdate) this.awaitsUpdate = false;
-    if (this.stopped) return;
-    answer.ifRight(fetched => void this.applyFetched(fetched, sentAt));
+    return this.stopped ? undefined : answer.toMaybe().extract();
   }
 
   private async applyFetched(
