Name the organisation in the request for work

The VM that works on a member needs the organisation for its connections and its queue. A routed statement now has the organisation of its caller; the request for work has its name and its priority, as organisationPriority, and log lines of attempts have the name. Neither has a digest of a key. A request without them is what it was.

Measured: 3 tests of the request pass.

--- a/packages/dispatch/src/routed_statement.ts
+++ b/packages/dispatch/src/routed_statement.ts
@@ -1,5 +1,9 @@
 import {LogPosition} from '@apricotlock/statement';
-import {CatalogueEntry, ServiceTerms} from '@apricotlock/topology';
+import {
+  CatalogueEntry,
+  Organisation,
+  ServiceTerms,
+} from '@apricotlock/topology';
 import {
   TransactionStart,
   WorkRequest,
@@ -23,6 +27,8 @@
   readonly receivedAt: number;
   /** The last write of the session, `undefined` if it has not written. */
   readonly ownWrite: OwnWrite | undefined;
+  /** The organisation of the caller, if it has one. */
+  readonly organisation?: Organisation | undefined;
 }
 
 /** The last write of a session, with the time of its acknowledgement. */
@@ -49,10 +55,12 @@
 
 /** Creates the request to the VM that works on the chosen member. */
 export function toWorkRequest(
-  {requestId, text, opens, values, terms, entry}: RoutedStatement,
+  statement: RoutedStatement,
   choice: Choice,
   objectiveMilliseconds: number,
 ): WorkRequest {
+  const {requestId, text, opens, values, terms, entry, organisation} =
+    statement;
   const {member, primaryTerm, floor, repeatable, timeoutMilliseconds} = choice;
   const waitMilliseconds = attemptQueueMilliseconds(
     choice.waitMilliseconds,
@@ -65,6 +73,10 @@
     priority: terms.priority,
     waitMilliseconds,
     objectiveMilliseconds,
+    ...(organisation !== undefined && {
+      organisation: organisation.name,
+      organisationPriority: organisation.priority,
+    }),
     first: {
       kind: 'run',
       requestId,
--- a/packages/dispatch/src/statement_router.ts
+++ b/packages/dispatch/src/statement_router.ts
@@ -396,7 +396,7 @@
   }
 
   private logAttempt(
-    {requestId, receivedAt}: RoutedStatement,
+    {requestId, receivedAt, organisation}: RoutedStatement,
     {member, primaryTerm, floor, floorAgeMilliseconds}: Choice,
     result: WorkResult,
     {machine}: WorkHandle,
@@ -404,6 +404,7 @@
     const {logger, timer, view} = this.options;
     const fields = {
       request: requestId,
+      organisation: organisation?.name,
       member,
       through: machine,
       primaryTerm,
--- /dev/null
+++ b/packages/dispatch/test/work_request_test.ts
@@ -0,0 +1,62 @@
+import {expect} from 'chai';
+import {CatalogueEntry, Organisation} from '@apricotlock/topology';
+import {RUN_WORK} from '@apricotlock/work';
+import {RoutedStatement} from '../src/index.js';
+import {Choice, toWorkRequest} from '../src/routed_statement.js';
+
+const ACME: Organisation = {
+  name: 'acme',
+  keyDigests: ['x'.repeat(43)],
+  priority: 3,
+};
+const CHOICE: Choice = {
+  member: 'm',
+  primaryTerm: 0,
+  floor: undefined,
+  repeatable: true,
+  timeoutMilliseconds: 100,
+  waitMilliseconds: 50,
+};
+
+function statementOf(organisation: Organisation | undefined): RoutedStatement {
+  return {
+    requestId: 'q1',
+    text: {kind: 'plain', text: 'READ a'},
+    opens: 'none',
+    values: [],
+    readOnly: true,
+    entry: {database: 'ledger'} as CatalogueEntry,
+    terms: {consistency: 'primary', statementMilliseconds: 100, priority: 0},
+    receivedAt: 0,
+    ownWrite: undefined,
+    organisation,
+  };
+}
+
+describe('toWorkRequest', () => {
+  // The VM that works on the member needs the name for its connections; digests
+  // of keys are of no use to it.
+  it('names the organisation and its priority, and no key', () => {
+    const request = toWorkRequest(statementOf(ACME), CHOICE, 80);
+    expect(request).to.include({organisation: 'acme', organisationPriority: 3});
+    expect(JSON.stringify(request)).to.not.include(ACME.keyDigests[0]);
+    expect(RUN_WORK.checkOpening(request).extract()).to.deep.equal(request);
+  });
+
+  it('is the same as before without an organisation', () => {
+    const request = toWorkRequest(statementOf(undefined), CHOICE, 80);
+    expect(request).to.not.have.any.keys(
+      'organisation',
+      'organisationPriority',
+    );
+    expect(RUN_WORK.checkOpening(request).isRight()).to.equal(true);
+  });
+
+  it('is refused with an organisation that is no name', () => {
+    const request = toWorkRequest(statementOf(ACME), CHOICE, 80);
+    for (const change of [{organisation: 7}, {organisationPriority: '3'}]) {
+      const check = RUN_WORK.checkOpening({...request, ...change});
+      expect(check.isLeft()).to.equal(true);
+    }
+  });
+});
--- a/packages/work/src/work_messages.ts
+++ b/packages/work/src/work_messages.ts
@@ -44,6 +44,8 @@
   readonly objectiveMilliseconds: number;
   /** The organisation for whose caller the work is done, if there is one. */
   readonly organisation?: string | undefined;
+  /** The priority of that organisation; 0 is the highest. */
+  readonly organisationPriority?: number | undefined;
   readonly first: WorkStatement;
 }
 
@@ -149,6 +151,14 @@
     first: 'object',
   });
   if (!outer) return false;
+  const {organisation, organisationPriority} = candidate as Record<
+    string,
+    unknown
+  >;
+  if (!['undefined', 'string'].includes(typeof organisation)) return false;
+  if (!['undefined', 'number'].includes(typeof organisationPriority)) {
+    return false;
+  }
   return hasFields((candidate as WorkRequest).first, {
     requestId: 'string',
     text: 'object',
