Identify callers by their keys, and ask the quota before each operation

A caller's identity was ignored. With organisations in the catalogue, a session now looks the digest of its key up in the newest view when it starts and at each request outside an open transaction; requests that need no member are checked, too. An unknown key causes one fetch of a newer view, for at most 500 ms, and then gets NOAUTH, after which the session is closed. A transaction that was open when this VM learned that its key was revoked may continue for 1 s and is then rolled back. A VM whose view no quorum has confirmed accepts nobody by a key that this view has. Entries with allowsAnonymous serve anybody, and without organisations any word is an identity, as before.

An operation of an organisation first acquires from the quota, if there is one; a refusal is answered as not run with its retry time, and what no member has run is given back. The waits are part of the statement's time, and a statement without time left is not run. Failures by key are counted as kind unauthenticated, refusals by quota in apricotlock_quota_refusals_total; log lines have the organisation's name.

Two tests of StatementSession pass the authenticator that it now needs; what they check is unchanged.

--- /dev/null
+++ b/packages/dispatch/src/authenticator.ts
@@ -0,0 +1,100 @@
+import {Observable} from '@apricotlock/flow';
+import {TimerService} from '@apricotlock/timer';
+import {Catalogue, ClusterView, findEntry} from '@apricotlock/topology';
+import {
+  CallerIdentity,
+  identifyCaller,
+  organisationsByDigest,
+} from './caller_identity.js';
+import {ViewFreshness} from './view_freshness.js';
+
+/** The longest wait for a newer view before a key is refused as unknown. */
+const REFRESH_MILLISECONDS = 500;
+/**
+ * How long an open transaction may continue after this VM has learned that its
+ * caller's key was revoked. Views reach all VMs within 3 s, and no member may run
+ * statements for a revoked key later than 4 s after the acknowledgement.
+ */
+const TRANSACTION_GRACE_MILLISECONDS = 1_000;
+
+/** Dependencies of the authenticator. */
+export interface AuthenticatorOptions {
+  readonly view: Observable<ClusterView>;
+  readonly timer: TimerService;
+  /** If omitted, the view is regarded as the newest one. */
+  readonly freshness?: ViewFreshness | undefined;
+}
+
+/** What a caller presented when its session started. */
+export interface PresentedCredential {
+  readonly database: string;
+  /** The digest of the caller's key; `undefined` if it has none. */
+  readonly digest: string | undefined;
+}
+
+/**
+ * The identity of a caller, or `unconfirmed` if the view of this VM may be older
+ * than one in which the key was revoked.
+ */
+export type Authentication = CallerIdentity | {readonly kind: 'unconfirmed'};
+
+/** Identifies the callers of one VM by the newest view. */
+export class Authenticator {
+  private catalogue: Catalogue;
+  /** When this VM learned that keys were revoked; old ones are dropped. */
+  private revokedAt: ReadonlyMap<string, number> = new Map();
+
+  private constructor(private readonly options: AuthenticatorOptions) {
+    this.catalogue = options.view.current.catalogue;
+    options.view.subscribe(({catalogue}) => this.recordRevoked(catalogue));
+  }
+
+  /** Creates the authenticator of a VM. */
+  static create(options: AuthenticatorOptions): Authenticator {
+    return new Authenticator(options);
+  }
+
+  /**
+   * Identifies the caller of an operation or session that is about to start. If
+   * its key is unknown, a newer view is fetched first.
+   */
+  async authenticate(credential: PresentedCredential): Promise<Authentication> {
+    const {freshness} = this.options;
+    const isConfirmed = () => freshness?.isConfirmed ?? true;
+    const identity = this.identify(credential);
+    if (identity.kind === 'anonymous') return identity;
+    if (identity.kind === 'organisation' && isConfirmed()) return identity;
+    await freshness?.refresh(REFRESH_MILLISECONDS);
+    const newest = this.identify(credential);
+    if (newest.kind === 'anonymous' || isConfirmed()) return newest;
+    return {kind: 'unconfirmed'};
+  }
+
+  /** Returns whether a transaction that is open may run another statement. */
+  mayContinue(credential: PresentedCredential): boolean {
+    if (this.identify(credential).kind !== 'unauthenticated') return true;
+    const revokedAt = this.revokedAt.get(credential.digest ?? '') ?? -Infinity;
+    const elapsed = this.options.timer.now() - revokedAt;
+    return elapsed < TRANSACTION_GRACE_MILLISECONDS;
+  }
+
+  private identify({database, digest}: PresentedCredential): CallerIdentity {
+    const {catalogue} = this.options.view.current;
+    return identifyCaller(catalogue, findEntry(catalogue, database), digest);
+  }
+
+  private recordRevoked(catalogue: Catalogue): void {
+    const before = this.catalogue;
+    this.catalogue = catalogue;
+    if (before.organisations === catalogue.organisations) return;
+    const now = this.options.timer.now();
+    const current = organisationsByDigest(catalogue);
+    const recent = [...this.revokedAt].filter(
+      ([, at]) => now - at < TRANSACTION_GRACE_MILLISECONDS,
+    );
+    const revoked = [...organisationsByDigest(before).keys()]
+      .filter(digest => !current.has(digest))
+      .map(digest => [digest, now] as const);
+    this.revokedAt = new Map([...recent, ...revoked]);
+  }
+}
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -6,6 +6,13 @@
  * @packageDocumentation
  */
 export {type RouteOutcome} from './attempt.js';
+export {
+  Authenticator,
+  type Authentication,
+  type AuthenticatorOptions,
+  type PresentedCredential,
+} from './authenticator.js';
+export {type CallerIdentity, identifyCaller} from './caller_identity.js';
 export {
   IsolationDetector,
   type IsolationDetectorOptions,
@@ -51,4 +58,5 @@
   type DispatchedWork,
   type WorkDispatcherOptions,
 } from './work_dispatcher.js';
+export {ViewFreshness} from './view_freshness.js';
 export {WorkHandle, type WorkResult} from './work_handle.js';
--- a/packages/dispatch/src/session_host.ts
+++ b/packages/dispatch/src/session_host.ts
@@ -1,11 +1,14 @@
 import {Observable} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
+import {OperationQuota} from '@apricotlock/quota';
 import {CallerConnection} from '@apricotlock/statement';
 import {TimerService} from '@apricotlock/timer';
 import {ClusterView} from '@apricotlock/topology';
+import {Authenticator} from './authenticator.js';
 import {SessionObserver} from './session_observer.js';
 import {StatementRouter} from './statement_router.js';
 import {StatementSession} from './statement_session.js';
+import {ViewFreshness} from './view_freshness.js';
 
 const DRAIN_POLL_MILLISECONDS = 20;
 
@@ -16,14 +19,21 @@
   readonly timer: TimerService;
   readonly logger: Logger;
   readonly observer: SessionObserver;
+  /** If omitted, the view is regarded as the newest one. */
+  readonly freshness?: ViewFreshness | undefined;
+  /** If omitted, the operations of organisations are not limited. */
+  readonly quota?: OperationQuota | undefined;
 }
 
 /** Runs the sessions of the callers of this VM. */
 export class SessionHost {
   private readonly sessions = new Set<StatementSession>();
   private draining = false;
+  private readonly authenticator: Authenticator;
 
-  private constructor(private readonly options: SessionHostOptions) {}
+  private constructor(private readonly options: SessionHostOptions) {
+    this.authenticator = Authenticator.create(options);
+  }
 
   /** Creates a host without sessions. */
   static create(options: SessionHostOptions): SessionHost {
@@ -37,7 +47,11 @@
 
   /** Serves a caller's connection until it ends. */
   async serve(link: CallerConnection): Promise<void> {
-    const session = StatementSession.create({...this.options, link});
+    const session = StatementSession.create({
+      ...this.options,
+      authenticator: this.authenticator,
+      link,
+    });
     this.sessions.add(session);
     if (this.draining) void session.drain();
     try {
--- a/packages/dispatch/src/session_observer.ts
+++ b/packages/dispatch/src/session_observer.ts
@@ -11,4 +11,10 @@
 
   /** Called when a request has failed or a session was refused. */
   abstract onFailure(kind: CallerFailure['kind']): void;
+
+  /**
+   * Called when an operation was refused by the quota of its organisation, which
+   * is also reported as a failure of kind `notRun`.
+   */
+  abstract onQuotaRefusal(): void;
 }
--- a/packages/dispatch/src/statement_session.ts
+++ b/packages/dispatch/src/statement_session.ts
@@ -1,23 +1,29 @@
 import {Either} from 'purify-ts';
 import {Observable, TIMED_OUT, withTimeout} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
+import {OperationQuota} from '@apricotlock/quota';
 import {
   CallerAnswer,
   CallerFailure,
   CallerConnection,
   CallerRequest,
   laterPosition,
+  SessionStart,
   SessionState,
   Statement,
   StatementAnswer,
 } from '@apricotlock/statement';
 import {TimerService} from '@apricotlock/timer';
 import {ClusterView, Consistency, ServiceTerms} from '@apricotlock/topology';
+import {Authenticator} from './authenticator.js';
 import {toCallerFailure, toTransactionFailure} from './caller_failure.js';
 import {ForwardedStatement, SessionContext} from './session_context.js';
 import {StatementRouter} from './statement_router.js';
 import {CatalogueLookup} from './catalogue_lookup.js';
+import {runWithinQuota} from './operation_admission.js';
+import {RequestRecorder} from './request_recorder.js';
 import {OwnWrite} from './routed_statement.js';
+import {SessionCaller} from './session_caller.js';
 import {SessionObserver} from './session_observer.js';
 import {
   NO_TRANSACTION,
@@ -35,6 +41,8 @@
   priority: 0,
 };
 
+const NOT_STARTED: SessionStart = {database: '', credential: undefined};
+
 /** Dependencies of a session. */
 export interface StatementSessionOptions {
   readonly link: CallerConnection;
@@ -43,11 +51,14 @@
   readonly timer: TimerService;
   readonly logger: Logger;
   readonly observer: SessionObserver;
+  readonly authenticator: Authenticator;
+  /** If omitted, the operations of organisations are not limited. */
+  readonly quota?: OperationQuota | undefined;
 }
 
 /** The session of one caller, from its first message to its last. */
 export class StatementSession {
-  private database = '';
+  private caller: SessionCaller;
   private context = SessionContext.EMPTY;
   private transaction: SessionTransaction = NO_TRANSACTION;
   private ownWrite: OwnWrite | undefined;
@@ -59,10 +70,14 @@
   /** When the caller connected, on the timer's clock. */
   readonly begunAt: number;
   private readonly catalogue: CatalogueLookup;
+  private readonly recorder: RequestRecorder;
 
   private constructor(private readonly options: StatementSessionOptions) {
     this.begunAt = options.timer.now();
     this.catalogue = CatalogueLookup.of(options.view, options.timer);
+    this.recorder = RequestRecorder.create(options);
+    const {authenticator} = options;
+    this.caller = SessionCaller.of(NOT_STARTED, authenticator);
   }
 
   /** Creates a session that has not begun. */
@@ -95,7 +110,13 @@
       });
       return link.reject({kind: 'unknownDatabase', database});
     }
-    this.database = database;
+    const caller = SessionCaller.of(start, this.options.authenticator);
+    this.caller = caller;
+    const refusal = await caller.identify();
+    if (refusal !== undefined) {
+      this.recorder.recordRefusedStart(database, refusal.kind);
+      return link.reject(refusal);
+    }
     link.accept();
     await this.serveRequests();
     this.endTransaction();
@@ -122,9 +143,14 @@
       this.processing = true;
       const receivedAt = this.options.timer.now();
       const answer = await this.processRequest(request, receivedAt);
-      this.recordOutcome(request, answer, receivedAt);
+      this.recorder.recordAnswer(request, answer, receivedAt, {
+        database: this.caller.database,
+        consistency: this.consistency,
+        organisation: this.caller.organisation?.name,
+      });
       this.options.link.answer(answer);
       this.processing = false;
+      if (isUnauthenticated(answer)) return;
       if (this.draining && !this.busy) return;
     }
   }
@@ -165,6 +191,8 @@
         reason: 'the transaction exceeded its idle time limit',
       });
     }
+    const refusal = await this.checkCaller();
+    if (refusal !== undefined) return this.fail(refusal);
     if (statement.isLeft()) {
       return this.fail({
         kind: 'malformed',
@@ -180,6 +208,24 @@
       : this.forwardToMember(id, forwarded.unsafeCoerce(), receivedAt);
   }
 
+  /**
+   * Checks that the caller may still be served: an open transaction may continue
+   * for a short time after its key was revoked, and anything else not at all.
+   */
+  private async checkCaller(): Promise<CallerFailure | undefined> {
+    const {transaction, caller} = this;
+    if (transaction.kind === 'none' || transaction.kind === 'begun') {
+      const refusal = await caller.identify();
+      if (refusal !== undefined) this.transaction = NO_TRANSACTION;
+      return refusal;
+    }
+    if (caller.mayContinue()) return undefined;
+    this.endTransaction();
+    this.transaction = NO_TRANSACTION;
+    const reason = 'the key of the transaction is no longer valid';
+    return {kind: 'rolledBack', reason};
+  }
+
   /** Answers a statement that needs no member; `undefined` for any other. */
   private answerLocally(statement: Statement): CallerAnswer | undefined {
     const failed = this.transaction.kind === 'failed';
@@ -257,7 +303,8 @@
     transaction: Extract<SessionTransaction, {kind: 'none' | 'begun'}>,
     receivedAt: number,
   ): Promise<CallerAnswer> {
-    const {database} = this;
+    const {database, organisation} = this.caller;
+    const {quota, timer, router, observer} = this.options;
     const entry = this.catalogue.entryOf(database);
     if (entry === undefined) {
       this.transaction = NO_TRANSACTION;
@@ -265,17 +312,28 @@
     }
     const terms = entry.terms ?? DEFAULT_TERMS;
     const opens = opensFor(transaction);
-    const outcome = await this.options.router.route({
-      requestId: id,
-      text: statement.text,
-      opens,
-      values: this.context.values,
-      readOnly: opens === 'none' ? statement.readOnly : opens !== 'transaction',
-      entry,
-      terms,
-      receivedAt,
-      ownWrite: this.ownWrite,
-    });
+    const run = () =>
+      router.route({
+        requestId: id,
+        text: statement.text,
+        opens,
+        values: this.context.values,
+        readOnly:
+          opens === 'none' ? statement.readOnly : opens !== 'transaction',
+        entry,
+        terms,
+        receivedAt,
+        ownWrite: this.ownWrite,
+        organisation,
+      });
+    const operation = {organisation, terms, receivedAt};
+    const {outcome, refusedByQuota} = await runWithinQuota(
+      operation,
+      quota,
+      timer,
+      run,
+    );
+    if (refusedByQuota) observer.onQuotaRefusal();
     if (outcome.kind !== 'answered') {
       this.transaction = NO_TRANSACTION;
       return this.fail(toCallerFailure(outcome));
@@ -361,7 +419,8 @@
   }
 
   private get consistency(): Consistency {
-    const terms = this.catalogue.entryOf(this.database)?.terms ?? DEFAULT_TERMS;
+    const terms =
+      this.catalogue.entryOf(this.caller.database)?.terms ?? DEFAULT_TERMS;
     return terms.consistency;
   }
 
@@ -383,28 +442,8 @@
   private fail(failure: CallerFailure): CallerAnswer {
     return {kind: 'failure', failure, state: this.state, position: undefined};
   }
+}
 
-  private recordOutcome(
-    {id}: CallerRequest,
-    reply: CallerAnswer,
-    receivedAt: number,
-  ): void {
-    const {observer, logger, timer} = this.options;
-    const elapsed = timer.now() - receivedAt;
-    const entry = this.database;
-    if (reply.kind !== 'failure') {
-      if (reply.kind === 'member') observer.onAnswer(this.consistency, elapsed);
-      return;
-    }
-    const {failure} = reply;
-    observer.onFailure(failure.kind);
-    logger.info('request failed', {
-      request: id,
-      entry,
-      outcome: failure.kind,
-      reason: 'reason' in failure ? failure.reason : undefined,
-      elapsed: Math.round(elapsed),
-      view: this.options.view.current.index,
-    });
-  }
+function isUnauthenticated(answer: CallerAnswer): boolean {
+  return answer.kind === 'failure' && answer.failure.kind === 'unauthenticated';
 }
--- a/packages/dispatch/test/statement_session_test.ts
+++ b/packages/dispatch/test/statement_session_test.ts
@@ -12,6 +12,7 @@
 import {ManualTimerService} from '@apricotlock/timer';
 import {CatalogueEntry, EMPTY_VIEW} from '@apricotlock/topology';
 import {
+  Authenticator,
   SessionObserver,
   StatementRouter,
   StatementSession,
@@ -97,6 +98,10 @@
   override onFailure(): void {
     this.count += 1;
   }
+
+  override onQuotaRefusal(): void {
+    this.count += 1;
+  }
 }
 
 describe('StatementSession', () => {
@@ -104,12 +109,14 @@
     const timer = ManualTimerService.create();
     const link = new SlowlyReadConnection();
     const entry = {name: 'writes', database: 'ledger'} as CatalogueEntry;
+    const view = Observable.of({
+      ...EMPTY_VIEW,
+      catalogue: {version: 1, entries: [entry]},
+    });
     const session = StatementSession.create({
       link,
-      view: Observable.of({
-        ...EMPTY_VIEW,
-        catalogue: {version: 1, entries: [entry]},
-      }),
+      view,
+      authenticator: Authenticator.create({view, timer}),
       router: undefined as unknown as StatementRouter,
       timer,
       logger: Logger.silent(),
@@ -126,9 +133,11 @@
   it('closes a connection whose caller sends nothing', async () => {
     const timer = ManualTimerService.create();
     const link = new SilentConnection();
+    const view = Observable.of(EMPTY_VIEW);
     const session = StatementSession.create({
       link,
-      view: Observable.of(EMPTY_VIEW),
+      view,
+      authenticator: Authenticator.create({view, timer}),
       router: undefined as unknown as StatementRouter,
       timer,
       logger: Logger.silent(),
--- a/packages/program/src/entry_program.ts
+++ b/packages/program/src/entry_program.ts
@@ -7,6 +7,7 @@
   VirtualMachineHealth,
   SessionHost,
   StatementRouter,
+  ViewFreshness,
   WorkDispatcher,
 } from '@apricotlock/dispatch';
 import {Observable} from '@apricotlock/flow';
@@ -117,7 +118,8 @@
       primaryPositions: positions,
       isIsolated: () => detector.isIsolated,
     });
-    const host = SessionHost.create({...shared, router, observer});
+    const freshness = readFreshness(control);
+    const host = SessionHost.create({...shared, router, observer, freshness});
     const program = new EntryProgram(context, control, work, host, detector);
     timer.every(IDLE_CHECK_INTERVAL_MILLISECONDS, () =>
       program.closeIdleIfIsolated(),
@@ -232,6 +234,16 @@
   }
 }
 
+/** Returns what the sessions of this VM need to know of the age of its view. */
+function readFreshness(control: ControlClient): ViewFreshness {
+  return {
+    get isConfirmed() {
+      return control.viewAgeMilliseconds < Infinity;
+    },
+    refresh: milliseconds => control.refreshView(milliseconds),
+  };
+}
+
 /** Returns this VM's connectivity; `undefined` before its first view. */
 function readConnectivity(
   {viewAgeMilliseconds}: ControlClient,
--- a/packages/program/src/session_metrics.ts
+++ b/packages/program/src/session_metrics.ts
@@ -19,6 +19,7 @@
 export class SessionMetrics extends SessionObserver {
   private readonly latencies: LatencySummarySet;
   private readonly failures = CounterSet.create();
+  private readonly quotaRefusals = CounterSet.create();
   private readonly drainingWork = CounterSet.create();
   private gauges: readonly Gauge[] = [];
 
@@ -40,6 +41,10 @@
     this.failures.increment(`kind="${kind}"`);
   }
 
+  override onQuotaRefusal(): void {
+    this.quotaRefusals.increment('kind="operation"');
+  }
+
   /** Counts work that this VM began on a member that was draining. */
   onDrainingWork(role: MemberRole): void {
     this.drainingWork.increment(`role="${role}"`);
@@ -58,6 +63,11 @@
         'Statements and sessions that failed, by kind',
         this.failures,
       ),
+      ...renderCounters(
+        'apricotlock_quota_refusals_total',
+        'Operations refused by the quota of their organisation',
+        this.quotaRefusals,
+      ),
       ...renderCounters(
         'apricotlock_draining_member_work_total',
         'Statements and transactions begun on a draining member, by its role',
