Send no statement to a member for a key that was revoked meanwhile

A statement that is held for a primary, or repeated, could be sent to a member for up to its time limit after its caller's key was revoked. The router now asks before each attempt whether the key still permits the statement, by the rule of open transactions: until 1 s after this VM learned of the revocation.

--- a/packages/dispatch/src/routed_statement.ts
+++ b/packages/dispatch/src/routed_statement.ts
@@ -29,6 +29,11 @@
   readonly ownWrite: OwnWrite | undefined;
   /** The organisation of the caller, if it has one. */
   readonly organisation?: Organisation | undefined;
+  /**
+   * Returns whether the caller's key still permits the statement; asked before
+   * each attempt, as a statement may be held for long during a failover.
+   */
+  readonly mayRun?: (() => boolean) | undefined;
 }
 
 /** The last write of a session, with the time of its acknowledgement. */
--- a/packages/dispatch/src/statement_router.ts
+++ b/packages/dispatch/src/statement_router.ts
@@ -236,6 +236,9 @@
     choice: Choice,
   ): Promise<Attempt> {
     const {dispatcher, timer} = this.options;
+    if (statement.mayRun?.() === false) {
+      return retryable('the key of the caller is no longer valid');
+    }
     const remainingObjective = this.remainingObjectiveMilliseconds(statement);
     const request = toWorkRequest(statement, choice, remainingObjective);
     const late = remainingObjective <= 0;
--- a/packages/dispatch/src/statement_session.ts
+++ b/packages/dispatch/src/statement_session.ts
@@ -325,6 +325,7 @@
         receivedAt,
         ownWrite: this.ownWrite,
         organisation,
+        mayRun: () => this.caller.mayContinue(),
       });
     const operation = {organisation, terms, receivedAt};
     const {outcome, refusedByQuota} = await runWithinQuota(
--- a/packages/dispatch/test/statement_router_test.ts
+++ b/packages/dispatch/test/statement_router_test.ts
@@ -183,6 +183,19 @@
     expect(outcome.kind).to.equal('unknown');
   });
 
+  // A statement that is held during a failover would otherwise run for a revoked
+  // key long after all VMs have learned of the revocation.
+  it('sends a statement to no member once its key is revoked', async () => {
+    const router = createRouter([]);
+    let revoked = false;
+    const outcome = router.route({...readStatement(), mayRun: () => !revoked});
+    while (dispatcher.requests.length === 0) await timer.advanceAsync(10);
+    revoked = true;
+    await timer.advanceAsync(1_000);
+    expect((await outcome).kind).to.equal('notRun');
+    expect(dispatcher.requests).to.have.length(1);
+  });
+
   it('asks overloaded members seldom, however many statements arrive', async () => {
     const router = createRouter([], FULL);
     const arrivals = 100;
