Accept organisations in the product's own catalogue

PUT /v1/catalogue and apricotctl catalogue put took entries only. They now take organisations with keys in clear text or with the digests that GET returns, and propose digests; without the field the organisations remain as they are. Invalid ones are refused together with invalid entries, by position and without values, and so is a body or file that is not JSON: the message of a syntax error quotes the text. catalogue diff compares keys by digest.

--- a/packages/apricotctl/src/catalogue_commands.ts
+++ b/packages/apricotctl/src/catalogue_commands.ts
@@ -10,7 +10,11 @@
   exitWith,
 } from './command_context.js';
 import {ExitCode} from './exit_code.js';
-import {catalogueChanges, withAssignments} from './catalogue_edit.js';
+import {
+  catalogueChanges,
+  organisationChanges,
+  withAssignments,
+} from './catalogue_edit.js';
 import {OutputTable, writeAnswer} from './output.js';
 
 /** Flags of the commands that change the state of the system. */
@@ -44,6 +48,7 @@
       baseVersion,
       wanted.entries,
       flags.wait,
+      wanted.organisations,
     ),
   );
   reportChange(flags, report);
@@ -88,10 +93,13 @@
   flags: CommonFlags & {readonly file: string},
 ): Promise<void> {
   const wanted = readCatalogueFile(flags.file);
-  const {version, entries} = answerOrExit(
+  const {version, entries, organisations} = answerOrExit(
     await createClient(flags).catalogue(),
   );
-  const changes = catalogueChanges(entries, wanted.entries);
+  const changes = [
+    ...catalogueChanges(entries, wanted.entries),
+    ...organisationChanges(organisations, wanted.organisations),
+  ];
   const answer = {version, madeFrom: wanted.version, changes};
   writeAnswer(flags.output, answer, {
     columns: ['CHANGE', 'PATH', 'NOW', 'WANTED'],
@@ -143,6 +151,8 @@
 interface CatalogueFile {
   readonly version: number;
   readonly entries: readonly unknown[];
+  /** With keys in clear text, or with digests; if absent, they remain. */
+  readonly organisations: readonly unknown[] | undefined;
 }
 
 /**
@@ -155,13 +165,23 @@
   try {
     parsed = JSON.parse(readFileSync(path === '-' ? 0 : path, 'utf8'));
   } catch (failure) {
-    exitWith(ExitCode.USAGE, `${path}: ${String(failure)}`);
+    // The message of a syntax error quotes the file, which may have keys.
+    const reason =
+      failure instanceof SyntaxError ? 'not JSON' : String(failure);
+    exitWith(ExitCode.USAGE, `${path}: ${reason}`);
   }
-  const {version, entries} = parsed as Partial<CatalogueFile>;
+  const {version, entries, organisations} = parsed as Partial<CatalogueFile>;
   if (!Array.isArray(entries)) {
     exitWith(ExitCode.USAGE, `${path}: "entries" is missing`);
   }
-  return {version: version ?? 0, entries: entries as readonly unknown[]};
+  if (organisations !== undefined && !Array.isArray(organisations)) {
+    exitWith(ExitCode.USAGE, `${path}: "organisations" is not a list`);
+  }
+  return {
+    version: version ?? 0,
+    entries: entries as readonly unknown[],
+    organisations: organisations as readonly unknown[] | undefined,
+  };
 }
 
 function catalogueTable(catalogue: Catalogue): OutputTable {
--- a/packages/apricotctl/src/catalogue_edit.ts
+++ b/packages/apricotctl/src/catalogue_edit.ts
@@ -1,6 +1,6 @@
 import {isDeepStrictEqual} from 'node:util';
 import {Either, Left, Right} from 'purify-ts';
-import {CatalogueEntry} from '@apricotlock/topology';
+import {CatalogueEntry, digestOfKey, Organisation} from '@apricotlock/topology';
 
 type Json = unknown;
 type JsonObject = Readonly<Record<string, Json>>;
@@ -75,6 +75,32 @@
   ];
 }
 
+/**
+ * Returns the differences between the organisations of the catalogue and those of
+ * a file. Keys in the file are compared, and shown, as their digests. A file
+ * without organisations changes none.
+ */
+export function organisationChanges(
+  now: readonly Organisation[] = [],
+  wanted: readonly unknown[] | undefined,
+): readonly CatalogueChange[] {
+  if (wanted === undefined) return [];
+  return catalogueChanges(now, wanted.map(withDigests)).map(change => ({
+    ...change,
+    path: `organisations.${change.path}`,
+  }));
+}
+
+function withDigests(organisation: unknown): unknown {
+  if (!isObject(organisation)) return organisation;
+  const {keys, keyDigests, ...others} = organisation;
+  const digests = [
+    ...(Array.isArray(keyDigests) ? (keyDigests as unknown[]) : []),
+    ...(Array.isArray(keys) ? keys.map(key => digestOfKey(String(key))) : []),
+  ];
+  return {...others, keyDigests: [...new Set(digests)]};
+}
+
 function valueChanges(
   path: string,
   now: Json,
--- a/packages/apricotctl/src/index.ts
+++ b/packages/apricotctl/src/index.ts
@@ -6,6 +6,7 @@
  */
 export {
   catalogueChanges,
+  organisationChanges,
   withAssignments,
   type CatalogueChange,
 } from './catalogue_edit.js';
--- a/packages/apricotctl/test/catalogue_edit_test.ts
+++ b/packages/apricotctl/test/catalogue_edit_test.ts
@@ -1,6 +1,11 @@
 import {expect} from 'chai';
-import {CatalogueEntry} from '@apricotlock/topology';
-import {catalogueChanges, parseSince, withAssignments} from '../src/index.js';
+import {CatalogueEntry, digestOfKey} from '@apricotlock/topology';
+import {
+  catalogueChanges,
+  organisationChanges,
+  parseSince,
+  withAssignments,
+} from '../src/index.js';
 
 const BOOKING: CatalogueEntry = {
   name: 'booking',
@@ -43,6 +48,28 @@
     });
   });
 
+  describe('organisationChanges', () => {
+    const acme = {name: 'acme', keyDigests: [digestOfKey('one')], priority: 0};
+
+    it('compares keys by their digests, and shows none', () => {
+      const same = {name: 'acme', keys: ['one'], priority: 0};
+      expect(organisationChanges([acme], [same])).to.deep.equal([]);
+      const changes = organisationChanges([acme], [{...same, keys: ['two']}]);
+      expect(changes).to.deep.equal([
+        {
+          kind: 'change',
+          path: 'organisations.acme.keyDigests',
+          now: acme.keyDigests,
+          wanted: [digestOfKey('two')],
+        },
+      ]);
+    });
+
+    it('finds none if the file has no organisations', () => {
+      expect(organisationChanges([acme], undefined)).to.deep.equal([]);
+    });
+  });
+
   describe('parseSince', () => {
     it('accepts an index or a time', () => {
       expect(parseSince('12')).to.deep.equal({afterIndex: 12, from: 0});
--- a/packages/operator/src/operator_client.ts
+++ b/packages/operator/src/operator_client.ts
@@ -67,16 +67,23 @@
   /**
    * Replaces the catalogue if its version is still `baseVersion`, and fails
    * with a conflict otherwise. With `wait`, the answer names the VMs that have
-   * not confirmed the change.
+   * not confirmed the change. Organisations are sent with their keys in clear text,
+   * or with digests; without any list of them, they remain as they are.
    */
   putCatalogue(
     changeId: string,
     baseVersion: number,
     entries: readonly unknown[],
     wait: boolean,
+    organisations?: readonly unknown[],
   ): Promise<Either<OperatorError, ChangeReport>> {
     const path = wait ? '/v1/catalogue?wait=1' : '/v1/catalogue';
-    return this.send('PUT', path, {changeId, baseVersion, entries});
+    return this.send('PUT', path, {
+      changeId,
+      baseVersion,
+      entries,
+      organisations,
+    });
   }
 
   /** Drains, removes or reactivates a backend server. */
--- a/packages/operator/src/operator_messages.ts
+++ b/packages/operator/src/operator_messages.ts
@@ -52,11 +52,15 @@
   readonly missing?: readonly string[];
 }
 
-/** The body of `PUT /v1/catalogue`; the entries are validated separately. */
+/**
+ * The body of `PUT /v1/catalogue`; entries and organisations are validated
+ * separately. Without organisations, they remain as they are.
+ */
 export const putCatalogueSchema = z.strictObject({
   changeId: z.string().min(1).max(200),
   baseVersion: z.int().min(0),
   entries: z.array(z.unknown()),
+  organisations: z.array(z.unknown()).optional(),
 });
 
 /** The query of `GET /v1/audit`. */
--- a/packages/operator/src/operator_server.ts
+++ b/packages/operator/src/operator_server.ts
@@ -14,12 +14,8 @@
 import {Announcement, readAnnouncement} from '@apricotlock/member';
 import {KeyRing, UnauthenticatedConnectionGuard} from '@apricotlock/peer';
 import {TimerService} from '@apricotlock/timer';
-import {
-  Address,
-  Catalogue,
-  validateEntries,
-  MemberState,
-} from '@apricotlock/topology';
+import {Address, Catalogue, MemberState} from '@apricotlock/topology';
+import {validateContent} from './catalogue_content.js';
 import {createOperatorListener, OperatorTls} from './operator_listener.js';
 import {
   auditQuerySchema,
@@ -211,8 +207,8 @@
     if (!body.success) {
       return reply.code(HTTP_BAD_REQUEST).send({error: body.error.message});
     }
-    const {changeId, baseVersion, entries} = body.data;
-    const validated = validateEntries(entries);
+    const {changeId, baseVersion, entries, organisations} = body.data;
+    const validated = validateContent(entries, organisations);
     if (validated.isLeft()) {
       const faults = validated.extract();
       return reply.code(HTTP_UNPROCESSABLE).send({result: 'refused', faults});
@@ -221,7 +217,7 @@
       kind: 'putCatalogue',
       origin: this.origin(request, changeId),
       baseVersion,
-      entries: validated.unsafeCoerce(),
+      ...validated.unsafeCoerce(),
     };
     return this.proposeChange(command, request, reply);
   }
--- a/packages/operator/test/operator_server_test.ts
+++ b/packages/operator/test/operator_server_test.ts
@@ -5,6 +5,8 @@
 import {createKeyRing, KeyRing} from '@apricotlock/peer';
 import {TestAuthority, testPort} from '@apricotlock/testing';
 import {SystemTimerService} from '@apricotlock/timer';
+import {ControlCommand} from '@apricotlock/control';
+import {digestOfKey} from '@apricotlock/topology';
 import {OperatorBackend, OperatorClient, OperatorServer} from '../src/index.js';
 import {OperatorTls} from '../src/operator_listener.js';
 
@@ -12,8 +14,14 @@
 const BODY_BYTES = 15_000_000;
 const CLOSE_LIMIT_MILLISECONDS = 4_000;
 
+const proposed: ControlCommand[] = [];
 const backend = {
+  propose: async (command: ControlCommand) => {
+    proposed.push(command);
+    return Right({kind: 'accepted', index: 1, version: 1});
+  },
   isReady: () => true,
+  wallClock: () => 0,
   metrics: async () => 'a_metric 1\n',
   status: () => ({machine: 'vm-1'}),
   audit: async () => Right([]),
@@ -71,6 +79,56 @@
     });
   });
 
+  describe('organisations in a catalogue', () => {
+    const put = (organisations?: readonly unknown[]) =>
+      OperatorClient.create(ADDRESS, 'new token', 'test').putCatalogue(
+        'change',
+        0,
+        [],
+        false,
+        organisations,
+      );
+    const acme = {name: 'acme', priority: 1};
+
+    it('are proposed with digests in place of their keys', async () => {
+      await start();
+      const stored = {...acme, keyDigests: [digestOfKey('SECRET')]};
+      for (const sent of [{...acme, keys: ['SECRET']}, stored]) {
+        expect((await put([sent])).isRight()).to.equal(true);
+        expect(proposed.at(-1)).to.deep.include({organisations: [stored]});
+      }
+      expect(JSON.stringify(proposed)).to.not.include('SECRET');
+    });
+
+    // An apricotctl of an earlier version sends entries only.
+    it('are not part of the proposal if none were sent', async () => {
+      await start();
+      await put();
+      expect(proposed.at(-1)).to.not.have.property('organisations');
+    });
+
+    it('are refused by position if a key is malformed or not JSON', async () => {
+      await start();
+      const answer = await put([{...acme, keys: ['SECRET with spaces']}]);
+      const text = JSON.stringify(answer.extract());
+      expect(text).to.include('organisations[0].keys[0]');
+      expect(text).to.not.include('SECRET');
+      const response = await fetch(
+        `http://${ADDRESS.host}:${ADDRESS.port}/v1/catalogue`,
+        {
+          method: 'PUT',
+          headers: {
+            authorization: 'Bearer new token',
+            'content-type': 'application/json',
+          },
+          body: '{"keys": SECRET',
+        },
+      );
+      expect(response.status).to.equal(400);
+      expect(await response.text()).to.not.include('SECRET');
+    });
+  });
+
   describe('TLS', () => {
     it('authenticates the API and uses a renewed certificate', async () => {
       const authority = await TestAuthority.create('operators');
--- a/packages/topology/src/catalogue.ts
+++ b/packages/topology/src/catalogue.ts
@@ -1,5 +1,9 @@
 import {z} from 'zod';
 import {Either, Left, Right} from 'purify-ts';
+import {
+  CatalogueValidationError,
+  toValidationErrors,
+} from './catalogue_validation_error.js';
 import {Organisation} from './organisation.js';
 
 const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,252}$/;
@@ -157,13 +161,6 @@
 /** The catalogue before the first change, without entries. */
 export const EMPTY_CATALOGUE: Catalogue = {version: 0, entries: []};
 
-/** A validation error in a catalogue, with the path of the invalid value. */
-export interface CatalogueValidationError {
-  /** The path of the invalid value, such as `entries[2].limits.slots`. */
-  readonly path: string;
-  readonly message: string;
-}
-
 /**
  * Validates the entries of a catalogue that an operator sends. Returns the
  * entries, or all validation errors together.
@@ -173,12 +170,7 @@
 ): Either<readonly CatalogueValidationError[], readonly CatalogueEntry[]> {
   const result = entriesSchema.safeParse(candidate);
   if (result.success) return Right(result.data);
-  return Left(
-    result.error.issues.map(issue => ({
-      path: formatIssuePath(issue.path),
-      message: issue.message,
-    })),
-  );
+  return Left(toValidationErrors('entries', result.error.issues));
 }
 
 /** Entry indexes by catalogue; valid because a catalogue is immutable. */
@@ -204,10 +196,3 @@
   entryIndexCache.set(catalogue, index);
   return index;
 }
-
-function formatIssuePath(path: readonly PropertyKey[]): string {
-  const parts = path.map(part =>
-    typeof part === 'number' ? `[${part}]` : `.${String(part)}`,
-  );
-  return `entries${parts.join('')}`;
-}
--- a/packages/topology/src/index.ts
+++ b/packages/topology/src/index.ts
@@ -17,7 +17,6 @@
   findEntry,
   type Catalogue,
   type CatalogueEntry,
-  type CatalogueValidationError,
   type Consistency,
   type EntryLimits,
   type EntryVerifier,
@@ -36,10 +35,13 @@
 } from './database_group.js';
 export {
   digestOfKey,
+  keysSchema,
   organisationSchema,
   type Organisation,
   type Quota,
 } from './organisation.js';
+export {validateOrganisations} from './organisation_edit.js';
+export {type CatalogueValidationError} from './catalogue_validation_error.js';
 export {ownerOf, ownerRanking} from './rendezvous.js';
 export {
   type VirtualMachine,
--- a/packages/topology/src/organisation.ts
+++ b/packages/topology/src/organisation.ts
@@ -4,6 +4,11 @@
 const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,252}$/;
 const LOWEST_PRIORITY = 1_000;
 const MAXIMUM_KEYS = 1_000;
+/**
+ * A key is one word of ASCII: on a wire that carries bytes, other characters
+ * would have no agreed digest.
+ */
+const KEY_PATTERN = /^[\x21-\x7e]{1,1000}$/;
 const MAXIMUM_RATE = 10_000_000;
 /** The characters of a SHA-256 digest in base64url without padding. */
 const DIGEST_PATTERN = /^[A-Za-z0-9_-]{43}$/;
@@ -40,6 +45,11 @@
     .optional(),
 });
 
+/** The schema of the keys of one organisation; its messages repeat no key. */
+export const keysSchema = z
+  .array(z.string().regex(KEY_PATTERN, 'not a valid key'))
+  .max(MAXIMUM_KEYS);
+
 /** Returns the SHA-256 digest of a key in base64url. */
 export function digestOfKey(key: string): string {
   return createHash('sha256').update(key).digest('base64url');
