--- a/packages/dispatch/src/statement_router.ts
+++ b/packages/dispatch/src/statement_router.ts
@@ -236,6 +236,9 @@
     choice: Choice,
   ): Promise<Attempt> {
     const {dispatcher, timer} = this.options;
+    if (statement.mayRun?.() === false) {
+      return retryable('the key of the caller is no longer valid');
+    }
     const remainingObjective = this.remainingObjectiveMilliseconds(statement);
     const request = toWorkRequest(statement, choice, remainingObjective);
     const late = remainingObjective <= 0;
@@ -396,7 +399,7 @@
   }
 
   private logAttempt(
-    {requestId, receivedAt}: RoutedStatement,
+    {requestId, receivedAt, organisation}: RoutedStatement,
     {member, primaryTerm, floor, floorAgeMilliseconds}: Choice,
     result: WorkResult,
     {machine}: WorkHandle,
@@ -404,6 +407,7 @@
     const {logger, timer, view} = this.options;
     const fields = {
       request: requestId,
+      organisation: organisation?.name,
       member,
       through: machine,
       primaryTerm,
