Open connections for organisations, and reuse them before opening more

A member is told the organisation when a connection is opened, so a connection serves only that one. With more organisations than connections, a pool that opens on every mismatch spends slots of the member on openings.

A decision module without I/O chooses the connection to reuse, the organisation to open one for and the idle connection to close for it. A connection that is expected back within the mean duration of a statement is waited for, an organisation gets at most one of the two openings at once and at most one connection per slot, and the least recently used idle connection is replaced. A returned connection is closed for an organisation that waited 100 ms for its first. Without organisations the pool opens connections as before. The queue groups its work by organisation in one pass instead of sorting all of it.

--- /dev/null
+++ b/packages/work/src/connection_choice.ts
@@ -0,0 +1,224 @@
+/** The maximum number of connections that are opened at the same time. */
+export const MAXIMUM_CONCURRENT_OPENS = 2;
+/**
+ * The maximum number that are opened at the same time for one organisation, so
+ * that the backlog of one does not delay the first connection of another.
+ */
+const MAXIMUM_CONCURRENT_OPENS_EACH = 1;
+/**
+ * After this wait, an organisation without a connection gets one that another
+ * organisation would use for its next statement. An opening costs about 12 ms of
+ * a slot, so that organisations which take turns spend about a tenth on it.
+ */
+const TURN_MILLISECONDS = 100;
+
+/** The work of one organisation that waits for connections. */
+export interface ConnectionDemand {
+  /** The organisation's name; `undefined` for work without one. */
+  readonly organisation: string | undefined;
+  /** The number of statements and transactions that wait for a connection. */
+  readonly waiting: number;
+  /** The time since which the oldest of them waits, in milliseconds. */
+  readonly since: number;
+}
+
+/** The state of a connection that matters to the choice. */
+export interface PooledConnection {
+  /** The only organisation that may use it; `undefined` for work without one. */
+  readonly organisation: string | undefined;
+  /** When the current work began on it; meaningless while it is idle. */
+  readonly checkedOutAt: number;
+  /** Whether the current work is a transaction, which may last long. */
+  readonly isInTransaction: boolean;
+}
+
+/** The state of a pool when it decides whether to open a connection. */
+export interface PoolFacts<Connection extends PooledConnection> {
+  /** The idle connections, least recently used first. */
+  readonly idle: readonly Connection[];
+  readonly checkedOut: Iterable<Connection>;
+  /** The organisation of each connection that is being opened. */
+  readonly opening: ReadonlyArray<string | undefined>;
+  /** The waiting work, in the order in which it will be served. */
+  readonly demands: readonly ConnectionDemand[];
+  readonly maximum: number;
+  /** The number of statements that the member runs at once. */
+  readonly slots: number;
+  /** The mean duration of a statement. */
+  readonly meanMilliseconds: number;
+  readonly now: number;
+}
+
+/** Whether to open a connection, and for which organisation. */
+export type OpeningChoice<Connection> =
+  | {
+      readonly kind: 'open';
+      readonly organisation: string | undefined;
+      /** The idle connection of another organisation to close first. */
+      readonly replaced: Connection | undefined;
+    }
+  | {
+      readonly kind: 'wait';
+      /** When to choose again if nothing changes before. */
+      readonly until: number | undefined;
+    };
+
+/** The connections of one organisation, by state. */
+interface Tally {
+  total: number;
+  idle: number;
+  opening: number;
+  statements: number;
+  /** Those whose statement probably ends within the mean duration. */
+  endingSoon: number;
+  /** When the first of these will have exceeded the mean duration. */
+  overdueAt: number;
+}
+
+const NO_CONNECTIONS: Tally = {
+  total: 0,
+  idle: 0,
+  opening: 0,
+  statements: 0,
+  endingSoon: 0,
+  overdueAt: Infinity,
+};
+
+/**
+ * Returns the index of the connection that an organisation uses next: its own
+ * most recently used one. Returns -1 if none of its connections is idle.
+ */
+export function chooseIdle(
+  idle: ReadonlyArray<Pick<PooledConnection, 'organisation'>>,
+  organisation: string | undefined,
+): number {
+  return idle.findLastIndex(each => each.organisation === organisation);
+}
+
+/**
+ * Chooses the next connection to open for the first organisation that needs one.
+ * An organisation needs one if more of its work waits than it has connections
+ * that are idle, being opened, or expected to be returned within the mean
+ * duration of a statement: such a connection serves the work as soon as a new
+ * one, without the slot time that an opening costs. An organisation does not
+ * need more connections outside transactions than the member has slots.
+ */
+export function chooseOpening<Connection extends PooledConnection>(
+  facts: PoolFacts<Connection>,
+): OpeningChoice<Connection> {
+  let until: number | undefined;
+  if (facts.opening.length >= MAXIMUM_CONCURRENT_OPENS) {
+    return {kind: 'wait', until};
+  }
+  const tallies = tallyConnections(facts);
+  const isFull = countOf(tallies) >= facts.maximum;
+  let replaceable: readonly Connection[] | undefined;
+  for (const {organisation, waiting} of facts.demands) {
+    const tally = tallies.get(organisation) ?? NO_CONNECTIONS;
+    const {idle, opening, statements, endingSoon, overdueAt} = tally;
+    if (opening >= MAXIMUM_CONCURRENT_OPENS_EACH) continue;
+    if (waiting <= idle + opening) continue;
+    if (idle + opening + statements >= facts.slots) continue;
+    if (waiting <= idle + opening + endingSoon) {
+      until = Math.min(until ?? Infinity, overdueAt);
+      continue;
+    }
+    if (!isFull) return {kind: 'open', organisation, replaced: undefined};
+    replaceable ??= replaceableConnections(facts, tallies);
+    if (replaceable.length === 0) break;
+    const replaced = replaceable.find(
+      each => each.organisation !== organisation,
+    );
+    if (replaced !== undefined) return {kind: 'open', organisation, replaced};
+  }
+  return {kind: 'wait', until};
+}
+
+/**
+ * Returns whether a connection that is being returned to a full pool is to be
+ * closed, although its organisation has more work, because work that is to be
+ * served before waits for the first connection of its organisation. `facts` are
+ * those without the returned connection.
+ */
+export function mustYield<Connection extends PooledConnection>(
+  facts: PoolFacts<Connection>,
+  {organisation}: Connection,
+): boolean {
+  if (facts.opening.length > 0) return false;
+  const tallies = tallyConnections(facts);
+  if (countOf(tallies) + 1 < facts.maximum) return false;
+  for (const demand of facts.demands) {
+    if (demand.organisation === organisation) return false;
+    const tally = tallies.get(demand.organisation) ?? NO_CONNECTIONS;
+    const hasNone = tally.idle + tally.opening + tally.statements === 0;
+    if (hasNone && facts.now - demand.since >= TURN_MILLISECONDS) {
+      return (
+        facts.demands.some(each => each.organisation === organisation) &&
+        replaceableConnections(facts, tallies).length === 0
+      );
+    }
+  }
+  return false;
+}
+
+/**
+ * Returns the idle connections that may be closed for other organisations, least
+ * recently used first. A connection that waiting work of its own organisation
+ * will use is not among them.
+ */
+function replaceableConnections<Connection extends PooledConnection>(
+  {idle, demands}: PoolFacts<Connection>,
+  tallies: ReadonlyMap<string | undefined, Tally>,
+): readonly Connection[] {
+  const waiting = new Map(
+    demands.map(each => [each.organisation, each.waiting]),
+  );
+  return idle.filter(({organisation}) => {
+    const idleCount = tallies.get(organisation)?.idle ?? 0;
+    return idleCount > (waiting.get(organisation) ?? 0);
+  });
+}
+
+function countOf(tallies: ReadonlyMap<string | undefined, Tally>): number {
+  let count = 0;
+  for (const {total} of tallies.values()) count += total;
+  return count;
+}
+
+function tallyConnections({
+  idle,
+  checkedOut,
+  opening,
+  meanMilliseconds,
+  now,
+}: PoolFacts<PooledConnection>): ReadonlyMap<string | undefined, Tally> {
+  const tallies = new Map<string | undefined, Tally>();
+  const tallyOf = (organisation: string | undefined) => {
+    const known = tallies.get(organisation);
+    if (known !== undefined) return known;
+    const created = {...NO_CONNECTIONS};
+    tallies.set(organisation, created);
+    return created;
+  };
+  for (const {organisation} of idle) {
+    const tally = tallyOf(organisation);
+    tally.total += 1;
+    tally.idle += 1;
+  }
+  for (const organisation of opening) {
+    const tally = tallyOf(organisation);
+    tally.total += 1;
+    tally.opening += 1;
+  }
+  for (const connection of checkedOut) {
+    const tally = tallyOf(connection.organisation);
+    tally.total += 1;
+    if (connection.isInTransaction) continue;
+    tally.statements += 1;
+    const overdueAt = connection.checkedOutAt + meanMilliseconds;
+    if (overdueAt <= now) continue;
+    tally.endingSoon += 1;
+    tally.overdueAt = Math.min(tally.overdueAt, overdueAt);
+  }
+  return tallies;
+}
--- a/packages/work/src/connection_limits.ts
+++ b/packages/work/src/connection_limits.ts
@@ -40,17 +40,18 @@
 ): ConnectionLimits {
   const memberMaximum = maximumConnectionsOf(view, member);
   const needed = slotsOf(member) + SPARE_CONNECTIONS;
+  const byOrganisation = (view.catalogue.organisations ?? []).length > 0;
   const shareOf = (share: number) =>
     Math.max(1, Math.floor(memberMaximum * share));
   if (primary === member.name) {
     return holder === self
-      ? {maximum: shareOf(LEASE_HOLDER_SHARE), warm: needed}
-      : {maximum: 1, warm: 0};
+      ? {maximum: shareOf(LEASE_HOLDER_SHARE), warm: needed, byOrganisation}
+      : {maximum: 1, warm: 0, byOrganisation};
   }
   const owner = ownerOf(member.name, member.dataCentre, machines);
   return owner?.name === self
-    ? {maximum: shareOf(REPLICA_OWNER_SHARE), warm: needed}
-    : {maximum: needed, warm: 0};
+    ? {maximum: shareOf(REPLICA_OWNER_SHARE), warm: needed, byOrganisation}
+    : {maximum: needed, warm: 0, byOrganisation};
 }
 
 /** Returns how many connections a member accepts from all VMs together. */
--- a/packages/work/src/connection_pool.ts
+++ b/packages/work/src/connection_pool.ts
@@ -4,13 +4,20 @@
   MemberTarget,
 } from '@apricotlock/statement';
 import {TimerService, Unsubscribe} from '@apricotlock/timer';
+import {
+  chooseIdle,
+  chooseOpening,
+  ConnectionDemand,
+  MAXIMUM_CONCURRENT_OPENS,
+  mustYield,
+  OpeningChoice,
+  PoolFacts,
+} from './connection_choice.js';
 import {WorkConnection} from './work_connection.js';
 
 const CONNECT_TIMEOUT_MILLISECONDS = 350;
 const CONNECT_RETRY_MILLISECONDS = 150;
 const LIVENESS_CHECK_TIMEOUT_MILLISECONDS = 200;
-/** The maximum number of connections that are opened at the same time. */
-const MAXIMUM_CONCURRENT_OPENS = 2;
 const IDLE_TIMEOUT_MILLISECONDS = 20_000;
 /** The idle timeout at a member that is normally used by another VM. */
 const SHORT_IDLE_TIMEOUT_MILLISECONDS = 1_500;
@@ -21,36 +28,65 @@
  */
 const TOO_MANY_CONNECTIONS_RETRY_MILLISECONDS = 500;
 
+const WAIT = {kind: 'wait', until: undefined} as const;
+const OPEN_FOR_NONE = {
+  kind: 'open',
+  organisation: undefined,
+  replaced: undefined,
+} as const;
+
 /** The limits of a connection pool. */
 export interface ConnectionLimits {
   /** The maximum number of connections, including those being opened. */
   readonly maximum: number;
   /** The number of connections that are kept open while there is no work. */
   readonly warm: number;
+  /**
+   * Whether callers belong to organisations. Then no connection is opened before
+   * work of its organisation needs it.
+   */
+  readonly byOrganisation: boolean;
 }
 
+const NO_CONNECTIONS: ConnectionLimits = {
+  maximum: 0,
+  warm: 0,
+  byOrganisation: false,
+};
+
 /** Options of a connection pool. */
 export interface ConnectionPoolOptions {
   readonly target: MemberTarget;
   readonly connector: MemberConnector;
   readonly timer: TimerService;
+  /** The number of statements that the member runs at once. */
+  readonly slots: number;
   /** Called when a connection has become free. */
   readonly onAvailable: () => void;
   /** Called when a connection could not be opened. */
   readonly onConnectError: (error: ConnectError) => void;
   /** Called when a connection was opened. */
   readonly onOpened: () => void;
+  /** Called when a connection is closed to open one for another organisation. */
+  readonly onReplaced: () => void;
 }
 
-/** The connections of this VM to one member, up to a maximum number. */
+/**
+ * The connections of this VM to one member, up to a maximum number. A connection
+ * that was opened for an organisation serves only work of that organisation, and
+ * one that was opened for none serves only work without one.
+ */
 export class ConnectionPool {
   private idle: readonly WorkConnection[] = [];
   private readonly checkedOut = new Set<WorkConnection>();
-  private openingCount = 0;
-  private requestedCount = 0;
-  private limits: ConnectionLimits = {maximum: 0, warm: 0};
+  /** The organisation of each connection that is being opened. */
+  private opening: ReadonlyArray<string | undefined> = [];
+  private demands: readonly ConnectionDemand[] = [];
+  private meanMilliseconds = 0;
+  private limits = NO_CONNECTIONS;
   private closed = false;
   private pausedUntil = 0;
+  private cancelRecheck: Unsubscribe = () => undefined;
   private readonly stopIdleChecks: Unsubscribe;
 
   private constructor(private readonly options: ConnectionPoolOptions) {
@@ -67,7 +103,7 @@
 
   /** The number of connections that are open or being opened. */
   get count(): number {
-    return this.idle.length + this.checkedOut.size + this.openingCount;
+    return this.idle.length + this.checkedOut.size + this.opening.length;
   }
 
   /** The number of checked-out connections. */
@@ -76,11 +112,15 @@
   }
 
   /**
-   * Sets the number of connections that queued work needs, and opens
-   * connections up to that number and the limits.
+   * Sets the demands of waiting work, in the order in which it will be served,
+   * with the mean duration of a statement, and opens connections accordingly.
    */
-  requestConnections(count: number): void {
-    this.requestedCount = count;
+  requestConnections(
+    demands: readonly ConnectionDemand[],
+    meanMilliseconds: number,
+  ): void {
+    this.demands = demands;
+    this.meanMilliseconds = meanMilliseconds;
     this.openMore();
   }
 
@@ -94,14 +134,17 @@
   }
 
   /**
-   * Checks out the most recently used idle connection, or returns `undefined`
-   * if none is idle.
+   * Checks out the most recently used idle connection of an organisation, or
+   * returns `undefined` if none of its connections is idle.
    */
-  checkOut(): WorkConnection | undefined {
+  checkOut(organisation: string | undefined): WorkConnection | undefined {
     const usable = this.idle.filter(({member}) => member.usable);
-    const chosen = usable.at(-1);
-    this.idle = chosen === undefined ? usable : usable.slice(0, -1);
-    if (chosen !== undefined) this.checkedOut.add(chosen);
+    const index = chooseIdle(usable, organisation);
+    const chosen = usable[index];
+    this.idle = chosen === undefined ? usable : usable.toSpliced(index, 1);
+    if (chosen === undefined) return undefined;
+    chosen.checkedOutAt = this.options.timer.now();
+    this.checkedOut.add(chosen);
     return chosen;
   }
 
@@ -111,14 +154,14 @@
    */
   checkIn(connection: WorkConnection): void {
     this.checkedOut.delete(connection);
-    if (this.closed || !connection.member.usable || this.isFull) {
+    connection.isInTransaction = false;
+    if (connection.member.usable && this.mustYield(connection)) {
       connection.member.close();
+      this.options.onReplaced();
       this.openMore();
       return;
     }
-    connection.lastUsedAt = this.options.timer.now();
-    this.idle = [...this.idle, connection];
-    this.options.onAvailable();
+    this.addIdle(connection);
   }
 
   /** Closes a checked-out connection instead of returning it to the pool. */
@@ -149,6 +192,7 @@
   close(): void {
     this.closed = true;
     this.stopIdleChecks();
+    this.cancelRecheck();
     this.closeAll();
   }
 
@@ -160,39 +204,105 @@
     else this.discard(connection);
   }
 
+  private mustYield(connection: WorkConnection): boolean {
+    const {demands, closed, pausedUntil} = this;
+    if (closed || demands.length < 2) return false;
+    if (this.options.timer.now() < pausedUntil) return false;
+    return mustYield(this.facts(), connection);
+  }
+
+  private addIdle(connection: WorkConnection): void {
+    if (this.closed || !connection.member.usable || this.isFull) {
+      connection.member.close();
+      this.openMore();
+      return;
+    }
+    connection.lastUsedAt = this.options.timer.now();
+    this.idle = [...this.idle, connection];
+    this.options.onAvailable();
+  }
+
   private get isFull(): boolean {
     return this.count >= this.limits.maximum;
   }
 
   private openMore(): void {
     const {timer} = this.options;
-    const {maximum, warm} = this.limits;
-    if (this.closed || timer.now() < this.pausedUntil) return;
-    while (
-      this.openingCount < MAXIMUM_CONCURRENT_OPENS &&
-      this.count < maximum
-    ) {
-      const ready = this.idle.length + this.openingCount;
-      if (ready >= this.requestedCount && this.count >= warm) return;
-      void this.openOne();
+    this.cancelRecheck();
+    while (!this.closed && timer.now() >= this.pausedUntil) {
+      const choice = this.nextOpening();
+      if (choice.kind === 'wait') {
+        if (choice.until !== undefined) this.recheckAt(choice.until);
+        return;
+      }
+      const {organisation, replaced} = choice;
+      if (replaced !== undefined) {
+        this.idle = this.idle.filter(each => each !== replaced);
+        replaced.member.close();
+        this.options.onReplaced();
+      }
+      void this.openOne(organisation);
+    }
+  }
+
+  private nextOpening(): OpeningChoice<WorkConnection> {
+    const {opening, idle, demands, limits} = this;
+    if (opening.length >= MAXIMUM_CONCURRENT_OPENS) return WAIT;
+    const servesOrganisations =
+      limits.byOrganisation ||
+      demands.some(hasOrganisation) ||
+      idle.some(hasOrganisation);
+    if (servesOrganisations) {
+      return demands.length === 0 ? WAIT : chooseOpening(this.facts());
     }
+    const requested = demands[0]?.waiting ?? 0;
+    const ready = idle.length + opening.length;
+    const isEnough = ready >= requested && this.count >= limits.warm;
+    return this.isFull || isEnough ? WAIT : OPEN_FOR_NONE;
   }
 
-  private async openOne(): Promise<void> {
+  private facts(): PoolFacts<WorkConnection> {
+    const {idle, checkedOut, opening, demands, meanMilliseconds} = this;
+    const {timer, slots} = this.options;
+    const {maximum} = this.limits;
+    return {
+      idle,
+      checkedOut,
+      opening,
+      demands,
+      maximum,
+      slots,
+      meanMilliseconds,
+      now: timer.now(),
+    };
+  }
+
+  private recheckAt(time: number): void {
+    const {timer} = this.options;
+    const delay = Math.max(1, time - timer.now());
+    this.cancelRecheck = timer.once(delay, () => this.openMore());
+  }
+
+  private async openOne(organisation: string | undefined): Promise<void> {
     const {connector, target, timer} = this.options;
-    this.openingCount += 1;
+    this.opening = [...this.opening, organisation];
     const opened = await connector.connect(
       target,
       CONNECT_TIMEOUT_MILLISECONDS,
+      organisation,
+    );
+    this.opening = this.opening.toSpliced(
+      this.opening.indexOf(organisation),
+      1,
     );
-    this.openingCount -= 1;
     opened.caseOf({
       Left: error => this.handleConnectError(error),
       Right: member => {
-        const connection = WorkConnection.create(member, timer.now());
+        const now = timer.now();
+        const connection = WorkConnection.create(member, organisation, now);
         void member.ended.then(() => this.removeEnded(connection));
         this.options.onOpened();
-        this.checkIn(connection);
+        this.addIdle(connection);
       },
     });
     this.openMore();
@@ -227,3 +337,9 @@
     for (const {member} of expired) member.close();
   }
 }
+
+function hasOrganisation({
+  organisation,
+}: WorkConnection | ConnectionDemand): boolean {
+  return organisation !== undefined;
+}
--- a/packages/work/src/index.ts
+++ b/packages/work/src/index.ts
@@ -4,6 +4,15 @@
  *
  * @packageDocumentation
  */
+export {
+  chooseIdle,
+  chooseOpening,
+  mustYield,
+  type ConnectionDemand,
+  type OpeningChoice,
+  type PooledConnection,
+  type PoolFacts,
+} from './connection_choice.js';
 export {type ConnectionLimits} from './connection_pool.js';
 export {
   ConnectionContext,
--- a/packages/work/src/member_worker.ts
+++ b/packages/work/src/member_worker.ts
@@ -76,13 +76,16 @@
       timer,
       onAvailable: () => this.queue.notifyConnectionAvailable(),
       onConnectError: error => this.handleConnectError(error),
+      slots,
       onOpened: () => this.setReachable(true),
+      onReplaced: () => undefined,
     });
     this.queue = WorkQueue.create({
       slots,
       timer,
-      takeConnection: () => this.connections.checkOut(),
-      requestConnections: count => this.connections.requestConnections(count),
+      takeConnection: organisation => this.connections.checkOut(organisation),
+      requestConnections: (demands, meanMilliseconds) =>
+        this.connections.requestConnections(demands, meanMilliseconds),
     });
     this.connections.setLimits(options.connections);
   }
@@ -141,7 +144,16 @@
     this.lastUsedAt = this.options.timer.now();
     if (!this.reachable) {
       // A connection opened in the background detects recovery.
-      this.connections.requestConnections(1);
+      this.connections.requestConnections(
+        [
+          {
+            organisation: request.organisation,
+            waiting: 1,
+            since: this.lastUsedAt,
+          },
+        ],
+        this.queue.meanStatementMilliseconds,
+      );
       return this.refuse(channel, 'unreachable');
     }
     const inbox = WorkInbox.create(channel);
@@ -201,6 +213,7 @@
     inbox: WorkInbox,
   ): Promise<void> {
     this.options.onBegun(request);
+    connection.isInTransaction = request.first.opens !== 'none';
     let statement: WorkStatement = request.first;
     for (;;) {
       const progress = await this.runStatement(
@@ -241,13 +254,18 @@
     this.runningCount += 1;
     const outcome = await this.sendStatement(connection, statement);
     this.runningCount -= 1;
-    this.queue.releaseSlot(timer.now() - startedAt);
+    const releaseSlot = () => this.queue.releaseSlot(timer.now() - startedAt);
+    // With organisations, the connection is returned first, so that the next
+    // work of its organisation does not lose its turn to later work.
+    const returnsFirst = request.organisation !== undefined;
+    if (!returnsFirst) releaseSlot();
     if (outcome.isLeft()) {
       const {reason} = outcome.extract() as ConnectionError;
       const elapsedMilliseconds = timer.now() - startedAt;
       const timedOut = elapsedMilliseconds >= statement.timeoutMilliseconds;
       this.sendLost(channel, {mayHaveRun: true, timedOut, reason});
       this.connections.discard(connection);
+      if (returnsFirst) releaseSlot();
       return 'finished';
     }
     const answer = outcome.unsafeCoerce();
@@ -258,6 +276,7 @@
     // connection would be opened for queued work.
     if (isIdle && !connection.isTainted) this.connections.checkIn(connection);
     else if (isIdle) this.connections.discard(connection);
+    if (returnsFirst) releaseSlot();
     const {expectedWaitMilliseconds} = this;
     channel.send({kind: 'answer', answer, expectedWaitMilliseconds});
     return isIdle ? 'finished' : 'continue';
--- a/packages/work/src/work_connection.ts
+++ b/packages/work/src/work_connection.ts
@@ -1,22 +1,33 @@
 import {MemberConnection, SessionValues} from '@apricotlock/statement';
+import {PooledConnection} from './connection_choice.js';
 import {ConnectionContext, ContextTransition} from './connection_context.js';
 import {WorkText} from './work_messages.js';
 
 /** A connection to a member, with the context that sessions created on it. */
-export class WorkConnection {
+export class WorkConnection implements PooledConnection {
   private context = ConnectionContext.EMPTY;
   private tainted = false;
+  /** The time of the last checkout, in milliseconds of the timer's clock. */
+  checkedOutAt = -Infinity;
+  /** Whether the work that has checked out the connection is a transaction. */
+  isInTransaction = false;
 
   private constructor(
     readonly member: MemberConnection,
+    /** The only organisation that may use it; `undefined` for none. */
+    readonly organisation: string | undefined,
     /** The opening time, in milliseconds of the timer's clock. */
     readonly openedAt: number,
     public lastUsedAt: number,
   ) {}
 
   /** Wraps a newly opened connection. */
-  static create(member: MemberConnection, now: number): WorkConnection {
-    return new WorkConnection(member, now, now);
+  static create(
+    member: MemberConnection,
+    organisation: string | undefined,
+    now: number,
+  ): WorkConnection {
+    return new WorkConnection(member, organisation, now, now);
   }
 
   /** Returns whether a session with these values can do without a reset. */
--- a/packages/work/src/work_messages.ts
+++ b/packages/work/src/work_messages.ts
@@ -44,6 +44,8 @@
   readonly objectiveMilliseconds: number;
   /** The organisation for whose caller the work is done, if there is one. */
   readonly organisation?: string | undefined;
+  /** The priority of that organisation; 0 is the highest. */
+  readonly organisationPriority?: number | undefined;
   readonly first: WorkStatement;
 }
 
--- a/packages/work/src/work_queue.ts
+++ b/packages/work/src/work_queue.ts
@@ -1,6 +1,8 @@
 import {Either, Left, Right} from 'purify-ts';
 import {Deferred} from '@apricotlock/flow';
 import {TimerService} from '@apricotlock/timer';
+import {ConnectionDemand} from './connection_choice.js';
+import {Backlog, RankedWork, WorkBacklogs} from './work_backlogs.js';
 
 /** The estimated duration of a statement before any has been measured. */
 const INITIAL_MEAN_MILLISECONDS = 12;
@@ -20,14 +22,12 @@
   readonly waitMilliseconds: number;
   /** The time until the answer is late, in milliseconds; 0 if it is already. */
   readonly objectiveMilliseconds: number;
+  /** The organisation for which the work is done, if there is one. */
+  readonly organisation?: string | undefined;
 }
 
 /** Work that waits for a slot, and for a connection if it has none yet. */
-interface QueuedWork<Connection> {
-  readonly priority: number;
-  /** The time at which the answer becomes late, on the timer's clock. */
-  readonly lateAt: number;
-  readonly needsConnection: boolean;
+interface QueuedWork<Connection> extends RankedWork {
   readonly admission: Deferred<Either<QueueRefusal, Connection | undefined>>;
 }
 
@@ -40,10 +40,18 @@
 export interface WorkQueueOptions<Connection> {
   readonly slots: number;
   readonly timer: TimerService;
-  /** Returns a free connection for new work, or `undefined`. */
-  readonly takeConnection: () => Connection | undefined;
-  /** Receives the number of connections for which new work waits. */
-  readonly requestConnections: (connections: number) => void;
+  /** Returns a free connection for work of an organisation, or `undefined`. */
+  readonly takeConnection: (
+    organisation: string | undefined,
+  ) => Connection | undefined;
+  /**
+   * Receives the work that waits for connections, in the order in which it will
+   * be served, and the mean duration of a statement.
+   */
+  readonly requestConnections: (
+    demands: readonly ConnectionDemand[],
+    meanMilliseconds: number,
+  ) => void;
 }
 
 /**
@@ -62,7 +70,7 @@
  * finished statements.
  */
 export class WorkQueue<Connection> {
-  private waiting: ReadonlyArray<QueuedWork<Connection>> = [];
+  private readonly waiting = WorkBacklogs.create<QueuedWork<Connection>>();
   private running = 0;
   private slots: number;
   private meanMilliseconds = INITIAL_MEAN_MILLISECONDS;
@@ -80,7 +88,12 @@
 
   /** The expected wait of new work of the lowest priority, in milliseconds. */
   get expectedWaitMilliseconds(): number {
-    return this.expectedWait(this.waiting.length);
+    return this.expectedWait(this.waiting.size);
+  }
+
+  /** The mean duration of a statement, in milliseconds. */
+  get meanStatementMilliseconds(): number {
+    return this.meanMilliseconds;
   }
 
   /** Sets the number of statements that the member runs at once. */
@@ -95,9 +108,10 @@
    * `abandoned` resolves or the queued work is refused.
    */
   async acquireSlotAndConnection(
-    {priority, waitMilliseconds, objectiveMilliseconds}: QueueRequest,
+    request: QueueRequest,
     abandoned: Promise<unknown>,
   ): Promise<Either<QueueRefusal, Connection>> {
+    const {priority, waitMilliseconds, objectiveMilliseconds} = request;
     const lateAt = this.options.timer.now() + objectiveMilliseconds;
     const expectedWaitMilliseconds = this.expectedWait(
       this.countAhead(priority, lateAt),
@@ -106,7 +120,12 @@
       return Left(createRefusal(expectedWaitMilliseconds));
     }
     const admission = await this.waitForAdmission(
-      {priority, lateAt, needsConnection: true},
+      {
+        priority,
+        lateAt,
+        needsConnection: true,
+        organisation: request.organisation,
+      },
       waitMilliseconds,
       abandoned,
     );
@@ -125,6 +144,7 @@
       priority: OPEN_TRANSACTION_PRIORITY,
       lateAt,
       needsConnection: false,
+      organisation: undefined,
     };
     const admission = await this.waitForAdmission(
       work,
@@ -155,23 +175,24 @@
    * Open transactions keep waiting for their slots.
    */
   refuseQueuedWork(): void {
-    const refused = this.waiting.filter(({needsConnection}) => needsConnection);
-    this.waiting = this.waiting.filter(({needsConnection}) => !needsConnection);
-    for (const {admission} of refused) {
-      admission.resolve(Left(createRefusal(this.meanMilliseconds)));
+    for (const work of [...this.waiting.works()]) {
+      if (!work.needsConnection) continue;
+      this.waiting.remove(work);
+      work.admission.resolve(Left(createRefusal(this.meanMilliseconds)));
     }
   }
 
   private async waitForAdmission(
-    description: Omit<QueuedWork<Connection>, 'admission'>,
+    description: Omit<QueuedWork<Connection>, 'admission' | 'since'>,
     waitMilliseconds: number,
     abandoned: Promise<unknown>,
   ): Promise<Either<QueueRefusal, Connection | undefined>> {
     const work: QueuedWork<Connection> = {
       ...description,
+      since: this.options.timer.now(),
       admission: Deferred.create(),
     };
-    this.waiting = [...this.waiting, work];
+    this.waiting.add(work);
     const withdrawWork = () => this.withdraw(work);
     const cancelTimer = this.options.timer.once(waitMilliseconds, withdrawWork);
     void abandoned.then(withdrawWork);
@@ -182,27 +203,36 @@
   }
 
   private withdraw(work: QueuedWork<Connection>): void {
-    if (!this.waiting.includes(work)) return;
-    this.remove(work);
+    if (!this.waiting.remove(work)) return;
     work.admission.resolve(Left(createRefusal(this.expectedWaitMilliseconds)));
   }
 
   private dispatch(): void {
-    while (this.running < this.slots && this.startNext()) continue;
-    const waitingForConnection = this.waiting.filter(
-      ({needsConnection}) => needsConnection,
-    );
-    this.options.requestConnections(waitingForConnection.length);
+    let backlogs = this.rankBacklogs();
+    while (this.running < this.slots && this.startFirst(backlogs)) {
+      if (this.running < this.slots) backlogs = this.rankBacklogs();
+    }
+    const demands = backlogs
+      .filter(({waiting}) => waiting > 0)
+      .map(({organisation, waiting, since}) => ({
+        organisation,
+        waiting,
+        since,
+      }));
+    this.options.requestConnections(demands, this.meanMilliseconds);
   }
 
-  private startNext(): boolean {
-    for (const work of this.sortedQueue()) {
-      const {needsConnection, admission} = work;
+  /** Starts the first work for which there is a connection, if there is any. */
+  private startFirst(
+    backlogs: ReadonlyArray<Backlog<QueuedWork<Connection>>>,
+  ): boolean {
+    for (const {next} of backlogs) {
+      const {needsConnection, organisation, admission} = next;
       const connection = needsConnection
-        ? this.options.takeConnection()
+        ? this.options.takeConnection(organisation)
         : undefined;
       if (needsConnection && connection === undefined) continue;
-      this.remove(work);
+      this.waiting.remove(next);
       this.running += 1;
       admission.resolve(Right(connection));
       return true;
@@ -210,35 +240,26 @@
     return false;
   }
 
-  private remove(work: QueuedWork<Connection>): void {
-    this.waiting = this.waiting.filter(each => each !== work);
-  }
-
-  /** Returns the queued work in scheduling order; equal work by age. */
-  private sortedQueue(): ReadonlyArray<QueuedWork<Connection>> {
-    if (this.waiting.length < 2) return this.waiting;
-    const lateness = (each: QueuedWork<Connection>) =>
-      this.wouldBeLate(each.lateAt) ? 1 : 0;
-    return [...this.waiting].sort(
-      (left, right) =>
-        left.priority - right.priority || lateness(left) - lateness(right),
-    );
+  private rankBacklogs(): ReadonlyArray<Backlog<QueuedWork<Connection>>> {
+    if (this.waiting.size === 0) return [];
+    const {timer} = this.options;
+    return this.waiting.rank(timer.now() + this.meanMilliseconds);
   }
 
   /** Returns how much of the queued work would precede new work. */
   private countAhead(priority: number, lateAt: number): number {
-    const higherCount = this.waiting.filter(
-      each => each.priority < priority,
-    ).length;
-    const samePriority = this.waiting.filter(
-      each => each.priority === priority,
-    );
-    const onTimeCount = samePriority.filter(
-      each => !this.wouldBeLate(each.lateAt),
-    ).length;
+    let higherCount = 0;
+    let onTimeCount = 0;
+    let lateCount = 0;
+    for (const each of this.waiting.works()) {
+      if (each.priority < priority) higherCount += 1;
+      if (each.priority !== priority) continue;
+      if (this.wouldBeLate(each.lateAt)) lateCount += 1;
+      else onTimeCount += 1;
+    }
     const wait = this.expectedWait(higherCount + onTimeCount);
     const isLate = this.wouldBeLate(lateAt - wait);
-    return higherCount + (isLate ? samePriority.length : onTimeCount);
+    return higherCount + onTimeCount + (isLate ? lateCount : 0);
   }
 
   /**
--- a/packages/work/test/fake_member.ts
+++ b/packages/work/test/fake_member.ts
@@ -7,6 +7,7 @@
   MemberConnection,
   MemberConnector,
   MemberReport,
+  MemberTarget,
   StatementAnswer,
 } from '@apricotlock/statement';
 
@@ -42,9 +43,13 @@
     super();
   }
 
-  override async connect(): Promise<Either<ConnectError, MemberConnection>> {
+  override async connect(
+    _target: MemberTarget,
+    _timeoutMilliseconds: number,
+    organisation?: string,
+  ): Promise<Either<ConnectError, MemberConnection>> {
     if (this.failure !== undefined) return Left(this.failure);
-    const connection = new FakeMemberConnection(this.handler);
+    const connection = new FakeMemberConnection(this.handler, organisation);
     this.connections.push(connection);
     return Right(connection);
   }
@@ -62,7 +67,10 @@
   closed = false;
   private running = false;
 
-  constructor(private readonly handler: AnswerHandler) {
+  constructor(
+    private readonly handler: AnswerHandler,
+    readonly organisation: string | undefined,
+  ) {
     super();
   }
 
--- a/packages/work/test/member_worker_test.ts
+++ b/packages/work/test/member_worker_test.ts
@@ -29,7 +29,7 @@
     this.worker = MemberWorker.create({
       target: TARGET,
       slots: 2,
-      connections: {maximum: 4, warm: 1},
+      connections: {maximum: 4, warm: 1, byOrganisation: false},
       connector: this.connector,
       timer: this.timer,
       logger: Logger.silent(),
@@ -52,8 +52,12 @@
   }
 }
 
-function request(statement: Partial<WorkStatement> = {}): WorkRequest {
+function request(
+  statement: Partial<WorkStatement> = {},
+  organisation?: string,
+): WorkRequest {
   return {
+    organisation,
     database: 'ledger',
     member: 'm1',
     primaryTerm: 1,
@@ -135,6 +139,23 @@
     });
   });
 
+  it('runs the work of each organisation on connections of its own', async () => {
+    const fixture = new Fixture(async () => complete());
+    const organisations = ['a', 'b', undefined, 'a', 'b', undefined];
+    for (const organisation of organisations) {
+      const channel = fixture.start(request({}, organisation));
+      expect((await channel.receive())?.kind).to.equal('answer');
+    }
+    const used = fixture.connector.connections.map(
+      ({organisation, commands}) => [organisation, commands.length] as const,
+    );
+    expect(used).to.have.deep.members([
+      ['a', 2],
+      ['b', 2],
+      [undefined, 2],
+    ]);
+  });
+
   it('refuses work on a primary without a lease', async () => {
     const fixture = new Fixture(async () => complete());
     fixture.mayUse = false;
@@ -168,17 +189,20 @@
       expect(fixture.symptoms).to.include('refused');
     });
 
-    it('runs work again after a background connection succeeds', async () => {
-      const fixture = new Fixture(async () => complete(), {
-        kind: 'unreachable',
-        reason: 'silent',
+    for (const organisation of [undefined, 'a']) {
+      const whose = organisation ?? 'no organisation';
+      it(`runs work of ${whose} again after a background connection succeeds`, async () => {
+        const fixture = new Fixture(async () => complete(), {
+          kind: 'unreachable',
+          reason: 'silent',
+        });
+        await fixture.start(request({}, organisation)).receive();
+        fixture.connector.failure = undefined;
+        await fixture.timer.advanceAsync(400);
+        const answer = await fixture.start(request({}, organisation)).receive();
+        expect(answer?.kind).to.equal('answer');
       });
-      await fixture.start(request()).receive();
-      fixture.connector.failure = undefined;
-      await fixture.timer.advanceAsync(400);
-      const answer = await fixture.start(request()).receive();
-      expect(answer?.kind).to.equal('answer');
-    });
+    }
   });
 
   describe('with a connection that does not answer', () => {
--- a/packages/work/test/work_queue_test.ts
+++ b/packages/work/test/work_queue_test.ts
@@ -21,8 +21,8 @@
       slots,
       timer: this.timer,
       takeConnection: () => (this.free > 0 ? this.free-- : undefined),
-      requestConnections: count => {
-        this.requestedConnections = count;
+      requestConnections: demands => {
+        this.requestedConnections = demands[0]?.waiting ?? 0;
       },
     });
   }
