End the longest idle transaction when work waits for a connection

Idle transactions hold connections. When they hold most of a full pool, single statements of all organisations wait until their deadlines.

If an organisation needs a connection that can neither be opened nor replaced, and idle transactions hold more than half of the connections, the one that has been idle longest, and for at least 500 ms, is rolled back; its next statement is lost as not run, which callers see as rolled back. Without organisations nothing changes. A worker also retries in the background to reach a member for the last organisation, since there are no warm connections to do so.

Sending statements and watching for silence move to StatementRunner unchanged, because MemberWorker became too long.

--- a/packages/work/src/connection_choice.ts
+++ b/packages/work/src/connection_choice.ts
@@ -61,6 +61,8 @@
       readonly kind: 'wait';
       /** When to choose again if nothing changes before. */
       readonly until: number | undefined;
+      /** Whether an organisation needs a connection that cannot be opened. */
+      readonly isBlocked: boolean;
     };
 
 /** The connections of one organisation, by state. */
@@ -108,10 +110,11 @@
 ): OpeningChoice<Connection> {
   let until: number | undefined;
   if (facts.opening.length >= MAXIMUM_CONCURRENT_OPENS) {
-    return {kind: 'wait', until};
+    return {kind: 'wait', until, isBlocked: false};
   }
   const tallies = tallyConnections(facts);
   const isFull = countOf(tallies) >= facts.maximum;
+  let isBlocked = false;
   let replaceable: readonly Connection[] | undefined;
   for (const {organisation, waiting} of facts.demands) {
     const tally = tallies.get(organisation) ?? NO_CONNECTIONS;
@@ -124,6 +127,7 @@
       continue;
     }
     if (!isFull) return {kind: 'open', organisation, replaced: undefined};
+    isBlocked = true;
     replaceable ??= replaceableConnections(facts, tallies);
     if (replaceable.length === 0) break;
     const replaced = replaceable.find(
@@ -131,7 +135,7 @@
     );
     if (replaced !== undefined) return {kind: 'open', organisation, replaced};
   }
-  return {kind: 'wait', until};
+  return {kind: 'wait', until, isBlocked};
 }
 
 /**
--- a/packages/work/src/connection_pool.ts
+++ b/packages/work/src/connection_pool.ts
@@ -28,13 +28,15 @@
  */
 const TOO_MANY_CONNECTIONS_RETRY_MILLISECONDS = 500;
 
-const WAIT = {kind: 'wait', until: undefined} as const;
+const WAIT = {kind: 'wait', until: undefined, isBlocked: false} as const;
 const OPEN_FOR_NONE = {
   kind: 'open',
   organisation: undefined,
   replaced: undefined,
 } as const;
 
+type WaitChoice = Extract<OpeningChoice<WorkConnection>, {kind: 'wait'}>;
+
 /** The limits of a connection pool. */
 export interface ConnectionLimits {
   /** The maximum number of connections, including those being opened. */
@@ -69,6 +71,11 @@
   readonly onOpened: () => void;
   /** Called when a connection is closed to open one for another organisation. */
   readonly onReplaced: () => void;
+  /**
+   * Called when an organisation needs a connection and none can be opened or
+   * replaced. Returns the time at which to call it again if that lasts.
+   */
+  readonly onBlocked: () => number | undefined;
 }
 
 /**
@@ -231,10 +238,7 @@
     this.cancelRecheck();
     while (!this.closed && timer.now() >= this.pausedUntil) {
       const choice = this.nextOpening();
-      if (choice.kind === 'wait') {
-        if (choice.until !== undefined) this.recheckAt(choice.until);
-        return;
-      }
+      if (choice.kind === 'wait') return this.handleWait(choice);
       const {organisation, replaced} = choice;
       if (replaced !== undefined) {
         this.idle = this.idle.filter(each => each !== replaced);
@@ -277,8 +281,11 @@
     };
   }
 
-  private recheckAt(time: number): void {
-    const {timer} = this.options;
+  private handleWait({until, isBlocked}: WaitChoice): void {
+    const {timer, onBlocked} = this.options;
+    const blockedUntil = isBlocked ? onBlocked() : undefined;
+    const time = Math.min(until ?? Infinity, blockedUntil ?? Infinity);
+    if (time === Infinity) return;
     const delay = Math.max(1, time - timer.now());
     this.cancelRecheck = timer.once(delay, () => this.openMore());
   }
--- a/packages/work/src/member_worker.ts
+++ b/packages/work/src/member_worker.ts
@@ -1,22 +1,18 @@
-import {Either} from 'purify-ts';
 import {Logger} from '@apricotlock/logging';
 import {
   ConnectError,
   ConnectionError,
   LogPosition,
-  MemberCommand,
   MemberConnector,
   MemberTarget,
   StatementAnswer,
 } from '@apricotlock/statement';
-import {TimerService, Unsubscribe} from '@apricotlock/timer';
-import {
-  lastAnswer,
-  preparationFailed,
-  toMemberCommand,
-} from './caller_command.js';
+import {TimerService} from '@apricotlock/timer';
+import {lastAnswer} from './caller_command.js';
 import {ConnectionLimits, ConnectionPool} from './connection_pool.js';
+import {IdleTransactions} from './idle_transactions.js';
 import {Symptom} from './lease_messages.js';
+import {StatementRunner} from './statement_runner.js';
 import {WorkConnection} from './work_connection.js';
 import {
   WorkServerMessage,
@@ -27,8 +23,6 @@
 import {WorkInbox, WorkServerChannel} from './work_inbox.js';
 import {WorkQueue} from './work_queue.js';
 
-/** After this time without an answer, the member is probed. */
-const SILENCE_LIMIT_MILLISECONDS = 250;
 const PROBE_TIMEOUT_MILLISECONDS = 300;
 const UNREACHABLE_RETRY_MILLISECONDS = 200;
 const ROLLBACK_TIMEOUT_MILLISECONDS = 500;
@@ -59,12 +53,24 @@
 /** Whether a transaction is still open after a statement. */
 type WorkProgress = 'continue' | 'finished';
 
+/** A transaction that waits for the next statement of its session. */
+interface IdleTransaction {
+  readonly connection: WorkConnection;
+  readonly requestId: string;
+  readonly since: number;
+}
+
 /** Runs callers' statements on one member, on connections of this VM. */
 export class MemberWorker {
   private readonly connections: ConnectionPool;
   private readonly queue: WorkQueue<WorkConnection>;
+  private readonly statements: StatementRunner;
+  private readonly idleTransactions =
+    IdleTransactions.create<IdleTransaction>();
+  private isEndingTransaction = false;
   private reachable = true;
   private lastUsedAt: number;
+  private lastOrganisation: string | undefined;
   private runningCount = 0;
 
   private constructor(private readonly options: MemberWorkerOptions) {
@@ -79,6 +85,7 @@
       slots,
       onOpened: () => this.setReachable(true),
       onReplaced: () => undefined,
+      onBlocked: () => this.endIdleTransaction(),
     });
     this.queue = WorkQueue.create({
       slots,
@@ -87,6 +94,11 @@
       requestConnections: (demands, meanMilliseconds) =>
         this.connections.requestConnections(demands, meanMilliseconds),
     });
+    this.statements = StatementRunner.create({
+      ...options,
+      probe: () => this.probe(),
+      onDeadConnection: () => void this.connections.checkIdle(),
+    });
     this.connections.setLimits(options.connections);
   }
 
@@ -142,18 +154,10 @@
     const obstacle = this.obstacleTo(request);
     if (obstacle !== undefined) return this.refuse(channel, obstacle);
     this.lastUsedAt = this.options.timer.now();
+    this.lastOrganisation = request.organisation;
     if (!this.reachable) {
       // A connection opened in the background detects recovery.
-      this.connections.requestConnections(
-        [
-          {
-            organisation: request.organisation,
-            waiting: 1,
-            since: this.lastUsedAt,
-          },
-        ],
-        this.queue.meanStatementMilliseconds,
-      );
+      this.requestRecovery();
       return this.refuse(channel, 'unreachable');
     }
     const inbox = WorkInbox.create(channel);
@@ -223,7 +227,16 @@
         channel,
       );
       if (progress === 'finished') return;
+      const since = this.options.timer.now();
+      const idle = {connection, requestId: statement.requestId, since};
+      this.idleTransactions.add(idle, since);
       const nextStatement = await inbox.receiveStatement();
+      const isOpen = this.idleTransactions.remove(idle);
+      if (!isOpen && nextStatement !== undefined) {
+        const reason = 'the idle transaction was ended for waiting work';
+        this.sendLost(channel, {mayHaveRun: false, timedOut: false, reason});
+      }
+      if (!isOpen) return;
       if (nextStatement === undefined) return this.rollBack(connection);
       const slot = await this.queue.acquireTransactionSlot(
         nextStatement.timeoutMilliseconds,
@@ -253,7 +266,7 @@
     const {timer} = this.options;
     const startedAt = timer.now();
     this.runningCount += 1;
-    const outcome = await this.sendStatement(connection, statement);
+    const outcome = await this.statements.run(connection, statement);
     this.runningCount -= 1;
     const releaseSlot = () => this.queue.releaseSlot(timer.now() - startedAt);
     // With organisations, the connection is returned first, so that the next
@@ -283,76 +296,52 @@
     return isIdle ? 'finished' : 'continue';
   }
 
-  /** Sends a statement, preceded by the commands that it requires. */
-  private async sendStatement(
-    connection: WorkConnection,
-    statement: WorkStatement,
-  ): Promise<Either<ConnectionError, StatementAnswer>> {
-    const {member} = connection;
-    const {text, opens, floor, timeoutMilliseconds} = statement;
-    const values = new Map(statement.values);
-    const {commands, nextContext} = connection.prepareFor(values, text);
-    connection.setContext(nextContext);
-    const stopWatching = this.watchForSilence(connection, statement);
-    const command = toMemberCommand(
-      statement,
-      opens === 'none' ? floor : undefined,
-    );
-    if (opens === 'none') {
-      const answers = await member.run(
-        [...commands, command],
-        timeoutMilliseconds,
-      );
-      stopWatching();
-      if (answers.map(preparationFailed).orDefault(false)) connection.taint();
-      return answers.map(lastAnswer);
-    }
-    const readOnly = opens === 'readOnlyTransaction';
-    const begin: MemberCommand = {kind: 'begin', readOnly, floor};
-    const replies = await member.run([...commands, begin], timeoutMilliseconds);
-    // A statement after a failed BEGIN would run outside of a transaction.
-    const beginAnswer = replies.map(lastAnswer);
-    if (replies.map(preparationFailed).orDefault(false)) connection.taint();
-    const answer = beginAnswer.toMaybe().extract();
-    if (answer?.end.kind !== 'complete') {
-      stopWatching();
-      return beginAnswer;
-    }
-    const answers = await member.run([command], timeoutMilliseconds);
-    stopWatching();
-    return answers.map(lastAnswer);
+  /**
+   * Ends an idle transaction if these hold most connections while new work waits
+   * for one. Returns when to call it again if the work still waits then.
+   */
+  private endIdleTransaction(): number | undefined {
+    // The connection of the last one may be enough.
+    if (this.isEndingTransaction) return undefined;
+    const {timer, logger, target} = this.options;
+    const {count} = this.connections;
+    const choice = this.idleTransactions.chooseEnding(count, timer.now());
+    if (choice.kind === 'wait') return choice.until;
+    const {transaction} = choice;
+    const {connection, requestId, since} = transaction;
+    this.idleTransactions.remove(transaction);
+    logger.info('ended an idle transaction because new work waits', {
+      request: requestId,
+      member: target.name,
+      organisation: connection.organisation,
+      idle: Math.round(timer.now() - since),
+    });
+    this.isEndingTransaction = true;
+    void this.sendRollback(connection).then(isIdle => {
+      this.isEndingTransaction = false;
+      this.returnRolledBack(connection, isIdle);
+    });
+    return undefined;
   }
 
   /** Rolls back a transaction that its session did not end. */
   private async rollBack(connection: WorkConnection): Promise<void> {
-    const rolledBack = await connection.member.run(
+    this.returnRolledBack(connection, await this.sendRollback(connection));
+  }
+
+  /** Resolves to whether the connection is out of its transaction. */
+  private async sendRollback({member}: WorkConnection): Promise<boolean> {
+    const rolledBack = await member.run(
       [{kind: 'rollback'}],
       ROLLBACK_TIMEOUT_MILLISECONDS,
     );
     const answer = rolledBack.map(lastAnswer).toMaybe().extract();
-    if (answer?.state === 'idle') this.connections.checkIn(connection);
-    else this.connections.discard(connection);
+    return answer?.state === 'idle';
   }
 
-  /**
-   * Probes the member on a new connection if a statement is not answered within
-   * {@link SILENCE_LIMIT_MILLISECONDS}, because either the statement is slow or
-   * its connection is dead. Returns a function that ends the watch.
-   */
-  private watchForSilence(
-    connection: WorkConnection,
-    statement: WorkStatement,
-  ): Unsubscribe {
-    let isAnswered = false;
-    const cancel = this.options.timer.once(SILENCE_LIMIT_MILLISECONDS, () => {
-      void this.probe().then(reachable => {
-        if (reachable && !isAnswered) this.handleSilence(connection, statement);
-      });
-    });
-    return () => {
-      isAnswered = true;
-      cancel();
-    };
+  private returnRolledBack(connection: WorkConnection, isIdle: boolean): void {
+    if (isIdle) this.connections.checkIn(connection);
+    else this.connections.discard(connection);
   }
 
   /** Resolves to whether the member accepts and answers a new connection. */
@@ -367,30 +356,6 @@
     return true;
   }
 
-  /**
-   * Handles a statement without an answer from a reachable member. A repeatable
-   * read is aborted by closing its connection. Any other statement continues,
-   * because a write may be waiting for replicas, and a commit stall is reported.
-   */
-  private handleSilence(
-    connection: WorkConnection,
-    statement: WorkStatement,
-  ): void {
-    const {timer, logger, target, onSymptom} = this.options;
-    logger.warn('no answer on a connection to a reachable member', {
-      request: statement.requestId,
-      member: target.name,
-      connectionAge: Math.round(timer.now() - connection.openedAt),
-      repeatable: statement.repeatable,
-    });
-    if (statement.repeatable) {
-      connection.member.close();
-      void this.connections.checkIdle();
-    } else {
-      onSymptom('commitsStall');
-    }
-  }
-
   private handleConnectError(error: ConnectError): void {
     const {logger, target, onSymptom} = this.options;
     logger.warn('failed to connect to a member', {
@@ -424,9 +389,19 @@
     if (!reachable) {
       this.queue.refuseQueuedWork();
       this.connections.closeAll();
+      // Without organisations, the pool opens warm connections again by itself.
+      if (this.lastOrganisation !== undefined) this.requestRecovery();
     }
   }
 
+  /** Requests a connection, whose opening detects that the member recovered. */
+  private requestRecovery(): void {
+    const organisation = this.lastOrganisation;
+    const demand = {organisation, waiting: 1, since: this.options.timer.now()};
+    const mean = this.queue.meanStatementMilliseconds;
+    this.connections.requestConnections([demand], mean);
+  }
+
   private reportIfNotPrimary(
     {primaryTerm}: WorkRequest,
     {end}: StatementAnswer,
--- a/packages/work/test/connection_choice_test.ts
+++ b/packages/work/test/connection_choice_test.ts
@@ -84,7 +84,7 @@
     const choice = chooseOpening(
       facts({checkedOut, demands: [demand('a', 1)]}),
     );
-    expect(choice.kind).to.equal('wait');
+    expect(choice).to.deep.include({kind: 'wait', isBlocked: true});
   });
 
   it('waits for an own connection that is expected back soon, and not longer', () => {
@@ -93,6 +93,7 @@
     expect(chooseOpening(facts({checkedOut: running, demands}))).to.deep.equal({
       kind: 'wait',
       until: NOW + MEAN,
+      isBlocked: false,
     });
     const later = facts({checkedOut: running, demands, now: NOW + MEAN});
     expect(chooseOpening(later).kind).to.equal('open');
--- a/packages/work/test/connection_pool_test.ts
+++ b/packages/work/test/connection_pool_test.ts
@@ -49,6 +49,7 @@
     onReplaced: () => {
       this.replaced += 1;
     },
+    onBlocked: () => undefined,
   });
 
   constructor(limits: Partial<ConnectionLimits>) {
--- a/packages/work/test/member_worker_test.ts
+++ b/packages/work/test/member_worker_test.ts
@@ -23,13 +23,17 @@
   mayUse = true;
   readonly worker: MemberWorker;
 
-  constructor(handler: AnswerHandler, failure?: ConnectError) {
+  constructor(
+    handler: AnswerHandler,
+    failure?: ConnectError,
+    connections = {maximum: 4, warm: 1, byOrganisation: false},
+  ) {
     this.connector = new FakeMemberConnector(handler);
     this.connector.failure = failure;
     this.worker = MemberWorker.create({
       target: TARGET,
       slots: 2,
-      connections: {maximum: 4, warm: 1, byOrganisation: false},
+      connections,
       connector: this.connector,
       timer: this.timer,
       logger: Logger.silent(),
@@ -139,6 +143,66 @@
     });
   });
 
+  describe('with idle transactions on all connections', () => {
+    const answerInTransaction: AnswerHandler = async ({kind}, {organisation}) =>
+      complete(
+        organisation === 'waiting' || kind === 'rollback'
+          ? 'idle'
+          : 'transaction',
+      );
+    const opens = 'transaction';
+
+    async function occupy(fixture: Fixture) {
+      const first = fixture.start(request({opens}, 'idle'));
+      await first.receive();
+      await fixture.timer.advanceAsync(100);
+      const second = fixture.start(request({opens}, 'idle'));
+      await second.receive();
+      return {first, second};
+    }
+
+    // Guards against idle transactions that block the work of all others.
+    it('ends the one that has been idle longest for waiting work', async () => {
+      const limits = {maximum: 2, warm: 0, byOrganisation: true};
+      const fixture = new Fixture(answerInTransaction, undefined, limits);
+      const {first, second} = await occupy(fixture);
+      const waiting = {...request({}, 'waiting'), waitMilliseconds: 1_000};
+      const answer = fixture.start(waiting).receive();
+      await fixture.timer.advanceAsync(380);
+      const [ended, kept] = fixture.connector.connections;
+      expect(ended?.commands.at(-1)?.kind).to.equal('caller');
+      await fixture.timer.advanceAsync(30);
+      expect((await answer)?.kind).to.equal('answer');
+      expect(ended?.commands.at(-1)?.kind).to.equal('rollback');
+      expect(kept?.closed).to.equal(false);
+      first.send(statementOf({requestId: 'r2'}));
+      expect(await first.receive()).to.deep.include({
+        kind: 'lost',
+        mayHaveRun: false,
+      });
+      second.send(statementOf({requestId: 'r3'}));
+      expect((await second.receive())?.kind).to.equal('answer');
+    });
+
+    it('ends none if no work waits or there are no organisations', async () => {
+      const organised = {maximum: 2, warm: 0, byOrganisation: true};
+      const idle = new Fixture(answerInTransaction, undefined, organised);
+      await occupy(idle);
+      const limits = {...organised, byOrganisation: false};
+      const fixture = new Fixture(answerInTransaction, undefined, limits);
+      for (let count = 0; count < 2; count++) {
+        await fixture.start(request({opens})).receive();
+      }
+      void fixture.start({...request(), waitMilliseconds: 5_000});
+      await idle.timer.advanceAsync(2_000);
+      await fixture.timer.advanceAsync(2_000);
+      for (const {connector} of [idle, fixture]) {
+        const kinds = connector.commands.map(({kind}) => kind);
+        expect(kinds).not.to.include('rollback');
+      }
+    });
+  });
+
   it('runs the work of each organisation on connections of its own', async () => {
     const fixture = new Fixture(async () => complete());
     const organisations = ['a', 'b', undefined, 'a', 'b', undefined];
--- a/packages/work/test/organisation_load.ts
+++ b/packages/work/test/organisation_load.ts
@@ -97,6 +97,7 @@
       onConnectError: () => undefined,
       onOpened: () => undefined,
       onReplaced: () => undefined,
+      onBlocked: () => undefined,
     });
     this.queue = WorkQueue.create<WorkConnection>({
       slots: SLOTS,
