Count connection events and refusals of work, and describe organisations

Operators could not see how often connections are opened or replaced, or why work was refused by the VM that runs it.

A narrow observer of the work service counts connections opened, connections replaced for another organisation, idle transactions ended, and refusals by reason. No metric has the organisation as a label; log lines name it.

--- a/packages/program/src/entry_program.ts
+++ b/packages/program/src/entry_program.ts
@@ -95,6 +95,7 @@
       machines: entryMachines,
       connector,
       leader,
+      observer,
       onDrainingWork: role => observer.onDrainingWork(role),
     });
     const health = VirtualMachineHealth.create({...shared, machines});
--- a/packages/program/src/session_metrics.ts
+++ b/packages/program/src/session_metrics.ts
@@ -9,17 +9,24 @@
 import {CallerFailure} from '@apricotlock/statement';
 import {TimerService} from '@apricotlock/timer';
 import {Consistency} from '@apricotlock/topology';
-import {MemberRole} from '@apricotlock/work';
+import {
+  ConnectionEvent,
+  MemberRole,
+  WorkObserver,
+  WorkRefusalReason,
+} from '@apricotlock/work';
 
 /**
  * Counts failures and measures latencies of callers' requests. No metric has the
  * entry as a label, so that the number of metrics does not grow with the
  * catalogue; details about a single entry are in the log.
  */
-export class SessionMetrics extends SessionObserver {
+export class SessionMetrics extends SessionObserver implements WorkObserver {
   private readonly latencies: LatencySummarySet;
   private readonly failures = CounterSet.create();
   private readonly drainingWork = CounterSet.create();
+  private readonly connectionEvents = CounterSet.create();
+  private readonly refusals = CounterSet.create();
   private gauges: readonly Gauge[] = [];
 
   private constructor(timer: TimerService) {
@@ -45,6 +52,14 @@
     this.drainingWork.increment(`role="${role}"`);
   }
 
+  onConnectionEvent(event: ConnectionEvent): void {
+    this.connectionEvents.increment(`event="${event}"`);
+  }
+
+  onRefusal(reason: WorkRefusalReason): void {
+    this.refusals.increment(`reason="${reason}"`);
+  }
+
   /** Adds gauges to the rendered metrics. */
   addGauges(gauges: readonly Gauge[]): void {
     this.gauges = [...this.gauges, ...gauges];
@@ -63,6 +78,16 @@
         'Statements and transactions begun on a draining member, by its role',
         this.drainingWork,
       ),
+      ...renderCounters(
+        'apricotlock_member_connection_events_total',
+        'Connections to members that were opened or taken from their use',
+        this.connectionEvents,
+      ),
+      ...renderCounters(
+        'apricotlock_work_refusals_total',
+        'Statements and transactions that this VM refused to run on members',
+        this.refusals,
+      ),
       ...this.latencies.render(
         'apricotlock_statement_duration_seconds',
         'From statement to answer',
--- a/packages/program/test/session_metrics_test.ts
+++ b/packages/program/test/session_metrics_test.ts
@@ -10,6 +10,8 @@
     metrics.onFailure('notRun');
     metrics.onFailure('notRun');
     metrics.onDrainingWork('primary');
+    metrics.onConnectionEvent('replaced');
+    metrics.onRefusal('overloaded');
     metrics.addGauges([
       {name: 'sessions', help: 'Open sessions', read: () => 7},
     ]);
@@ -17,6 +19,8 @@
     expect(lines).to.include.members([
       'apricotlock_draining_member_work_total{role="primary"} 1',
       'apricotlock_failures_total{kind="notRun"} 2',
+      'apricotlock_member_connection_events_total{event="replaced"} 1',
+      'apricotlock_work_refusals_total{reason="overloaded"} 1',
       'apricotlock_statement_duration_seconds_count{consistency="primary"} 1',
       'sessions 7',
     ]);
--- a/packages/work/src/connection_pool.ts
+++ b/packages/work/src/connection_pool.ts
@@ -66,11 +66,14 @@
   /** Called when a connection has become free. */
   readonly onAvailable: () => void;
   /** Called when a connection could not be opened. */
-  readonly onConnectError: (error: ConnectError) => void;
+  readonly onConnectError: (
+    error: ConnectError,
+    organisation: string | undefined,
+  ) => void;
   /** Called when a connection was opened. */
   readonly onOpened: () => void;
   /** Called when a connection is closed to open one for another organisation. */
-  readonly onReplaced: () => void;
+  readonly onReplaced: (connection: WorkConnection) => void;
   /**
    * Called when an organisation needs a connection and none can be opened or
    * replaced. Returns the time at which to call it again if that lasts.
@@ -164,7 +167,7 @@
     connection.isInTransaction = false;
     if (connection.member.usable && this.mustYield(connection)) {
       connection.member.close();
-      this.options.onReplaced();
+      this.options.onReplaced(connection);
       this.openMore();
       return;
     }
@@ -243,7 +246,7 @@
       if (replaced !== undefined) {
         this.idle = this.idle.filter(each => each !== replaced);
         replaced.member.close();
-        this.options.onReplaced();
+        this.options.onReplaced(replaced);
       }
       void this.openOne(organisation);
     }
@@ -303,7 +306,7 @@
       1,
     );
     opened.caseOf({
-      Left: error => this.handleConnectError(error),
+      Left: error => this.handleConnectError(error, organisation),
       Right: member => {
         const now = timer.now();
         const connection = WorkConnection.create(member, organisation, now);
@@ -315,7 +318,10 @@
     this.openMore();
   }
 
-  private handleConnectError(error: ConnectError): void {
+  private handleConnectError(
+    error: ConnectError,
+    organisation: string | undefined,
+  ): void {
     if (this.closed) return;
     const {timer} = this.options;
     const isMemberFull = error.kind === 'tooManyConnections';
@@ -324,7 +330,7 @@
       : CONNECT_RETRY_MILLISECONDS;
     this.pausedUntil = timer.now() + pause;
     timer.once(pause + 1, () => this.openMore());
-    this.options.onConnectError(error);
+    this.options.onConnectError(error, organisation);
   }
 
   private removeEnded(connection: WorkConnection): void {
--- a/packages/work/src/index.ts
+++ b/packages/work/src/index.ts
@@ -48,6 +48,7 @@
   type WorkText,
   type WorkClientMessage,
 } from './work_messages.js';
+export {type ConnectionEvent, type WorkObserver} from './work_observer.js';
 export {
   WorkQueue,
   type QueueRefusal,
--- a/packages/work/src/member_worker.ts
+++ b/packages/work/src/member_worker.ts
@@ -21,6 +21,7 @@
   WorkStatement,
 } from './work_messages.js';
 import {WorkInbox, WorkServerChannel} from './work_inbox.js';
+import {WorkObserver} from './work_observer.js';
 import {WorkQueue} from './work_queue.js';
 
 const PROBE_TIMEOUT_MILLISECONDS = 300;
@@ -35,6 +36,7 @@
   readonly connector: MemberConnector;
   readonly timer: TimerService;
   readonly logger: Logger;
+  readonly observer: WorkObserver;
   /**
    * Returns whether this VM may run work that requires the primary of a term; a
    * term of 0 allows any role.
@@ -81,10 +83,14 @@
       connector,
       timer,
       onAvailable: () => this.queue.notifyConnectionAvailable(),
-      onConnectError: error => this.handleConnectError(error),
+      onConnectError: (error, organisation) =>
+        this.handleConnectError(error, organisation),
       slots,
-      onOpened: () => this.setReachable(true),
-      onReplaced: () => undefined,
+      onOpened: () => {
+        options.observer.onConnectionEvent('opened');
+        this.setReachable(true);
+      },
+      onReplaced: connection => this.recordReplaced(connection),
       onBlocked: () => this.endIdleTransaction(),
     });
     this.queue = WorkQueue.create({
@@ -303,7 +309,7 @@
   private endIdleTransaction(): number | undefined {
     // The connection of the last one may be enough.
     if (this.isEndingTransaction) return undefined;
-    const {timer, logger, target} = this.options;
+    const {timer, logger, target, observer} = this.options;
     const {count} = this.connections;
     const choice = this.idleTransactions.chooseEnding(count, timer.now());
     if (choice.kind === 'wait') return choice.until;
@@ -316,6 +322,7 @@
       organisation: connection.organisation,
       idle: Math.round(timer.now() - since),
     });
+    observer.onConnectionEvent('transactionEnded');
     this.isEndingTransaction = true;
     void this.sendRollback(connection).then(isIdle => {
       this.isEndingTransaction = false;
@@ -349,18 +356,32 @@
     const {connector, target} = this.options;
     const opened = await connector.connect(target, PROBE_TIMEOUT_MILLISECONDS);
     if (opened.isLeft()) {
-      this.handleConnectError(opened.extract() as ConnectError);
+      this.handleConnectError(opened.extract() as ConnectError, undefined);
       return false;
     }
     opened.ifRight(connection => connection.close());
     return true;
   }
 
-  private handleConnectError(error: ConnectError): void {
+  private recordReplaced({organisation, openedAt}: WorkConnection): void {
+    const {timer, logger, target, observer} = this.options;
+    observer.onConnectionEvent('replaced');
+    logger.debug('closed a connection for another organisation', {
+      member: target.name,
+      organisation,
+      connectionAge: Math.round(timer.now() - openedAt),
+    });
+  }
+
+  private handleConnectError(
+    error: ConnectError,
+    organisation: string | undefined,
+  ): void {
     const {logger, target, onSymptom} = this.options;
     logger.warn('failed to connect to a member', {
       member: target.name,
       database: target.database,
+      organisation,
       failure: error.kind,
       reason: error.reason,
     });
@@ -415,6 +436,7 @@
     reason: WorkRefusalReason,
     retryAfterMilliseconds = UNREACHABLE_RETRY_MILLISECONDS,
   ): void {
+    this.options.observer.onRefusal(reason);
     channel.send({kind: 'refused', refusal: {reason, retryAfterMilliseconds}});
   }
 
--- a/packages/work/src/work_service.ts
+++ b/packages/work/src/work_service.ts
@@ -34,6 +34,7 @@
   WorkRequest,
   WorkClientMessage,
 } from './work_messages.js';
+import {WorkObserver} from './work_observer.js';
 
 /** A worker is closed after this time without work. */
 const UNUSED_WORKER_TIMEOUT_MILLISECONDS = 5_000;
@@ -56,6 +57,7 @@
   readonly leader: ControlLeaderClient;
   readonly timer: TimerService;
   readonly logger: Logger;
+  readonly observer: WorkObserver;
   /** Called when work begins on a member that is known to be draining. */
   readonly onDrainingWork: (role: MemberRole) => void;
 }
@@ -146,6 +148,7 @@
         reason: 'unknownMember',
         retryAfterMilliseconds,
       } as const;
+      this.options.observer.onRefusal(refusal.reason);
       channel.send({kind: 'refused', refusal});
       return;
     }
@@ -223,7 +226,7 @@
   }
 
   private createWorker(group: DatabaseGroup, member: Member): MemberWorker {
-    const {connector, timer, logger} = this.options;
+    const {connector, timer, logger, observer} = this.options;
     const {database} = group;
     const {name, address} = member;
     return MemberWorker.create({
@@ -233,6 +236,7 @@
       connector,
       timer,
       logger,
+      observer,
       mayUse: term => term === 0 || this.leases.holds(database, term),
       acceptsNewWork: () => this.findMember(database, name)?.state === 'active',
       onBegun: request => this.recordDrainingWork(request),
--- a/packages/work/test/member_worker_test.ts
+++ b/packages/work/test/member_worker_test.ts
@@ -20,6 +20,8 @@
   readonly timer = ManualTimerService.create();
   readonly connector: FakeMemberConnector;
   readonly symptoms: Symptom[] = [];
+  /** What the observer was told. */
+  readonly events: string[] = [];
   mayUse = true;
   readonly worker: MemberWorker;
 
@@ -37,6 +39,10 @@
       connector: this.connector,
       timer: this.timer,
       logger: Logger.silent(),
+      observer: {
+        onConnectionEvent: event => this.events.push(event),
+        onRefusal: reason => this.events.push(reason),
+      },
       mayUse: () => this.mayUse,
       acceptsNewWork: () => true,
       onBegun: () => undefined,
@@ -175,6 +181,13 @@
       expect((await answer)?.kind).to.equal('answer');
       expect(ended?.commands.at(-1)?.kind).to.equal('rollback');
       expect(kept?.closed).to.equal(false);
+      expect(fixture.events).to.deep.equal([
+        'opened',
+        'opened',
+        'transactionEnded',
+        'replaced',
+        'opened',
+      ]);
       first.send(statementOf({requestId: 'r2'}));
       expect(await first.receive()).to.deep.include({
         kind: 'lost',
@@ -225,6 +238,7 @@
     fixture.mayUse = false;
     const answer = await fixture.start(request()).receive();
     expect(answer?.kind).to.equal('refused');
+    expect(fixture.events).to.include('notHolder');
     expect(fixture.connector.commands).to.deep.equal([]);
   });
 
--- a/packages/work/test/work_service_test.ts
+++ b/packages/work/test/work_service_test.ts
@@ -96,6 +96,10 @@
       leader: ControlLeaderClient.create({network, machines}),
       timer: this.timer,
       logger: Logger.silent(),
+      observer: {
+        onConnectionEvent: () => undefined,
+        onRefusal: () => undefined,
+      },
       onDrainingWork: role => this.drainingWork.push(role),
     });
   }
