Return connections before slots whenever callers belong to organisations

Work of callers without an organisation lost its turn in a catalogue with organisations, because only named organisations returned the connection first. Recovery of a member in the background now follows the same condition.

Without organisations the expected wait of an answer needs no pass over the queue again. ConnectionLimits moves beside the function that computes it, and tests of organisations in the queue to a file of their own.

--- a/packages/work/src/connection_limits.ts
+++ b/packages/work/src/connection_limits.ts
@@ -5,7 +5,6 @@
   ownerOf,
   VirtualMachine,
 } from '@apricotlock/topology';
-import {ConnectionLimits} from './connection_pool.js';
 
 const DEFAULT_SLOTS = 2;
 const DEFAULT_CONNECTIONS = 16;
@@ -16,6 +15,19 @@
 /** Connections that are kept open in addition to one for each slot. */
 const SPARE_CONNECTIONS = 1;
 
+/** The limits of a connection pool. */
+export interface ConnectionLimits {
+  /** The maximum number of connections, including those being opened. */
+  readonly maximum: number;
+  /** The number of connections that are kept open while there is no work. */
+  readonly warm: number;
+  /**
+   * Whether callers belong to organisations. Then no connection is opened before
+   * work of its organisation needs it.
+   */
+  readonly byOrganisation: boolean;
+}
+
 /** What a VM knows when it decides on its connections to a member. */
 export interface ConnectionLimitFacts {
   readonly self: string;
--- a/packages/work/src/connection_pool.ts
+++ b/packages/work/src/connection_pool.ts
@@ -13,6 +13,7 @@
   OpeningChoice,
   PoolFacts,
 } from './connection_choice.js';
+import {ConnectionLimits} from './connection_limits.js';
 import {WorkConnection} from './work_connection.js';
 
 const CONNECT_TIMEOUT_MILLISECONDS = 350;
@@ -37,19 +38,6 @@
 
 type WaitChoice = Extract<OpeningChoice<WorkConnection>, {kind: 'wait'}>;
 
-/** The limits of a connection pool. */
-export interface ConnectionLimits {
-  /** The maximum number of connections, including those being opened. */
-  readonly maximum: number;
-  /** The number of connections that are kept open while there is no work. */
-  readonly warm: number;
-  /**
-   * Whether callers belong to organisations. Then no connection is opened before
-   * work of its organisation needs it.
-   */
-  readonly byOrganisation: boolean;
-}
-
 const NO_CONNECTIONS: ConnectionLimits = {
   maximum: 0,
   warm: 0,
@@ -116,6 +104,11 @@
     return this.idle.length + this.checkedOut.size + this.opening.length;
   }
 
+  /** Whether callers belong to organisations. */
+  get servesOrganisations(): boolean {
+    return this.limits.byOrganisation;
+  }
+
   /** The number of checked-out connections. */
   get checkedOutCount(): number {
     return this.checkedOut.size;
--- a/packages/work/src/index.ts
+++ b/packages/work/src/index.ts
@@ -13,7 +13,7 @@
   type PooledConnection,
   type PoolFacts,
 } from './connection_choice.js';
-export {type ConnectionLimits} from './connection_pool.js';
+export {type ConnectionLimits} from './connection_limits.js';
 export {
   ConnectionContext,
   preparedName,
--- a/packages/work/src/member_worker.ts
+++ b/packages/work/src/member_worker.ts
@@ -9,7 +9,8 @@
 } from '@apricotlock/statement';
 import {TimerService} from '@apricotlock/timer';
 import {lastAnswer} from './caller_command.js';
-import {ConnectionLimits, ConnectionPool} from './connection_pool.js';
+import {ConnectionLimits} from './connection_limits.js';
+import {ConnectionPool} from './connection_pool.js';
 import {IdleTransactions} from './idle_transactions.js';
 import {Symptom} from './lease_messages.js';
 import {StatementRunner} from './statement_runner.js';
@@ -277,7 +278,7 @@
     const releaseSlot = () => this.queue.releaseSlot(timer.now() - startedAt);
     // With organisations, the connection is returned first, so that the next
     // work of its organisation does not lose its turn to later work.
-    const returnsFirst = request.organisation !== undefined;
+    const returnsFirst = this.connections.servesOrganisations;
     if (!returnsFirst) releaseSlot();
     if (outcome.isLeft()) {
       const {reason} = outcome.extract() as ConnectionError;
@@ -411,7 +412,7 @@
       this.queue.refuseQueuedWork();
       this.connections.closeAll();
       // Without organisations, the pool opens warm connections again by itself.
-      if (this.lastOrganisation !== undefined) this.requestRecovery();
+      if (this.connections.servesOrganisations) this.requestRecovery();
     }
   }
 
--- a/packages/work/src/work_backlogs.ts
+++ b/packages/work/src/work_backlogs.ts
@@ -80,6 +80,14 @@
     return this.backlogOf.size;
   }
 
+  /** Whether work of any organisation is queued. */
+  get hasOrganisations(): boolean {
+    for (const key of this.byOrganisation.keys()) {
+      if (typeof key === 'string') return true;
+    }
+    return false;
+  }
+
   /** Returns the queued work in the order of arrival. */
   works(): Iterable<Work> {
     return this.backlogOf.keys();
--- a/packages/work/src/work_queue.ts
+++ b/packages/work/src/work_queue.ts
@@ -14,7 +14,6 @@
 const MINIMUM_RETRY_MILLISECONDS = 10;
 /** A higher priority than that of any new work. */
 const OPEN_TRANSACTION_PRIORITY = -1;
-const NOTHING: WorkAhead = {total: 0, ownOnTime: 0, ownLate: 0};
 const NEVER = new Promise<never>(() => undefined);
 
 /** The organisation for which work is done, if there is one. */
@@ -100,7 +99,11 @@
    * the lowest of all that wait, in milliseconds.
    */
   expectedWaitOf(request: QueueRequester = {}): number {
-    if (this.waiting.size === 0) return this.expectedWait(NOTHING, undefined);
+    const {size, hasOrganisations} = this.waiting;
+    if (!hasOrganisations) {
+      const all = {total: size, ownOnTime: size, ownLate: 0};
+      return this.expectedWait(all, undefined);
+    }
     let priority = 0;
     for (const work of this.waiting.works()) {
       priority = Math.max(priority, work.priority);
--- a/packages/work/src/work_service.ts
+++ b/packages/work/src/work_service.ts
@@ -17,8 +17,11 @@
   Member,
   VirtualMachine,
 } from '@apricotlock/topology';
-import {connectionLimitsFor, slotsOf} from './connection_limits.js';
-import {ConnectionLimits} from './connection_pool.js';
+import {
+  ConnectionLimits,
+  connectionLimitsFor,
+  slotsOf,
+} from './connection_limits.js';
 import {ControlLeaderClient} from './control_leader_client.js';
 import {DrainingMembers} from './draining_members.js';
 import {REVOKE_LEASE} from './lease_messages.js';
--- a/packages/work/test/connection_pool_test.ts
+++ b/packages/work/test/connection_pool_test.ts
@@ -3,7 +3,8 @@
 import {ConnectError, MemberConnection} from '@apricotlock/statement';
 import {ManualTimerService} from '@apricotlock/timer';
 import {Either} from 'purify-ts';
-import {ConnectionLimits, ConnectionPool} from '../src/connection_pool.js';
+import {ConnectionLimits} from '../src/connection_limits.js';
+import {ConnectionPool} from '../src/connection_pool.js';
 import {WorkConnection} from '../src/work_connection.js';
 import {complete, FakeMemberConnector} from './fake_member.js';
 
--- a/packages/work/test/member_worker_test.ts
+++ b/packages/work/test/member_worker_test.ts
@@ -217,7 +217,9 @@
   });
 
   it('runs the work of each organisation on connections of its own', async () => {
-    const fixture = new Fixture(async () => complete());
+    const limits = {maximum: 4, warm: 1, byOrganisation: true};
+    const handler = async () => complete();
+    const fixture = new Fixture(handler, undefined, limits);
     const organisations = ['a', 'b', undefined, 'a', 'b', undefined];
     for (const organisation of organisations) {
       const channel = fixture.start(request({}, organisation));
@@ -270,10 +272,12 @@
     for (const organisation of [undefined, 'a']) {
       const whose = organisation ?? 'no organisation';
       it(`runs work of ${whose} again after a background connection succeeds`, async () => {
-        const fixture = new Fixture(async () => complete(), {
-          kind: 'unreachable',
-          reason: 'silent',
-        });
+        const byOrganisation = organisation !== undefined;
+        const fixture = new Fixture(
+          async () => complete(),
+          {kind: 'unreachable', reason: 'silent'},
+          {maximum: 4, warm: 1, byOrganisation},
+        );
         await fixture.start(request({}, organisation)).receive();
         fixture.connector.failure = undefined;
         await fixture.timer.advanceAsync(400);
--- a/packages/work/test/work_queue_test.ts
+++ b/packages/work/test/work_queue_test.ts
@@ -1,63 +1,11 @@
 import {expect} from 'chai';
 import {Either} from 'purify-ts';
-import {ManualTimerService} from '@apricotlock/timer';
-import {QueueRefusal, QueueRequester, WorkQueue} from '../src/index.js';
+import {QueueRefusal} from '../src/index.js';
+import {FakeMember, settle} from './queued_member.js';
 
-const NEVER = new Promise<never>(() => undefined);
 const HIGH = 1;
 const LOW = 2;
 
-/** A member with slots and connections, as seen by the queue. */
-class FakeMember {
-  readonly timer = ManualTimerService.create();
-  readonly started: string[] = [];
-  free: number;
-  requestedConnections = 0;
-  readonly queue: WorkQueue<number>;
-
-  constructor(slots: number, connections: number) {
-    this.free = connections;
-    this.queue = WorkQueue.create<number>({
-      slots,
-      timer: this.timer,
-      takeConnection: () => (this.free > 0 ? this.free-- : undefined),
-      requestConnections: demands => {
-        this.requestedConnections = demands[0]?.waiting ?? 0;
-      },
-    });
-  }
-
-  submit(
-    name: string,
-    priority: number,
-    wait: number,
-    objective = wait,
-    requester: QueueRequester = {},
-  ) {
-    const request = {
-      ...requester,
-      priority,
-      waitMilliseconds: wait,
-      objectiveMilliseconds: objective,
-    };
-    const outcome = this.queue.acquireSlotAndConnection(request, NEVER);
-    void outcome.then(admission => {
-      if (admission.isRight()) this.started.push(name);
-    });
-    return outcome;
-  }
-
-  async finish(held: number): Promise<void> {
-    this.free += 1;
-    this.queue.releaseSlot(held);
-    await settle();
-  }
-}
-
-async function settle(): Promise<void> {
-  await new Promise(resolve => setImmediate(resolve));
-}
-
 function expectedWaitOf(admission: Either<QueueRefusal, unknown>): number {
   return (admission.extract() as QueueRefusal).expectedWaitMilliseconds;
 }
@@ -226,105 +174,6 @@
     expect(member.started).to.deep.equal(expected);
   });
 
-  describe('with organisations', () => {
-    const LONG = 100_000;
-    const A = {organisation: 'a'};
-    const B = {organisation: 'b'};
-
-    async function startOrder(
-      member: FakeMember,
-      count: number,
-    ): Promise<string> {
-      const before = member.started.length;
-      for (let ended = 0; ended < count; ended++) await member.finish(12);
-      return member.started.slice(before).join('');
-    }
-
-    function submitMany(
-      member: FakeMember,
-      count: number,
-      requester: QueueRequester,
-      priority = LOW,
-    ): void {
-      for (let each = 0; each < count; each++) {
-        const name = requester.organisation ?? '';
-        void member.submit(name, priority, LONG, LONG, requester);
-      }
-    }
-
-    it('shares slots equally, whatever the length of a backlog', async () => {
-      const member = new FakeMember(1, 100);
-      submitMany(member, 20, A);
-      submitMany(member, 3, B);
-      await settle();
-      expect(await startOrder(member, 8)).to.equal('bababaaa');
-    });
-
-    it('shares slots by the weights of organisations', async () => {
-      const member = new FakeMember(1, 100);
-      submitMany(member, 20, {...A, organisationPriority: 1});
-      submitMany(member, 20, {...B, organisationPriority: 0});
-      await settle();
-      const order = await startOrder(member, 12);
-      expect(order.replaceAll('a', '')).to.have.lengthOf(8);
-    });
-
-    it('gives no claim to a share that was not used', async () => {
-      const member = new FakeMember(1, 100);
-      submitMany(member, 20, A);
-      await startOrder(member, 10);
-      submitMany(member, 10, B);
-      expect(await startOrder(member, 6)).to.equal('bababa');
-    });
-
-    it('puts the priority of work before shares', async () => {
-      const member = new FakeMember(1, 100);
-      submitMany(member, 5, B);
-      submitMany(member, 5, A, HIGH);
-      await settle();
-      expect(await startOrder(member, 6)).to.equal('aaaaab');
-    });
-
-    it('counts the statements of transactions towards the share', async () => {
-      const member = new FakeMember(1, 100);
-      submitMany(member, 6, A);
-      submitMany(member, 6, B);
-      const owner = {
-        ...A,
-        priority: LOW,
-        waitMilliseconds: LONG,
-        objectiveMilliseconds: LONG,
-      };
-      for (let count = 0; count < 3; count++) {
-        void member.queue.acquireTransactionSlot(LONG, owner);
-      }
-      await settle();
-      // Three statements of a transaction, then what they cost.
-      expect(await startOrder(member, 8)).to.equal('bbbba');
-    });
-
-    it('skips work whose organisation has no free connection', async () => {
-      const member = new FakeMember(2, 1);
-      submitMany(member, 2, A);
-      submitMany(member, 2, B);
-      await settle();
-      expect(member.started).to.deep.equal(['a']);
-    });
-
-    it('refuses no work of an organisation because of a backlog of another', async () => {
-      const member = new FakeMember(1, 100);
-      submitMany(member, 50, A);
-      const refused = member.submit('a', LOW, 100, 100, A);
-      const admitted = member.submit('b', LOW, 100, 100, B);
-      expect((await refused).isLeft()).to.equal(true);
-      await member.finish(12);
-      expect((await admitted).isRight()).to.equal(true);
-      expect(member.queue.expectedWaitOf(A)).to.be.above(
-        member.queue.expectedWaitOf(B),
-      );
-    });
-  });
-
   describe('without a free connection', () => {
     it('requests connections and starts work when one is free', async () => {
       const member = new FakeMember(2, 0);
