--- a/packages/program/test/session_metrics_test.ts
+++ b/packages/program/test/session_metrics_test.ts
@@ -12,6 +12,8 @@
     metrics.onFailure('unauthenticated');
     metrics.onQuotaRefusal();
     metrics.onDrainingWork('primary');
+    metrics.onConnectionEvent('replaced');
+    metrics.onRefusal('overloaded');
     metrics.addGauges([
       {name: 'sessions', help: 'Open sessions', read: () => 7},
     ]);
@@ -21,6 +23,8 @@
       'apricotlock_failures_total{kind="notRun"} 2',
       'apricotlock_failures_total{kind="unauthenticated"} 1',
       'apricotlock_quota_refusals_total{kind="operation"} 1',
+      'apricotlock_member_connection_events_total{event="replaced"} 1',
+      'apricotlock_work_refusals_total{reason="overloaded"} 1',
       'apricotlock_statement_duration_seconds_count{consistency="primary"} 1',
       'sessions 7',
     ]);
--- a/packages/work/src/connection_limits.ts
+++ b/packages/work/src/connection_limits.ts
@@ -5,7 +5,6 @@
   ownerOf,
   VirtualMachine,
 } from '@apricotlock/topology';
-import {ConnectionLimits} from './connection_pool.js';
 
 const DEFAULT_SLOTS = 2;
 const DEFAULT_CONNECTIONS = 16;
@@ -16,6 +15,19 @@
 /** Connections that are kept open in addition to one for each slot. */
 const SPARE_CONNECTIONS = 1;
 
+/** The limits of a connection pool. */
+export interface ConnectionLimits {
+  /** The maximum number of connections, including those being opened. */
+  readonly maximum: number;
+  /** The number of connections that are kept open while there is no work. */
+  readonly warm: number;
+  /**
+   * Whether callers belong to organisations. Then no connection is opened before
+   * work of its organisation needs it.
+   */
+  readonly byOrganisation: boolean;
+}
+
 /** What a VM knows when it decides on its connections to a member. */
 export interface ConnectionLimitFacts {
   readonly self: string;
@@ -40,17 +52,18 @@
 ): ConnectionLimits {
   const memberMaximum = maximumConnectionsOf(view, member);
   const needed = slotsOf(member) + SPARE_CONNECTIONS;
+  const byOrganisation = (view.catalogue.organisations ?? []).length > 0;
   const shareOf = (share: number) =>
     Math.max(1, Math.floor(memberMaximum * share));
   if (primary === member.name) {
     return holder === self
-      ? {maximum: shareOf(LEASE_HOLDER_SHARE), warm: needed}
-      : {maximum: 1, warm: 0};
+      ? {maximum: shareOf(LEASE_HOLDER_SHARE), warm: needed, byOrganisation}
+      : {maximum: 1, warm: 0, byOrganisation};
   }
   const owner = ownerOf(member.name, member.dataCentre, machines);
   return owner?.name === self
-    ? {maximum: shareOf(REPLICA_OWNER_SHARE), warm: needed}
-    : {maximum: needed, warm: 0};
+    ? {maximum: shareOf(REPLICA_OWNER_SHARE), warm: needed, byOrganisation}
+    : {maximum: needed, warm: 0, byOrganisation};
 }
 
 /** Returns how many connections a member accepts from all VMs together. */
--- a/packages/work/src/index.ts
+++ b/packages/work/src/index.ts
@@ -4,7 +4,16 @@
  *
  * @packageDocumentation
  */
-export {type ConnectionLimits} from './connection_pool.js';
+export {
+  chooseIdle,
+  chooseOpening,
+  mustYield,
+  type ConnectionDemand,
+  type OpeningChoice,
+  type PooledConnection,
+  type PoolFacts,
+} from './connection_choice.js';
+export {type ConnectionLimits} from './connection_limits.js';
 export {
   ConnectionContext,
   preparedName,
@@ -39,10 +48,12 @@
   type WorkText,
   type WorkClientMessage,
 } from './work_messages.js';
+export {type ConnectionEvent, type WorkObserver} from './work_observer.js';
 export {
   WorkQueue,
   type QueueRefusal,
   type QueueRequest,
+  type QueueRequester,
   type WorkQueueOptions,
 } from './work_queue.js';
 export {
--- a/packages/work/src/work_queue.ts
+++ b/packages/work/src/work_queue.ts
@@ -1,6 +1,10 @@
 import {Either, Left, Right} from 'purify-ts';
 import {Deferred} from '@apricotlock/flow';
 import {TimerService} from '@apricotlock/timer';
+import {ConnectionDemand} from './connection_choice.js';
+import {fairCost} from './fair_shares.js';
+import {ComparedWork, WorkAhead} from './work_ahead.js';
+import {Backlog, RankedWork, WorkBacklogs} from './work_backlogs.js';
 
 /** The estimated duration of a statement before any has been measured. */
 const INITIAL_MEAN_MILLISECONDS = 12;
@@ -12,8 +16,15 @@
 const OPEN_TRANSACTION_PRIORITY = -1;
 const NEVER = new Promise<never>(() => undefined);
 
+/** The organisation for which work is done, if there is one. */
+export interface QueueRequester {
+  readonly organisation?: string | undefined;
+  /** The priority of that organisation; 0 is the highest. */
+  readonly organisationPriority?: number | undefined;
+}
+
 /** The scheduling parameters of new work. */
-export interface QueueRequest {
+export interface QueueRequest extends QueueRequester {
   /** 0 is the highest priority; larger numbers are lower priorities. */
   readonly priority: number;
   /** The longest wait for a slot and a connection, in milliseconds. */
@@ -23,11 +34,7 @@
 }
 
 /** Work that waits for a slot, and for a connection if it has none yet. */
-interface QueuedWork<Connection> {
-  readonly priority: number;
-  /** The time at which the answer becomes late, on the timer's clock. */
-  readonly lateAt: number;
-  readonly needsConnection: boolean;
+interface QueuedWork<Connection> extends RankedWork {
   readonly admission: Deferred<Either<QueueRefusal, Connection | undefined>>;
 }
 
@@ -40,10 +47,18 @@
 export interface WorkQueueOptions<Connection> {
   readonly slots: number;
   readonly timer: TimerService;
-  /** Returns a free connection for new work, or `undefined`. */
-  readonly takeConnection: () => Connection | undefined;
-  /** Receives the number of connections for which new work waits. */
-  readonly requestConnections: (connections: number) => void;
+  /** Returns a free connection for work of an organisation, or `undefined`. */
+  readonly takeConnection: (
+    organisation: string | undefined,
+  ) => Connection | undefined;
+  /**
+   * Receives the work that waits for connections, in the order in which it will
+   * be served, and the mean duration of a statement.
+   */
+  readonly requestConnections: (
+    demands: readonly ConnectionDemand[],
+    meanMilliseconds: number,
+  ) => void;
 }
 
 /**
@@ -54,15 +69,16 @@
  * Open transactions are served first, because they hold locks and connections,
  * and then work of higher priority. Within a priority, work that can still meet
  * its objective precedes work that is already late, so that a backlog does not
- * delay all later work beyond its objective; then the oldest comes first. Work
- * whose expected wait exceeds its limit is refused immediately instead of after
- * a long wait.
+ * delay all later work beyond its objective; then organisations share the slots
+ * by start-time fair queueing, and the oldest work comes first. Work whose
+ * expected wait exceeds its limit is refused immediately instead of after a long
+ * wait.
  *
  * The queue performs no I/O. Its owner reports available connections and
  * finished statements.
  */
 export class WorkQueue<Connection> {
-  private waiting: ReadonlyArray<QueuedWork<Connection>> = [];
+  private readonly waiting = WorkBacklogs.create<QueuedWork<Connection>>();
   private running = 0;
   private slots: number;
   private meanMilliseconds = INITIAL_MEAN_MILLISECONDS;
@@ -78,9 +94,28 @@
     return new WorkQueue(options);
   }
 
-  /** The expected wait of new work of the lowest priority, in milliseconds. */
-  get expectedWaitMilliseconds(): number {
-    return this.expectedWait(this.waiting.length);
+  /**
+   * Returns the expected wait of new work of an organisation, if its priority is
+   * the lowest of all that wait, in milliseconds.
+   */
+  expectedWaitOf(request: QueueRequester = {}): number {
+    const {size, hasOrganisations} = this.waiting;
+    if (!hasOrganisations) {
+      const all = {total: size, ownOnTime: size, ownLate: 0};
+      return this.expectedWait(all, undefined);
+    }
+    let priority = 0;
+    for (const work of this.waiting.works()) {
+      priority = Math.max(priority, work.priority);
+    }
+    const compared = comparedWork(priority, request);
+    const {ifLate} = this.waiting.countAhead(compared, this.lateBefore);
+    return this.expectedWait(ifLate, request.organisation);
+  }
+
+  /** The mean duration of a statement, in milliseconds. */
+  get meanStatementMilliseconds(): number {
+    return this.meanMilliseconds;
   }
 
   /** Sets the number of statements that the member runs at once. */
@@ -95,18 +130,18 @@
    * `abandoned` resolves or the queued work is refused.
    */
   async acquireSlotAndConnection(
-    {priority, waitMilliseconds, objectiveMilliseconds}: QueueRequest,
+    request: QueueRequest,
     abandoned: Promise<unknown>,
   ): Promise<Either<QueueRefusal, Connection>> {
+    const {priority, waitMilliseconds, objectiveMilliseconds} = request;
     const lateAt = this.options.timer.now() + objectiveMilliseconds;
-    const expectedWaitMilliseconds = this.expectedWait(
-      this.countAhead(priority, lateAt),
-    );
+    const compared = comparedWork(priority, request);
+    const expectedWaitMilliseconds = this.expectedWaitOfNew(compared, lateAt);
     if (expectedWaitMilliseconds > waitMilliseconds) {
       return Left(createRefusal(expectedWaitMilliseconds));
     }
     const admission = await this.waitForAdmission(
-      {priority, lateAt, needsConnection: true},
+      {...compared, lateAt, needsConnection: true},
       waitMilliseconds,
       abandoned,
     );
@@ -116,13 +151,16 @@
   /**
    * Waits for a slot for the next statement of an open transaction, which
    * already has a connection. Resolves to `Left` if the wait exceeds its limit.
+   * The statement counts towards the share of the organisation that requested
+   * the transaction.
    */
   async acquireTransactionSlot(
     waitMilliseconds: number,
+    request?: QueueRequest,
   ): Promise<Either<QueueRefusal, void>> {
     const lateAt = this.options.timer.now() + waitMilliseconds;
     const work = {
-      priority: OPEN_TRANSACTION_PRIORITY,
+      ...comparedWork(OPEN_TRANSACTION_PRIORITY, {}),
       lateAt,
       needsConnection: false,
     };
@@ -131,6 +169,9 @@
       waitMilliseconds,
       NEVER,
     );
+    if (admission.isRight() && request?.organisation !== undefined) {
+      this.waiting.chargeTransaction(comparedWork(request.priority, request));
+    }
     return admission.map(() => undefined);
   }
 
@@ -155,23 +196,24 @@
    * Open transactions keep waiting for their slots.
    */
   refuseQueuedWork(): void {
-    const refused = this.waiting.filter(({needsConnection}) => needsConnection);
-    this.waiting = this.waiting.filter(({needsConnection}) => !needsConnection);
-    for (const {admission} of refused) {
-      admission.resolve(Left(createRefusal(this.meanMilliseconds)));
+    for (const work of [...this.waiting.works()]) {
+      if (!work.needsConnection) continue;
+      this.waiting.remove(work);
+      work.admission.resolve(Left(createRefusal(this.meanMilliseconds)));
     }
   }
 
   private async waitForAdmission(
-    description: Omit<QueuedWork<Connection>, 'admission'>,
+    description: Omit<QueuedWork<Connection>, 'admission' | 'since'>,
     waitMilliseconds: number,
     abandoned: Promise<unknown>,
   ): Promise<Either<QueueRefusal, Connection | undefined>> {
     const work: QueuedWork<Connection> = {
       ...description,
+      since: this.options.timer.now(),
       admission: Deferred.create(),
     };
-    this.waiting = [...this.waiting, work];
+    this.waiting.add(work);
     const withdrawWork = () => this.withdraw(work);
     const cancelTimer = this.options.timer.once(waitMilliseconds, withdrawWork);
     void abandoned.then(withdrawWork);
@@ -182,27 +224,38 @@
   }
 
   private withdraw(work: QueuedWork<Connection>): void {
-    if (!this.waiting.includes(work)) return;
-    this.remove(work);
-    work.admission.resolve(Left(createRefusal(this.expectedWaitMilliseconds)));
+    if (!this.waiting.remove(work)) return;
+    const {organisation} = work;
+    const wait = this.expectedWaitOf({organisation});
+    work.admission.resolve(Left(createRefusal(wait)));
   }
 
   private dispatch(): void {
-    while (this.running < this.slots && this.startNext()) continue;
-    const waitingForConnection = this.waiting.filter(
-      ({needsConnection}) => needsConnection,
-    );
-    this.options.requestConnections(waitingForConnection.length);
+    let backlogs = this.rankBacklogs();
+    while (this.running < this.slots && this.startFirst(backlogs)) {
+      if (this.running < this.slots) backlogs = this.rankBacklogs();
+    }
+    const demands = backlogs
+      .filter(({waiting}) => waiting > 0)
+      .map(({organisation, waiting, since}) => ({
+        organisation,
+        waiting,
+        since,
+      }));
+    this.options.requestConnections(demands, this.meanMilliseconds);
   }
 
-  private startNext(): boolean {
-    for (const work of this.sortedQueue()) {
-      const {needsConnection, admission} = work;
+  /** Starts the first work for which there is a connection, if there is any. */
+  private startFirst(
+    backlogs: ReadonlyArray<Backlog<QueuedWork<Connection>>>,
+  ): boolean {
+    for (const {next, isLate} of backlogs) {
+      const {needsConnection, organisation, admission} = next;
       const connection = needsConnection
-        ? this.options.takeConnection()
+        ? this.options.takeConnection(organisation)
         : undefined;
       if (needsConnection && connection === undefined) continue;
-      this.remove(work);
+      this.waiting.start(next, isLate, this.options.timer.now());
       this.running += 1;
       admission.resolve(Right(connection));
       return true;
@@ -210,49 +263,44 @@
     return false;
   }
 
-  private remove(work: QueuedWork<Connection>): void {
-    this.waiting = this.waiting.filter(each => each !== work);
+  private rankBacklogs(): ReadonlyArray<Backlog<QueuedWork<Connection>>> {
+    if (this.waiting.size === 0) return [];
+    return this.waiting.rank(this.lateBefore);
   }
 
-  /** Returns the queued work in scheduling order; equal work by age. */
-  private sortedQueue(): ReadonlyArray<QueuedWork<Connection>> {
-    if (this.waiting.length < 2) return this.waiting;
-    const lateness = (each: QueuedWork<Connection>) =>
-      this.wouldBeLate(each.lateAt) ? 1 : 0;
-    return [...this.waiting].sort(
-      (left, right) =>
-        left.priority - right.priority || lateness(left) - lateness(right),
-    );
+  private expectedWaitOfNew(work: ComparedWork, lateAt: number): number {
+    const {ifOnTime, ifLate} = this.waiting.countAhead(work, this.lateBefore);
+    const waitIfOnTime = this.expectedWait(ifOnTime, work.organisation);
+    const isLate = lateAt - waitIfOnTime < this.lateBefore;
+    return isLate ? this.expectedWait(ifLate, work.organisation) : waitIfOnTime;
   }
 
-  /** Returns how much of the queued work would precede new work. */
-  private countAhead(priority: number, lateAt: number): number {
-    const higherCount = this.waiting.filter(
-      each => each.priority < priority,
-    ).length;
-    const samePriority = this.waiting.filter(
-      each => each.priority === priority,
-    );
-    const onTimeCount = samePriority.filter(
-      each => !this.wouldBeLate(each.lateAt),
-    ).length;
-    const wait = this.expectedWait(higherCount + onTimeCount);
-    const isLate = this.wouldBeLate(lateAt - wait);
-    return higherCount + (isLate ? samePriority.length : onTimeCount);
+  /** Work that starts now would be late if its answer is due before this time. */
+  private get lateBefore(): number {
+    return this.options.timer.now() + this.meanMilliseconds;
   }
 
   /**
-   * Returns whether work that starts now and takes the average time would end
-   * after `lateAt`.
+   * Returns the expected wait of new work. That of an organisation is at least
+   * as long as its own work ahead takes at the rate at which its work has been
+   * started, because work of others that arrives later may precede it.
    */
-  private wouldBeLate(lateAt: number): boolean {
-    return this.options.timer.now() + this.meanMilliseconds > lateAt;
+  private expectedWait(
+    ahead: WorkAhead,
+    organisation: string | undefined,
+  ): number {
+    const excess = Math.max(0, this.running + ahead.total + 1 - this.slots);
+    const wait = (excess * this.meanMilliseconds) / Math.max(1, this.slots);
+    if (organisation === undefined) return wait;
+    return Math.max(wait, this.waiting.ownWait(organisation, ahead));
   }
+}
 
-  private expectedWait(aheadCount: number): number {
-    const excess = Math.max(0, this.running + aheadCount + 1 - this.slots);
-    return (excess * this.meanMilliseconds) / Math.max(1, this.slots);
-  }
+function comparedWork(
+  priority: number,
+  {organisation, organisationPriority}: QueueRequester,
+): ComparedWork {
+  return {priority, organisation, cost: fairCost(organisationPriority)};
 }
 
 function createRefusal(expectedWaitMilliseconds: number): QueueRefusal {
--- a/packages/work/src/work_service.ts
+++ b/packages/work/src/work_service.ts
@@ -17,8 +17,11 @@
   Member,
   VirtualMachine,
 } from '@apricotlock/topology';
-import {connectionLimitsFor, slotsOf} from './connection_limits.js';
-import {ConnectionLimits} from './connection_pool.js';
+import {
+  ConnectionLimits,
+  connectionLimitsFor,
+  slotsOf,
+} from './connection_limits.js';
 import {ControlLeaderClient} from './control_leader_client.js';
 import {DrainingMembers} from './draining_members.js';
 import {REVOKE_LEASE} from './lease_messages.js';
@@ -34,6 +37,7 @@
   WorkRequest,
   WorkClientMessage,
 } from './work_messages.js';
+import {WorkObserver} from './work_observer.js';
 
 /** A worker is closed after this time without work. */
 const UNUSED_WORKER_TIMEOUT_MILLISECONDS = 5_000;
@@ -56,6 +60,7 @@
   readonly leader: ControlLeaderClient;
   readonly timer: TimerService;
   readonly logger: Logger;
+  readonly observer: WorkObserver;
   /** Called when work begins on a member that is known to be draining. */
   readonly onDrainingWork: (role: MemberRole) => void;
 }
@@ -146,6 +151,7 @@
         reason: 'unknownMember',
         retryAfterMilliseconds,
       } as const;
+      this.options.observer.onRefusal(refusal.reason);
       channel.send({kind: 'refused', refusal});
       return;
     }
@@ -223,7 +229,7 @@
   }
 
   private createWorker(group: DatabaseGroup, member: Member): MemberWorker {
-    const {connector, timer, logger} = this.options;
+    const {connector, timer, logger, observer} = this.options;
     const {database} = group;
     const {name, address} = member;
     return MemberWorker.create({
@@ -233,6 +239,7 @@
       connector,
       timer,
       logger,
+      observer,
       mayUse: term => term === 0 || this.leases.holds(database, term),
       acceptsNewWork: () => this.findMember(database, name)?.state === 'active',
       onBegun: request => this.recordDrainingWork(request),
--- a/packages/work/test/member_worker_test.ts
+++ b/packages/work/test/member_worker_test.ts
@@ -20,19 +20,29 @@
   readonly timer = ManualTimerService.create();
   readonly connector: FakeMemberConnector;
   readonly symptoms: Symptom[] = [];
+  /** What the observer was told. */
+  readonly events: string[] = [];
   mayUse = true;
   readonly worker: MemberWorker;
 
-  constructor(handler: AnswerHandler, failure?: ConnectError) {
+  constructor(
+    handler: AnswerHandler,
+    failure?: ConnectError,
+    connections = {maximum: 4, warm: 1, byOrganisation: false},
+  ) {
     this.connector = new FakeMemberConnector(handler);
     this.connector.failure = failure;
     this.worker = MemberWorker.create({
       target: TARGET,
       slots: 2,
-      connections: {maximum: 4, warm: 1},
+      connections,
       connector: this.connector,
       timer: this.timer,
       logger: Logger.silent(),
+      observer: {
+        onConnectionEvent: event => this.events.push(event),
+        onRefusal: reason => this.events.push(reason),
+      },
       mayUse: () => this.mayUse,
       acceptsNewWork: () => true,
       onBegun: () => undefined,
@@ -52,8 +62,12 @@
   }
 }
 
-function request(statement: Partial<WorkStatement> = {}): WorkRequest {
+function request(
+  statement: Partial<WorkStatement> = {},
+  organisation?: string,
+): WorkRequest {
   return {
+    organisation,
     database: 'ledger',
     member: 'm1',
     primaryTerm: 1,
@@ -135,11 +149,98 @@
     });
   });
 
+  describe('with idle transactions on all connections', () => {
+    const answerInTransaction: AnswerHandler = async ({kind}, {organisation}) =>
+      complete(
+        organisation === 'waiting' || kind === 'rollback'
+          ? 'idle'
+          : 'transaction',
+      );
+    const opens = 'transaction';
+
+    async function occupy(fixture: Fixture) {
+      const first = fixture.start(request({opens}, 'idle'));
+      await first.receive();
+      await fixture.timer.advanceAsync(100);
+      const second = fixture.start(request({opens}, 'idle'));
+      await second.receive();
+      return {first, second};
+    }
+
+    // Guards against idle transactions that block the work of all others.
+    it('ends the one that has been idle longest for waiting work', async () => {
+      const limits = {maximum: 2, warm: 0, byOrganisation: true};
+      const fixture = new Fixture(answerInTransaction, undefined, limits);
+      const {first, second} = await occupy(fixture);
+      const waiting = {...request({}, 'waiting'), waitMilliseconds: 1_000};
+      const answer = fixture.start(waiting).receive();
+      await fixture.timer.advanceAsync(380);
+      const [ended, kept] = fixture.connector.connections;
+      expect(ended?.commands.at(-1)?.kind).to.equal('caller');
+      await fixture.timer.advanceAsync(30);
+      expect((await answer)?.kind).to.equal('answer');
+      expect(ended?.commands.at(-1)?.kind).to.equal('rollback');
+      expect(kept?.closed).to.equal(false);
+      expect(fixture.events).to.deep.equal([
+        'opened',
+        'opened',
+        'transactionEnded',
+        'replaced',
+        'opened',
+      ]);
+      first.send(statementOf({requestId: 'r2'}));
+      expect(await first.receive()).to.deep.include({
+        kind: 'lost',
+        mayHaveRun: false,
+      });
+      second.send(statementOf({requestId: 'r3'}));
+      expect((await second.receive())?.kind).to.equal('answer');
+    });
+
+    it('ends none if no work waits or there are no organisations', async () => {
+      const organised = {maximum: 2, warm: 0, byOrganisation: true};
+      const idle = new Fixture(answerInTransaction, undefined, organised);
+      await occupy(idle);
+      const limits = {...organised, byOrganisation: false};
+      const fixture = new Fixture(answerInTransaction, undefined, limits);
+      for (let count = 0; count < 2; count++) {
+        await fixture.start(request({opens})).receive();
+      }
+      void fixture.start({...request(), waitMilliseconds: 5_000});
+      await idle.timer.advanceAsync(2_000);
+      await fixture.timer.advanceAsync(2_000);
+      for (const {connector} of [idle, fixture]) {
+        const kinds = connector.commands.map(({kind}) => kind);
+        expect(kinds).not.to.include('rollback');
+      }
+    });
+  });
+
+  it('runs the work of each organisation on connections of its own', async () => {
+    const limits = {maximum: 4, warm: 1, byOrganisation: true};
+    const handler = async () => complete();
+    const fixture = new Fixture(handler, undefined, limits);
+    const organisations = ['a', 'b', undefined, 'a', 'b', undefined];
+    for (const organisation of organisations) {
+      const channel = fixture.start(request({}, organisation));
+      expect((await channel.receive())?.kind).to.equal('answer');
+    }
+    const used = fixture.connector.connections.map(
+      ({organisation, commands}) => [organisation, commands.length] as const,
+    );
+    expect(used).to.have.deep.members([
+      ['a', 2],
+      ['b', 2],
+      [undefined, 2],
+    ]);
+  });
+
   it('refuses work on a primary without a lease', async () => {
     const fixture = new Fixture(async () => complete());
     fixture.mayUse = false;
     const answer = await fixture.start(request()).receive();
     expect(answer?.kind).to.equal('refused');
+    expect(fixture.events).to.include('notHolder');
     expect(fixture.connector.commands).to.deep.equal([]);
   });
 
@@ -168,17 +269,22 @@
       expect(fixture.symptoms).to.include('refused');
     });
 
-    it('runs work again after a background connection succeeds', async () => {
-      const fixture = new Fixture(async () => complete(), {
-        kind: 'unreachable',
-        reason: 'silent',
+    for (const organisation of [undefined, 'a']) {
+      const whose = organisation ?? 'no organisation';
+      it(`runs work of ${whose} again after a background connection succeeds`, async () => {
+        const byOrganisation = organisation !== undefined;
+        const fixture = new Fixture(
+          async () => complete(),
+          {kind: 'unreachable', reason: 'silent'},
+          {maximum: 4, warm: 1, byOrganisation},
+        );
+        await fixture.start(request({}, organisation)).receive();
+        fixture.connector.failure = undefined;
+        await fixture.timer.advanceAsync(400);
+        const answer = await fixture.start(request({}, organisation)).receive();
+        expect(answer?.kind).to.equal('answer');
       });
-      await fixture.start(request()).receive();
-      fixture.connector.failure = undefined;
-      await fixture.timer.advanceAsync(400);
-      const answer = await fixture.start(request()).receive();
-      expect(answer?.kind).to.equal('answer');
-    });
+    }
   });
 
   describe('with a connection that does not answer', () => {
--- a/packages/work/test/work_queue_test.ts
+++ b/packages/work/test/work_queue_test.ts
@@ -1,56 +1,11 @@
 import {expect} from 'chai';
 import {Either} from 'purify-ts';
-import {ManualTimerService} from '@apricotlock/timer';
-import {QueueRefusal, WorkQueue} from '../src/index.js';
+import {QueueRefusal} from '../src/index.js';
+import {FakeMember, settle} from './queued_member.js';
 
-const NEVER = new Promise<never>(() => undefined);
 const HIGH = 1;
 const LOW = 2;
 
-/** A member with slots and connections, as seen by the queue. */
-class FakeMember {
-  readonly timer = ManualTimerService.create();
-  readonly started: string[] = [];
-  free: number;
-  requestedConnections = 0;
-  readonly queue: WorkQueue<number>;
-
-  constructor(slots: number, connections: number) {
-    this.free = connections;
-    this.queue = WorkQueue.create<number>({
-      slots,
-      timer: this.timer,
-      takeConnection: () => (this.free > 0 ? this.free-- : undefined),
-      requestConnections: count => {
-        this.requestedConnections = count;
-      },
-    });
-  }
-
-  submit(name: string, priority: number, wait: number, objective = wait) {
-    const request = {
-      priority,
-      waitMilliseconds: wait,
-      objectiveMilliseconds: objective,
-    };
-    const outcome = this.queue.acquireSlotAndConnection(request, NEVER);
-    void outcome.then(admission => {
-      if (admission.isRight()) this.started.push(name);
-    });
-    return outcome;
-  }
-
-  async finish(held: number): Promise<void> {
-    this.free += 1;
-    this.queue.releaseSlot(held);
-    await settle();
-  }
-}
-
-async function settle(): Promise<void> {
-  await new Promise(resolve => setImmediate(resolve));
-}
-
 function expectedWaitOf(admission: Either<QueueRefusal, unknown>): number {
   return (admission.extract() as QueueRefusal).expectedWaitMilliseconds;
 }
@@ -133,7 +88,7 @@
       }
       void member.submit('slow', LOW, 10_000);
       await settle();
-      expect(member.queue.expectedWaitMilliseconds).to.be.above(150);
+      expect(member.queue.expectedWaitOf()).to.be.above(150);
     });
   });
 
@@ -179,6 +134,46 @@
     });
   });
 
+  // Guards against a change of order for deployments without organisations.
+  it('orders work without organisations by priority, lateness and age', async () => {
+    const member = new FakeMember(1, 1_000);
+    void member.submit('running', LOW, 1_000_000);
+    let state = 1;
+    const random = (limit: number) => {
+      state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
+      return Math.floor((state / 2 ** 32) * limit);
+    };
+    interface Waiting {
+      readonly name: string;
+      readonly priority: number;
+      readonly lateAt: number;
+    }
+    let waiting: readonly Waiting[] = [];
+    const expected = ['running'];
+    // Statements take as long as the initial mean, which thus does not change.
+    const mean = 12;
+    for (let step = 0; step < 400; step++) {
+      const priority = random(3);
+      const objective = random(200);
+      const name = `work ${step}`;
+      void member.submit(name, priority, 1_000_000, objective);
+      const now = member.timer.now();
+      waiting = [...waiting, {name, priority, lateAt: now + objective}];
+      await member.timer.advanceAsync(random(9));
+      if (random(3) === 0) continue;
+      const lateBefore = member.timer.now() + mean;
+      const lateness = ({lateAt}: Waiting) => (lateAt < lateBefore ? 1 : 0);
+      const [first] = waiting.toSorted(
+        (left, right) =>
+          left.priority - right.priority || lateness(left) - lateness(right),
+      );
+      waiting = waiting.filter(each => each !== first);
+      expected.push(first?.name ?? '');
+      await member.finish(mean);
+    }
+    expect(member.started).to.deep.equal(expected);
+  });
+
   describe('without a free connection', () => {
     it('requests connections and starts work when one is free', async () => {
       const member = new FakeMember(2, 0);
