--- a/packages/dispatch/src/attempt.ts
+++ b/packages/dispatch/src/attempt.ts
@@ -1,6 +1,9 @@
 import {StatementAnswer} from '@apricotlock/statement';
 import {WorkHandle} from './work_handle.js';
 
+/** With less time than this left, no further attempt is made. */
+export const MINIMUM_ATTEMPT_MILLISECONDS = 10;
+
 /** Result of routing a statement to a member. */
 export type RouteOutcome =
   | {
--- /dev/null
+++ b/packages/dispatch/src/member_attempts.ts
@@ -0,0 +1,145 @@
+import {Observable} from '@apricotlock/flow';
+import {Logger} from '@apricotlock/logging';
+import {wasNotRun} from '@apricotlock/statement';
+import {TimerService} from '@apricotlock/timer';
+import {ClusterView, DatabaseGroup} from '@apricotlock/topology';
+import {WorkRequest} from '@apricotlock/work';
+import {AnnouncedWaits, Urgency} from './announced_waits.js';
+import {Attempt, retryable, RetryableFailure} from './attempt.js';
+import {logAttempt} from './attempt_log.js';
+import {MemberEstimates} from './member_estimates.js';
+import {
+  Choice,
+  objectiveTimeLeft,
+  RoutedStatement,
+  toWorkRequest,
+} from './routed_statement.js';
+import {WorkDispatcher} from './work_dispatcher.js';
+import {WorkHandle, WorkResult} from './work_handle.js';
+
+/** Dependencies of attempts on members. */
+export interface MemberAttemptsOptions {
+  readonly view: Observable<ClusterView>;
+  readonly dispatcher: WorkDispatcher;
+  readonly timer: TimerService;
+  readonly logger: Logger;
+}
+
+/** Makes attempts on members, and learns about them from the results. */
+export class MemberAttempts {
+  /** Estimates of load and lag, for the order of reads. */
+  readonly estimates: MemberEstimates;
+  private readonly announcedWaits: AnnouncedWaits;
+
+  private constructor(private readonly options: MemberAttemptsOptions) {
+    this.estimates = MemberEstimates.create(options.timer);
+    this.announcedWaits = AnnouncedWaits.create(options.timer);
+  }
+
+  /** Creates an instance that knows nothing about members. */
+  static create(options: MemberAttemptsOptions): MemberAttempts {
+    return new MemberAttempts(options);
+  }
+
+  /** Makes one attempt on one member. */
+  async run(
+    statement: RoutedStatement,
+    group: DatabaseGroup,
+    choice: Choice,
+  ): Promise<Attempt> {
+    const {dispatcher, timer} = this.options;
+    const remainingObjective = objectiveTimeLeft(statement, timer.now());
+    const request = toWorkRequest(statement, choice, remainingObjective);
+    const late = remainingObjective <= 0;
+    const urgency = {priority: request.priority, late};
+    const knownRefusal = this.knownRefusal(request, urgency);
+    if (knownRefusal !== undefined) return knownRefusal;
+    const work = dispatcher.dispatch(group, request);
+    if (work === undefined) return retryable('no VM can reach the member');
+    const handle = WorkHandle.of(work, dispatcher, timer);
+    const {timeoutMilliseconds, repeatable} = choice;
+    const result = await handle.awaitResult(timeoutMilliseconds, repeatable);
+    this.log(statement, choice, result, handle);
+    if (result.kind === 'answered') {
+      return this.handleAnswer(choice, result, handle);
+    }
+    handle.end();
+    if (result.kind === 'refused') {
+      return this.handleRefusal(choice, result, handle, urgency);
+    }
+    const {mayHaveRun, timedOut, reason} = result;
+    // A timeout may be due to a lost VM, which says nothing about the member.
+    if (!timedOut) this.estimates.recordFailure(choice.member);
+    if (!mayHaveRun || choice.repeatable) return retryable(reason, mayHaveRun);
+    return {kind: 'unknown', timedOut, reason};
+  }
+
+  /** Returns the refusal of a member that has just announced a longer wait. */
+  private knownRefusal(
+    {member, waitMilliseconds}: WorkRequest,
+    urgency: Urgency,
+  ): RetryableFailure | undefined {
+    const announced = this.announcedWaits.knownRefusal(
+      member,
+      urgency,
+      waitMilliseconds,
+    );
+    if (announced === undefined) return undefined;
+    const reason = `${member}: overloaded, as it has announced`;
+    return retryable(reason, false, announced);
+  }
+
+  private handleAnswer(
+    choice: Choice,
+    {answer, expectedWaitMilliseconds}: Extract<WorkResult, {kind: 'answered'}>,
+    handle: WorkHandle,
+  ): Attempt {
+    const {member} = choice;
+    const {position, end} = answer;
+    this.estimates.recordAnswer(member, position, expectedWaitMilliseconds);
+    this.announcedWaits.recordAnswer(member, expectedWaitMilliseconds);
+    if (end.kind === 'complete' || !wasNotRun(end.error)) {
+      return {kind: 'answered', answer, handle, member};
+    }
+    handle.end();
+    if (end.error.kind === 'behind') {
+      this.estimates.recordLag(member, choice.floorAgeMilliseconds ?? 0);
+    }
+    return retryable(`${member} returned error ${end.error.code}`);
+  }
+
+  private handleRefusal(
+    {member}: Choice,
+    {refusal}: Extract<WorkResult, {kind: 'refused'}>,
+    {machine}: WorkHandle,
+    urgency: Urgency,
+  ): Attempt {
+    const {reason, retryAfterMilliseconds} = refusal;
+    if (reason === 'overloaded') {
+      this.announcedWaits.recordRefusal(
+        member,
+        urgency,
+        retryAfterMilliseconds,
+      );
+      this.estimates.recordRefusal(member, retryAfterMilliseconds);
+    } else if (reason === 'unreachable') {
+      this.options.dispatcher.recordUnreachable(machine, member);
+    }
+    const queueWaitMilliseconds =
+      reason === 'overloaded' ? retryAfterMilliseconds : undefined;
+    return retryable(`${member}: ${reason}`, false, queueWaitMilliseconds);
+  }
+
+  private log(
+    statement: RoutedStatement,
+    choice: Choice,
+    result: WorkResult,
+    handle: WorkHandle,
+  ): void {
+    const {logger, timer, view} = this.options;
+    logAttempt(logger, statement, choice, result, handle, {
+      elapsedMilliseconds: timer.now() - statement.receivedAt,
+      viewIndex: view.current.index,
+    });
+  }
+}
--- a/packages/dispatch/src/routed_statement.ts
+++ b/packages/dispatch/src/routed_statement.ts
@@ -6,7 +6,10 @@
   WorkStatement,
   WorkText,
 } from '@apricotlock/work';
-import {attemptQueueMilliseconds} from './wait_policy.js';
+import {
+  attemptQueueMilliseconds,
+  remainingObjectiveMilliseconds,
+} from './wait_policy.js';
 import {ReadRequirement} from './read_order.js';
 
 /** A statement to run on a member, with the requirements of its session. */
@@ -99,3 +102,22 @@
     (term === left.floor.term && number > left.floor.number);
   return rightIsLater ? right : left;
 }
+
+/** Returns how many milliseconds of its time limit a statement has left. */
+export function timeLeft(
+  {receivedAt, terms}: RoutedStatement,
+  now: number,
+): number {
+  return Math.max(
+    0,
+    Math.round(terms.statementMilliseconds - (now - receivedAt)),
+  );
+}
+
+/** Returns how many milliseconds of its objective a statement has left. */
+export function objectiveTimeLeft(
+  {receivedAt, terms}: RoutedStatement,
+  now: number,
+): number {
+  return remainingObjectiveMilliseconds(terms, now - receivedAt);
+}
