--- a/packages/dispatch/src/routed_statement.ts
+++ b/packages/dispatch/src/routed_statement.ts
@@ -1,5 +1,9 @@
 import {LogPosition} from '@apricotlock/statement';
-import {CatalogueEntry, ServiceTerms} from '@apricotlock/topology';
+import {
+  CatalogueEntry,
+  Organisation,
+  ServiceTerms,
+} from '@apricotlock/topology';
 import {
   TransactionStart,
   WorkRequest,
@@ -26,6 +30,8 @@
   readonly receivedAt: number;
   /** The last write of the session, `undefined` if it has not written. */
   readonly ownWrite: OwnWrite | undefined;
+  /** The organisation of the caller, if it is identified. */
+  readonly organisation?: Organisation | undefined;
 }
 
 /** The last write of a session, with the time of its acknowledgement. */
