Do not send reads to replicas that are known to be behind

The lag of a replica was learned only from such answers, as no more than the age of the floor that it lacked, and forgotten within a second, while each VM sees about one answer of each member in a second.

A PrimaryTimeline keeps the positions at which the primary was seen; the position in each answer of a replica bounds its lag between two of them. A lag counts for 4 s, 8 s once confirmed, then decays so that a read tries the replica again. After an answer as behind the primary comes next.

--- a/packages/dispatch/src/attempt.ts
+++ b/packages/dispatch/src/attempt.ts
@@ -36,6 +36,8 @@
    * retried.
    */
   readonly mayHaveRun: boolean;
+  /** Whether the member was behind the floor of the read. */
+  readonly behind?: boolean;
   /** Wait that a member with a full queue announced, in milliseconds. */
   readonly expectedWaitMilliseconds: number | undefined;
 }
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -37,7 +37,7 @@
 export {type OwnWrite, type RoutedStatement} from './routed_statement.js';
 export {SessionContext, type ForwardedStatement} from './session_context.js';
 export {SessionHost, type SessionHostOptions} from './session_host.js';
-export {SessionObserver} from './session_observer.js';
+export {SessionObserver, type RoutingEvent} from './session_observer.js';
 export {
   StatementRouter,
   type StatementRouterOptions,
--- a/packages/dispatch/src/member_attempts.ts
+++ b/packages/dispatch/src/member_attempts.ts
@@ -1,6 +1,6 @@
 import {Observable} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
-import {wasNotRun} from '@apricotlock/statement';
+import {LogPosition, wasNotRun} from '@apricotlock/statement';
 import {TimerService} from '@apricotlock/timer';
 import {ClusterView, DatabaseGroup} from '@apricotlock/topology';
 import {WorkRequest} from '@apricotlock/work';
@@ -8,12 +8,14 @@
 import {Attempt, retryable, RetryableFailure} from './attempt.js';
 import {logAttempt} from './attempt_log.js';
 import {MemberEstimates} from './member_estimates.js';
+import {PrimaryTimeline} from './primary_timeline.js';
 import {
   Choice,
   objectiveTimeLeft,
   RoutedStatement,
   toWorkRequest,
 } from './routed_statement.js';
+import {SessionObserver} from './session_observer.js';
 import {WorkDispatcher} from './work_dispatcher.js';
 import {WorkHandle, WorkResult} from './work_handle.js';
 
@@ -23,12 +25,15 @@
   readonly dispatcher: WorkDispatcher;
   readonly timer: TimerService;
   readonly logger: Logger;
+  readonly observer: SessionObserver;
 }
 
 /** Makes attempts on members, and learns about them from the results. */
 export class MemberAttempts {
   /** Estimates of load and lag, for the order of reads. */
   readonly estimates: MemberEstimates;
+  /** Recent positions of primaries, from which lag is learned. */
+  readonly timeline = PrimaryTimeline.create();
   private readonly announcedWaits: AnnouncedWaits;
 
   private constructor(private readonly options: MemberAttemptsOptions) {
@@ -61,7 +66,7 @@
     const result = await handle.awaitResult(timeoutMilliseconds, repeatable);
     this.log(statement, choice, result, handle);
     if (result.kind === 'answered') {
-      return this.handleAnswer(choice, result, handle);
+      return this.handleAnswer(group, choice, result, handle);
     }
     handle.end();
     if (result.kind === 'refused') {
@@ -90,22 +95,42 @@
   }
 
   private handleAnswer(
+    group: DatabaseGroup,
     choice: Choice,
     {answer, expectedWaitMilliseconds}: Extract<WorkResult, {kind: 'answered'}>,
     handle: WorkHandle,
   ): Attempt {
     const {member} = choice;
     const {position, end} = answer;
+    this.learnLag(group, member, position);
     this.estimates.recordAnswer(member, position, expectedWaitMilliseconds);
     this.announcedWaits.recordAnswer(member, expectedWaitMilliseconds);
     if (end.kind === 'complete' || !wasNotRun(end.error)) {
       return {kind: 'answered', answer, handle, member};
     }
     handle.end();
-    if (end.error.kind === 'behind') {
+    const behind = end.error.kind === 'behind';
+    if (behind) {
+      this.options.observer.onRouting('behind');
       this.estimates.recordLag(member, choice.floorAgeMilliseconds ?? 0);
     }
-    return retryable(`${member} returned error ${end.error.code}`);
+    const reason = `${member} returned error ${end.error.code}`;
+    return {...retryable(reason), behind};
+  }
+
+  /** Learns a member's lag from its position, or the position of the primary. */
+  private learnLag(
+    {database, primary}: DatabaseGroup,
+    member: string,
+    position: LogPosition | undefined,
+  ): void {
+    if (position === undefined) return;
+    const now = this.options.timer.now();
+    if (member === primary) this.timeline.record(database, position, now);
+    else {
+      const bounds = this.timeline.lagBounds(database, position, now);
+      this.estimates.recordLagBounds(member, bounds);
+    }
   }
 
   private handleRefusal(
--- a/packages/dispatch/src/member_estimates.ts
+++ b/packages/dispatch/src/member_estimates.ts
@@ -1,26 +1,40 @@
 import {comparePositions, LogPosition} from '@apricotlock/statement';
 import {TimerService} from '@apricotlock/timer';
+import {LagBounds} from './primary_timeline.js';
 
 /** How long the expected wait that a member reported stays valid. */
 const LOAD_VALIDITY_MILLISECONDS = 200;
 /** How long a member is avoided after a failure. */
 const AVOID_MILLISECONDS = 400;
-/** An observed lag counts for half as much after each period of this length. */
-const LAG_HALF_LIFE_MILLISECONDS = 1_000;
+/**
+ * A known lag counts fully for this long, since each VM sees only about one
+ * answer of each member in a second, and for up to twice as long if later
+ * answers have confirmed it. Then it counts for half as much after each further
+ * period, so that a read tries the member again.
+ */
+const LAG_VALIDITY_MILLISECONDS = 4_000;
+const LONGEST_LAG_VALIDITY_MILLISECONDS = 8_000;
+const LAG_HALF_LIFE_MILLISECONDS = 2_000;
+/** A member that lacks a position lags by more than the age of the position. */
+const LAG_GROWTH_FACTOR = 1.25;
+/** A member whose lag is only assumed may be asked after this time. */
+const LAG_PROBE_MILLISECONDS = 250;
 
 interface MemberEstimate {
-  readonly position: LogPosition | undefined;
-  readonly lagMilliseconds: number;
-  readonly lagAt: number;
-  readonly waitMilliseconds: number;
-  readonly waitAt: number;
-  readonly avoidUntil: number;
+  position: LogPosition | undefined;
+  lagMilliseconds: number;
+  lagAt: number;
+  lagValidity: number;
+  waitMilliseconds: number;
+  waitAt: number;
+  avoidUntil: number;
 }
 
-const UNKNOWN_MEMBER: MemberEstimate = {
+const UNKNOWN_MEMBER: Readonly<MemberEstimate> = {
   position: undefined,
   lagMilliseconds: 0,
   lagAt: -Infinity,
+  lagValidity: LAG_VALIDITY_MILLISECONDS,
   waitMilliseconds: 0,
   waitAt: -Infinity,
   avoidUntil: -Infinity,
@@ -46,13 +60,10 @@
     position: LogPosition | undefined,
     waitMilliseconds: number,
   ): void {
-    const known = this.estimateFor(member);
-    this.estimates.set(member, {
-      ...known,
-      position: position ?? known.position,
-      waitMilliseconds,
-      waitAt: this.timer.now(),
-    });
+    const estimate = this.changeableEstimate(member);
+    estimate.position = position ?? estimate.position;
+    estimate.waitMilliseconds = waitMilliseconds;
+    estimate.waitAt = this.timer.now();
   }
 
   /**
@@ -60,9 +71,18 @@
    * `lagMilliseconds` ago.
    */
   recordLag(member: string, lagMilliseconds: number): void {
-    const lagAt = this.timer.now();
-    const known = this.estimateFor(member);
-    this.estimates.set(member, {...known, lagMilliseconds, lagAt});
+    const known = this.lagMilliseconds(member);
+    const least = lagMilliseconds * LAG_GROWTH_FACTOR;
+    this.confirmLag(member, Math.max(known, least));
+  }
+
+  /** Records bounds on the lag of a member at this moment. */
+  recordLagBounds(member: string, {atLeast, atMost}: LagBounds): void {
+    const known = this.lagMilliseconds(member);
+    if (known < atLeast) this.confirmLag(member, atLeast);
+    else if (known > atMost) this.reduceLag(member, atMost);
+    // Bounds that any small lag fulfils do not confirm the known one.
+    else if (atLeast > known / 2) this.confirmLag(member, known);
   }
 
   /**
@@ -70,15 +90,15 @@
    * `waitMilliseconds` there.
    */
   recordRefusal(member: string, waitMilliseconds: number): void {
-    const known = this.estimateFor(member);
-    const waitAt = this.timer.now();
-    this.estimates.set(member, {...known, waitMilliseconds, waitAt});
+    const estimate = this.changeableEstimate(member);
+    estimate.waitMilliseconds = waitMilliseconds;
+    estimate.waitAt = this.timer.now();
   }
 
   /** Records that a member could not be used. */
   recordFailure(member: string): void {
     const avoidUntil = this.timer.now() + AVOID_MILLISECONDS;
-    this.estimates.set(member, {...this.estimateFor(member), avoidUntil});
+    this.changeableEstimate(member).avoidUntil = avoidUntil;
   }
 
   /** Returns whether the member should be used only if there are no others. */
@@ -94,24 +114,70 @@
   }
 
   /**
-   * Returns whether the member certainly or probably has a position that the
-   * primary had reached `floorAgeMilliseconds` ago.
+   * Returns how long it will probably take until the member has a position that
+   * the primary had reached `floorAgeMilliseconds` ago, in milliseconds; 0 if it
+   * has the position now.
    */
-  probablyHasPosition(
+  catchUpMilliseconds(
     member: string,
     floor: LogPosition | undefined,
     floorAgeMilliseconds: number,
-  ): boolean {
-    if (floor === undefined) return true;
-    const {position, lagMilliseconds, lagAt} = this.estimateFor(member);
+  ): number {
+    if (floor === undefined) return 0;
+    const {position} = this.estimateFor(member);
     if (position !== undefined && comparePositions(position, floor) >= 0) {
-      return true;
+      return 0;
     }
-    const halfLives = (this.timer.now() - lagAt) / LAG_HALF_LIFE_MILLISECONDS;
-    return floorAgeMilliseconds > lagMilliseconds * 0.5 ** halfLives;
+    return Math.max(0, this.lagMilliseconds(member) - floorAgeMilliseconds);
+  }
+
+  /**
+   * Returns whether the last evidence of the member's lag is so old that a read
+   * may be spent on new evidence.
+   */
+  isLagProbeDue(member: string): boolean {
+    const age = this.timer.now() - this.estimateFor(member).lagAt;
+    return age >= LAG_PROBE_MILLISECONDS;
+  }
+
+  private lagMilliseconds(member: string): number {
+    const {lagMilliseconds, lagAt, lagValidity} = this.estimateFor(member);
+    if (lagMilliseconds === 0) return 0;
+    const excess = this.timer.now() - lagAt - lagValidity;
+    if (excess <= 0) return lagMilliseconds;
+    return lagMilliseconds * 0.5 ** (excess / LAG_HALF_LIFE_MILLISECONDS);
+  }
+
+  private confirmLag(member: string, lagMilliseconds: number): void {
+    const estimate = this.changeableEstimate(member);
+    const validity =
+      estimate.lagMilliseconds > 0
+        ? estimate.lagValidity * 2
+        : LAG_VALIDITY_MILLISECONDS;
+    estimate.lagValidity = Math.min(
+      LONGEST_LAG_VALIDITY_MILLISECONDS,
+      validity,
+    );
+    estimate.lagMilliseconds = lagMilliseconds;
+    estimate.lagAt = this.timer.now();
   }
 
-  private estimateFor(member: string): MemberEstimate {
+  private reduceLag(member: string, lagMilliseconds: number): void {
+    const estimate = this.changeableEstimate(member);
+    estimate.lagMilliseconds = lagMilliseconds;
+    estimate.lagAt = this.timer.now();
+    estimate.lagValidity = LAG_VALIDITY_MILLISECONDS;
+  }
+
+  private estimateFor(member: string): Readonly<MemberEstimate> {
     return this.estimates.get(member) ?? UNKNOWN_MEMBER;
   }
+
+  private changeableEstimate(member: string): MemberEstimate {
+    const known = this.estimates.get(member);
+    if (known !== undefined) return known;
+    const created = {...UNKNOWN_MEMBER};
+    this.estimates.set(member, created);
+    return created;
+  }
 }
--- a/packages/dispatch/src/primary_position_tracker.ts
+++ b/packages/dispatch/src/primary_position_tracker.ts
@@ -69,6 +69,11 @@
       : this.options.timer.now() - requestedAt;
   }
 
+  /** Returns the newest sample of a group, `undefined` if there is none. */
+  newestSample(database: string): PositionSample | undefined {
+    return this.history.newest(database);
+  }
+
   /** Stops refreshing positions. */
   stop(): void {
     this.stopTicking();
--- a/packages/dispatch/src/read_order.ts
+++ b/packages/dispatch/src/read_order.ts
@@ -6,8 +6,6 @@
 const REMOTE_DATA_CENTRE_COST_MILLISECONDS = 4;
 /** Reads use the primary only if replicas are busier by this wait. */
 const PRIMARY_COST_MILLISECONDS = 10;
-/** Cost of a wasted round trip to a replica that is probably behind. */
-const BEHIND_COST_MILLISECONDS = 40;
 /** Exceeds all other costs: a member that failed recently is tried last. */
 const AVOIDED_COST_MILLISECONDS = 10_000;
 
@@ -23,7 +21,8 @@
  * Returns the active members in the order in which a read should try them. The
  * member that is expected to be free and up to date first comes first. The
  * costs suit many more reads than writes, replicas that lag at different times,
- * and a primary whose slots are needed for writes.
+ * and a primary whose slots are needed for writes: a read waits for a replica
+ * to catch up if that takes less time than waiting for the primary.
  */
 export function readOrder(
   group: DatabaseGroup,
@@ -31,13 +30,17 @@
   requirement: ReadRequirement,
   estimates: MemberEstimates,
 ): readonly Member[] {
-  const cost = (member: Member) =>
-    readCost(group, member, dataCentre, requirement, estimates);
-  return group.members
-    .filter(({state}) => state === 'active')
-    .map(member => ({member, cost: cost(member)}))
-    .sort((left, right) => left.cost - right.cost)
-    .map(({member}) => member);
+  const ordered: Member[] = [];
+  const costs: number[] = [];
+  for (const member of group.members) {
+    if (member.state !== 'active') continue;
+    const cost = readCost(group, member, dataCentre, requirement, estimates);
+    let index = costs.length;
+    while (index > 0 && (costs[index - 1] as number) > cost) index--;
+    costs.splice(index, 0, cost);
+    ordered.splice(index, 0, member);
+  }
+  return ordered;
 }
 
 function readCost(
@@ -48,16 +51,16 @@
   estimates: MemberEstimates,
 ): number {
   const isPrimary = name === group.primary;
-  const upToDate =
-    isPrimary ||
-    estimates.probablyHasPosition(name, floor, floorAgeMilliseconds);
+  const catchUp = isPrimary
+    ? 0
+    : estimates.catchUpMilliseconds(name, floor, floorAgeMilliseconds);
   return (
     estimates.expectedWaitMilliseconds(name) +
     (memberDataCentre === dataCentre
       ? 0
       : REMOTE_DATA_CENTRE_COST_MILLISECONDS) +
     (isPrimary ? PRIMARY_COST_MILLISECONDS : 0) +
-    (upToDate ? 0 : BEHIND_COST_MILLISECONDS) +
+    catchUp +
     (estimates.isAvoided(name) ? AVOIDED_COST_MILLISECONDS : 0)
   );
 }
--- a/packages/dispatch/src/session_observer.ts
+++ b/packages/dispatch/src/session_observer.ts
@@ -1,6 +1,15 @@
 import {CallerFailure} from '@apricotlock/statement';
 import {Consistency} from '@apricotlock/topology';
 
+/** Decisions of the router that are counted. */
+export type RoutingEvent =
+  /** A member answered that it was behind the floor of a read. */
+  | 'behind'
+  /** A read was not sent to a replica that was known to be behind. */
+  | 'behindSkipped'
+  /** A read waited for a replica to catch up. */
+  | 'waitedForReplica';
+
 /** Receives the results of callers' requests, for metrics. */
 export abstract class SessionObserver {
   /**
@@ -11,4 +20,9 @@
 
   /** Called when a request has failed or a session was refused. */
   abstract onFailure(kind: CallerFailure['kind']): void;
+
+  /** Called when the router has made a decision that is counted. */
+  onRouting(_event: RoutingEvent): void {
+    return undefined;
+  }
 }
--- a/packages/dispatch/src/statement_router.ts
+++ b/packages/dispatch/src/statement_router.ts
@@ -17,6 +17,7 @@
 import {ReadRouter} from './read_router.js';
 import {retryPause} from './retry_pause.js';
 import {RoutedStatement} from './routed_statement.js';
+import {SessionObserver} from './session_observer.js';
 import {failoverWaitPolicy, WaitPolicy} from './wait_policy.js';
 import {WorkDispatcher} from './work_dispatcher.js';
 
@@ -30,6 +31,7 @@
   readonly isIsolated: () => boolean;
   readonly timer: TimerService;
   readonly logger: Logger;
+  readonly observer: SessionObserver;
 }
 
 /**
--- /dev/null
+++ b/packages/dispatch/test/replica_lag_test.ts
@@ -0,0 +1,139 @@
+import {expect} from 'chai';
+import {ServiceTerms} from '@apricotlock/topology';
+import {WorkRequest} from '@apricotlock/work';
+import {PrimaryTimeline} from '../src/primary_timeline.js';
+import {
+  completed,
+  failed,
+  Reply,
+  ReplayedGroup,
+} from './support/replayed_group.js';
+
+const TERMS: ServiceTerms = {
+  consistency: 'readYourWrites',
+  statementMilliseconds: 2_000,
+  objectiveMilliseconds: 400,
+  priority: 1,
+};
+const WRITE_INTERVAL_MILLISECONDS = 50;
+const OVERLOADED: Reply = {
+  message: {
+    kind: 'refused',
+    refusal: {reason: 'overloaded', retryAfterMilliseconds: 900},
+  },
+  afterMilliseconds: 1,
+};
+
+describe('PrimaryTimeline', () => {
+  it('bounds the lag of a member between two positions of the primary', () => {
+    const timeline = PrimaryTimeline.create();
+    timeline.record('a', {term: 1, number: 10}, 1_000);
+    timeline.record('a', {term: 1, number: 10}, 1_400);
+    timeline.record('a', {term: 1, number: 20}, 1_500);
+    const between = {term: 1, number: 15};
+    expect(timeline.lagBounds('a', between, 1_600)).to.deep.equal({
+      atLeast: 100,
+      atMost: 200,
+    });
+    const newer = {term: 1, number: 21};
+    expect(timeline.lagBounds('a', newer, 1_600).atLeast).to.equal(0);
+    expect(timeline.lagBounds('b', newer, 1_600).atMost).to.equal(Infinity);
+  });
+
+  it('forgets positions of a term that a failover has ended', () => {
+    const timeline = PrimaryTimeline.create();
+    timeline.record('a', {term: 1, number: 30}, 1_000);
+    timeline.record('a', {term: 2, number: 20}, 1_100);
+    const {atLeast} = timeline.lagBounds('a', {term: 1, number: 20}, 1_200);
+    expect(atLeast).to.equal(100);
+  });
+});
+
+describe('reads of replicas that lag', () => {
+  let group: ReplayedGroup;
+  let lagMilliseconds: number;
+  let isPrimaryFull: boolean;
+
+  /** The primary writes steadily; replicas have its log of some time ago. */
+  function numberAt(time: number): number {
+    return 1 + Math.floor(Math.max(0, time) / WRITE_INTERVAL_MILLISECONDS);
+  }
+
+  function reply({member, first}: WorkRequest): Reply {
+    if (member === 'primary' && isPrimaryFull) return OVERLOADED;
+    const lag = member === 'primary' ? 0 : lagMilliseconds;
+    const position = {term: 1, number: numberAt(group.timer.now() - lag)};
+    const isBehind = position.number < (first.floor?.number ?? 0);
+    const message = isBehind ? failed('behind', position) : completed(position);
+    return {message, afterMilliseconds: isBehind ? 2 : 24};
+  }
+
+  /** Reads once in each period, each time soon after a write. */
+  async function replay(reads: number, age: number): Promise<number> {
+    const periodMilliseconds = 250;
+    const behind = group.countOf('behind');
+    for (let count = 0; count < reads; count++) {
+      const at = group.timer.now();
+      group.sample = {
+        term: 1,
+        requestedAt: at - 400,
+        position: {term: 1, number: numberAt(at - 400)},
+      };
+      const position = {term: 1, number: numberAt(at - age)};
+      const {milliseconds} = await group.read({
+        ownWrite: {position, at: at - age},
+      });
+      expect(milliseconds).to.be.below(400);
+      await group.timer.advanceAsync(periodMilliseconds - milliseconds);
+    }
+    return group.countOf('behind') - behind;
+  }
+
+  beforeEach(async () => {
+    lagMilliseconds = 150;
+    isPrimaryFull = false;
+    group = new ReplayedGroup(TERMS, reply);
+    await group.timer.advanceAsync(10_000);
+  });
+
+  // Such reads cost a round trip and a slot each; a lag that was forgotten
+  // within a second was learned anew by a failed read each time.
+  it('are rarely answered as behind', async () => {
+    expect(await replay(40, 100)).to.be.at.most(4);
+  });
+
+  it('wait for a replica to catch up while the primary is full', async () => {
+    await replay(4, 100);
+    isPrimaryFull = true;
+    expect(await replay(8, 100)).to.be.at.most(2);
+    expect(group.countOf('waitedForReplica')).to.be.above(4);
+  });
+
+  it('go to the primary while replicas lag by seconds, and return', async () => {
+    lagMilliseconds = 3_000;
+    await replay(20, 1_000);
+    const before = group.requestsTo('primary');
+    expect(before).to.be.within(16, 20);
+    lagMilliseconds = 90;
+    await replay(20, 1_000);
+    await replay(10, 1_000);
+    expect(group.requestsTo('primary') - before).to.be.at.most(22);
+    expect(group.requests.slice(-5).map(({member}) => member)).not.to.include(
+      'primary',
+    );
+  });
+
+  it('try a replica from time to time if no other member can serve', async () => {
+    lagMilliseconds = 3_000;
+    await replay(4, 1_000);
+    lagMilliseconds = 90;
+    isPrimaryFull = true;
+    const {outcome} = await group.read({
+      ownWrite: {
+        position: {term: 1, number: numberAt(group.timer.now() - 1_000)},
+        at: group.timer.now() - 1_000,
+      },
+    });
+    expect(outcome.kind).to.equal('answered');
+  });
+});
--- a/packages/dispatch/test/statement_router_test.ts
+++ b/packages/dispatch/test/statement_router_test.ts
@@ -21,6 +21,7 @@
   DispatchedWork,
   RoutedStatement,
   RouteOutcome,
+  SessionObserver,
   StatementRouter,
   WorkDispatcher,
 } from '../src/index.js';
@@ -112,6 +113,16 @@
   }
 }
 
+class SilentObserver extends SessionObserver {
+  override onAnswer(): void {
+    return undefined;
+  }
+
+  override onFailure(): void {
+    return undefined;
+  }
+}
+
 describe('StatementRouter', () => {
   let timer: ManualTimerService;
   let dispatcher: ScriptedDispatcher;
@@ -125,6 +136,7 @@
     const position = {term: 1, number: 5};
     const primaryPositions = {
       waitForCoveringSample: async () => ({term: 1, requestedAt: 0, position}),
+      newestSample: () => undefined,
       silentMilliseconds: () => 0,
     };
     return StatementRouter.create({
@@ -135,6 +147,7 @@
       isIsolated: () => false,
       timer,
       logger: Logger.silent(),
+      observer: new SilentObserver(),
     });
   }
 
--- a/packages/program/src/entry_program.ts
+++ b/packages/program/src/entry_program.ts
@@ -116,6 +116,7 @@
       dispatcher: workDispatcher,
       primaryPositions: positions,
       isIsolated: () => detector.isIsolated,
+      observer,
     });
     const host = SessionHost.create({...shared, router, observer});
     const program = new EntryProgram(context, control, work, host, detector);
--- a/packages/program/src/session_metrics.ts
+++ b/packages/program/src/session_metrics.ts
@@ -1,4 +1,4 @@
-import {SessionObserver} from '@apricotlock/dispatch';
+import {RoutingEvent, SessionObserver} from '@apricotlock/dispatch';
 import {
   renderCounters,
   CounterSet,
@@ -19,6 +19,7 @@
 export class SessionMetrics extends SessionObserver {
   private readonly latencies: LatencySummarySet;
   private readonly failures = CounterSet.create();
+  private readonly routing = CounterSet.create();
   private readonly drainingWork = CounterSet.create();
   private gauges: readonly Gauge[] = [];
 
@@ -40,6 +41,10 @@
     this.failures.increment(`kind="${kind}"`);
   }
 
+  override onRouting(event: RoutingEvent): void {
+    this.routing.increment(`event="${event}"`);
+  }
+
   /** Counts work that this VM began on a member that was draining. */
   onDrainingWork(role: MemberRole): void {
     this.drainingWork.increment(`role="${role}"`);
@@ -58,6 +63,11 @@
         'Statements and sessions that failed, by kind',
         this.failures,
       ),
+      ...renderCounters(
+        'apricotlock_routing_events_total',
+        'Decisions of the router about single statements, by event',
+        this.routing,
+      ),
       ...renderCounters(
         'apricotlock_draining_member_work_total',
         'Statements and transactions begun on a draining member, by its role',
--- a/packages/program/test/session_metrics_test.ts
+++ b/packages/program/test/session_metrics_test.ts
@@ -9,6 +9,7 @@
     metrics.onAnswer('readYourWrites', 40);
     metrics.onFailure('notRun');
     metrics.onFailure('notRun');
+    metrics.onRouting('behind');
     metrics.onDrainingWork('primary');
     metrics.addGauges([
       {name: 'sessions', help: 'Open sessions', read: () => 7},
@@ -17,6 +18,7 @@
     expect(lines).to.include.members([
       'apricotlock_draining_member_work_total{role="primary"} 1',
       'apricotlock_failures_total{kind="notRun"} 2',
+      'apricotlock_routing_events_total{event="behind"} 1',
       'apricotlock_statement_duration_seconds_count{consistency="primary"} 1',
       'sessions 7',
     ]);
