Eject members that fail or are slow beside the others of their group from reads

Cause: a member that fails a share of its requests while its health check passes kept its share of reads, and its errors went to the callers.

MemberOutliers compares failures and latencies (of answers without a queue, by catalogue entry) with the other members. A read that may run twice and that a member fails is run on one more member; if that fails too, the caller gets the first error. The loss of the link to a VM is no failure of the member.

--- a/packages/dispatch/src/member_attempts.ts
+++ b/packages/dispatch/src/member_attempts.ts
@@ -1,6 +1,6 @@
 import {Observable} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
-import {LogPosition, wasNotRun} from '@apricotlock/statement';
+import {AnswerEnd, LogPosition, wasNotRun} from '@apricotlock/statement';
 import {TimerService} from '@apricotlock/timer';
 import {ClusterView, DatabaseGroup} from '@apricotlock/topology';
 import {WorkRequest} from '@apricotlock/work';
@@ -8,6 +8,7 @@
 import {Attempt, retryable, RetryableFailure} from './attempt.js';
 import {logAttempt} from './attempt_log.js';
 import {MemberEstimates} from './member_estimates.js';
+import {Ejection, MemberOutliers} from './member_outliers.js';
 import {PrimaryTimeline} from './primary_timeline.js';
 import {
   Choice,
@@ -34,10 +35,13 @@
   readonly estimates: MemberEstimates;
   /** Recent positions of primaries, from which lag is learned. */
   readonly timeline = PrimaryTimeline.create();
+  /** The members that fail or are slow, for the order of reads. */
+  readonly outliers: MemberOutliers;
   private readonly announcedWaits: AnnouncedWaits;
 
   private constructor(private readonly options: MemberAttemptsOptions) {
     this.estimates = MemberEstimates.create(options.timer);
+    this.outliers = MemberOutliers.create(options.timer);
     this.announcedWaits = AnnouncedWaits.create(options.timer);
   }
 
@@ -61,10 +65,15 @@
     if (knownRefusal !== undefined) return knownRefusal;
     const work = dispatcher.dispatch(group, request);
     if (work === undefined) return retryable('no VM can reach the member');
+    const sentAt = timer.now();
     const handle = WorkHandle.of(work, dispatcher, timer);
     const {timeoutMilliseconds, repeatable} = choice;
     const result = await handle.awaitResult(timeoutMilliseconds, repeatable);
     this.log(statement, choice, result, handle);
+    if (choice.primaryTerm === 0) {
+      const latency = timer.now() - sentAt;
+      this.learnOutliers(statement, group, choice.member, result, latency);
+    }
     if (result.kind === 'answered') {
       return this.handleAnswer(group, choice, result, handle);
     }
@@ -118,6 +127,43 @@
     return {...retryable(reason), behind};
   }
 
+  /** Learns from the result of a read whether its member is an outlier. */
+  private learnOutliers(
+    {entry, requestId}: RoutedStatement,
+    group: DatabaseGroup,
+    member: string,
+    result: WorkResult,
+    latencyMilliseconds: number,
+  ): void {
+    const {outliers} = this;
+    let ejection: Ejection | undefined;
+    if (result.kind === 'answered') {
+      const {answer, expectedWaitMilliseconds} = result;
+      if (isMemberFailure(answer.end)) {
+        ejection = outliers.recordFailure(group, member);
+      } else if (answer.end.kind === 'complete') {
+        const latency =
+          expectedWaitMilliseconds > 0 ? undefined : latencyMilliseconds;
+        ejection = outliers.recordSuccess(group, member, entry.name, latency);
+      }
+    } else if (result.kind === 'lost' && !result.timedOut) {
+      if (result.linkLost !== true) {
+        ejection = outliers.recordFailure(group, member);
+      }
+    }
+    if (ejection === undefined) return;
+    const {observer, logger} = this.options;
+    observer.onRouting('ejected');
+    logger.warn('member ejected from reads', {
+      request: requestId,
+      member,
+      database: group.database,
+      ejected: ejection.milliseconds,
+      failures: Math.round(ejection.failures),
+      latencyRatio: Number(ejection.latencyRatio.toFixed(1)),
+    });
+  }
+
   /** Learns a member's lag from its position, or the position of the primary. */
   private learnLag(
     {database, primary}: DatabaseGroup,
@@ -168,3 +214,11 @@
     });
   }
 }
+
+/**
+ * Returns whether a member did not complete a statement that it began. The
+ * reason may be the member or the statement.
+ */
+export function isMemberFailure(end: AnswerEnd): boolean {
+  return end.kind === 'error' && !wasNotRun(end.error);
+}
--- a/packages/dispatch/src/read_order.ts
+++ b/packages/dispatch/src/read_order.ts
@@ -1,11 +1,14 @@
 import {LogPosition} from '@apricotlock/statement';
 import {DatabaseGroup, Member} from '@apricotlock/topology';
 import {MemberEstimates} from './member_estimates.js';
+import {MemberOutliers} from './member_outliers.js';
 
 /** Cost of reaching a member in another data centre. */
 const REMOTE_DATA_CENTRE_COST_MILLISECONDS = 4;
 /** Reads use the primary only if replicas are busier by this wait. */
 const PRIMARY_COST_MILLISECONDS = 10;
+/** Exceeds all waits: a member that fails more than others is tried later. */
+const EJECTED_COST_MILLISECONDS = 5_000;
 /** Exceeds all other costs: a member that failed recently is tried last. */
 const AVOIDED_COST_MILLISECONDS = 10_000;
 
@@ -29,12 +32,17 @@
   dataCentre: string,
   requirement: ReadRequirement,
   estimates: MemberEstimates,
+  outliers?: MemberOutliers,
 ): readonly Member[] {
   const ordered: Member[] = [];
   const costs: number[] = [];
   for (const member of group.members) {
     if (member.state !== 'active') continue;
-    const cost = readCost(group, member, dataCentre, requirement, estimates);
+    const cost =
+      readCost(group, member, dataCentre, requirement, estimates) +
+      (outliers?.isEjected(member.name) === true
+        ? EJECTED_COST_MILLISECONDS
+        : 0);
     let index = costs.length;
     while (index > 0 && (costs[index - 1] as number) > cost) index--;
     costs.splice(index, 0, cost);
--- a/packages/dispatch/src/read_router.ts
+++ b/packages/dispatch/src/read_router.ts
@@ -12,28 +12,22 @@
   MINIMUM_ATTEMPT_MILLISECONDS,
   retryable,
   RetryableFailure,
+  RouteOutcome,
   withShortestWait,
 } from './attempt.js';
-import {MemberAttempts} from './member_attempts.js';
+import {isMemberFailure, MemberAttempts} from './member_attempts.js';
 import {PrimaryPositionTracker} from './primary_position_tracker.js';
-import {ReadRequirement, readOrder} from './read_order.js';
+import {readOrder} from './read_order.js';
+import {ReadRequirements, TimedRequirement} from './read_requirements.js';
 import {
   isRepeatable,
   objectiveTimeLeft,
   RoutedStatement,
-  stricterRequirement,
   timeLeft,
 } from './routed_statement.js';
 import {SessionObserver} from './session_observer.js';
 import {queueMilliseconds} from './wait_policy.js';
 
-/**
- * Samples are required to be this much newer than the staleness limit, to make
- * up for timers that fire late.
- */
-const STALENESS_MARGIN_MILLISECONDS = 40;
-/** How long a read waits for the position of the primary. */
-const POSITION_WAIT_MILLISECONDS = 250;
 /** A read without an answer for this long is tried on another member. */
 const READ_ATTEMPT_TIMEOUT_MILLISECONDS = 450;
 
@@ -53,14 +47,17 @@
   readonly observer: SessionObserver;
 }
 
-/** A requirement with the time at which the age of its floor was computed. */
-interface TimedRequirement extends ReadRequirement {
-  readonly at: number;
-}
+/** An answer of a member, which may be an error. */
+type AnsweredAttempt = Extract<Attempt, {kind: 'answered'}>;
 
 /** Routes reads that any member with a recent enough log may run. */
 export class ReadRouter {
-  private constructor(private readonly options: ReadRouterOptions) {}
+  private readonly requirements: ReadRequirements;
+
+  private constructor(private readonly options: ReadRouterOptions) {
+    const {timeline} = options.attempts;
+    this.requirements = ReadRequirements.create({...options, timeline});
+  }
 
   /** Creates the router of reads of one VM. */
   static create(options: ReadRouterOptions): ReadRouter {
@@ -70,7 +67,7 @@
   /** Tries members in read order until one can run the statement. */
   async tryOnce(statement: RoutedStatement): Promise<Attempt> {
     const {view} = this.options;
-    const requirement = await this.requirementFor(statement);
+    const requirement = await this.requirements.requirementFor(statement);
     if (requirement === undefined) {
       return retryable('the log position of the primary is unknown');
     }
@@ -121,9 +118,12 @@
     waitMilliseconds: number,
   ): Promise<Attempt> {
     const {dataCentre, timer, attempts} = this.options;
-    const {estimates} = attempts;
-    let order = readOrder(group, dataCentre, requirement, estimates);
+    const {estimates, outliers} = attempts;
+    let order = readOrder(group, dataCentre, requirement, estimates, outliers);
     let last = retryable('the database has no member that accepts work');
+    const tryMember = (member: string) =>
+      this.tryMember(statement, group, member, requirement, waitMilliseconds);
+    let failed: AnsweredAttempt | undefined;
     let anyTried = false;
     let skipped: string | undefined;
     for (let index = 0; index < order.length; index++) {
@@ -137,19 +137,23 @@
         continue;
       }
       anyTried = true;
-      const attempt = await this.tryMember(
-        statement,
-        group,
-        name,
-        requirement,
-        waitMilliseconds,
-      );
-      if (attempt.kind !== 'retryable') return attempt;
-      if (attempt.behind === true) {
-        order = primaryFirst(order, group, index + 1);
+      const attempt = await tryMember(name);
+      if (attempt.kind === 'retryable') {
+        if (attempt.behind === true) {
+          order = primaryFirst(order, group, index + 1);
+        }
+        last = withShortestWait(last, carryMayHaveRun(last, attempt));
+      } else if (!isFailureToRepeat(statement, attempt)) {
+        if (failed !== undefined) this.endFailed(failed);
+        return attempt;
+      } else if (failed === undefined) {
+        failed = attempt;
+      } else {
+        attempt.handle.end();
+        return failed;
       }
-      last = withShortestWait(last, carryMayHaveRun(last, attempt));
     }
+    if (failed !== undefined) return failed;
     // Without any other member, a read is the only way to notice that a replica
     // has caught up.
     if (
@@ -159,13 +163,13 @@
     ) {
       return last;
     }
-    return this.tryMember(
-      statement,
-      group,
-      skipped,
-      requirement,
-      waitMilliseconds,
-    );
+    return tryMember(skipped);
+  }
+
+  /** Ends the work of a failed read that another member has answered. */
+  private endFailed({handle}: AnsweredAttempt): void {
+    handle.end();
+    this.options.observer.onRouting('failedElsewhere');
   }
 
   /**
@@ -220,49 +224,6 @@
       waitMilliseconds,
     });
   }
-
-  /**
-   * Resolves to the log position that a member must have for this read,
-   * `undefined` if the position of the primary is not available in time.
-   */
-  private async requirementFor(
-    statement: RoutedStatement,
-  ): Promise<TimedRequirement | undefined> {
-    const {terms, entry, receivedAt, ownWrite} = statement;
-    const maximumStaleness = terms.maximumStalenessMilliseconds ?? 0;
-    const margin = Math.min(
-      STALENESS_MARGIN_MILLISECONDS,
-      maximumStaleness / 2,
-    );
-    const sample = await this.options.primaryPositions.waitForCoveringSample(
-      entry.database,
-      receivedAt - maximumStaleness + margin,
-      POSITION_WAIT_MILLISECONDS,
-    );
-    if (sample === undefined) return undefined;
-    const now = this.options.timer.now();
-    this.learnPrimaryPosition(entry.database);
-    const requiredWrite =
-      terms.consistency === 'readYourWrites' ? ownWrite : undefined;
-    const requirement = stricterRequirement(
-      {
-        floor: sample.position,
-        floorAgeMilliseconds: now - sample.requestedAt,
-      },
-      requiredWrite && {
-        floor: requiredWrite.position,
-        floorAgeMilliseconds: now - requiredWrite.at,
-      },
-    );
-    return {...requirement, at: now};
-  }
-
-  private learnPrimaryPosition(database: string): void {
-    const {primaryPositions, attempts} = this.options;
-    const newest = primaryPositions.newestSample(database);
-    if (newest === undefined) return;
-    attempts.timeline.record(database, newest.position, newest.requestedAt);
-  }
 }
 
 /**
@@ -280,3 +241,18 @@
   const others = rest.filter(({name}) => name !== primary);
   return [...order.slice(0, index), ...found, ...others];
 }
+
+/**
+ * Returns whether a member failed a read that may run twice. The cause is the
+ * member or the statement; another member shows which.
+ */
+function isFailureToRepeat(
+  statement: RoutedStatement,
+  attempt: RouteOutcome,
+): attempt is AnsweredAttempt {
+  return (
+    attempt.kind === 'answered' &&
+    isMemberFailure(attempt.answer.end) &&
+    isRepeatable(statement)
+  );
+}
--- a/packages/dispatch/src/session_observer.ts
+++ b/packages/dispatch/src/session_observer.ts
@@ -8,7 +8,11 @@
   /** A read was not sent to a replica that was known to be behind. */
   | 'behindSkipped'
   /** A read waited for a replica to catch up. */
-  | 'waitedForReplica';
+  | 'waitedForReplica'
+  /** A member was ejected from reads because it fails more than others. */
+  | 'ejected'
+  /** A read that a member failed was run on another one. */
+  | 'failedElsewhere';
 
 /** Receives the results of callers' requests, for metrics. */
 export abstract class SessionObserver {
--- a/packages/dispatch/src/work_handle.ts
+++ b/packages/dispatch/src/work_handle.ts
@@ -20,6 +20,8 @@
       readonly kind: 'lost';
       readonly mayHaveRun: boolean;
       readonly timedOut: boolean;
+      /** Whether the link to the VM was lost, which is no sign of the member. */
+      readonly linkLost?: boolean;
       readonly reason: string;
     };
 
@@ -90,7 +92,8 @@
     if (message === undefined) {
       if (!this.ended) this.dispatcher.reportBrokenLink(machine);
       const reason = `the link to ${machine} was lost`;
-      return {kind: 'lost', mayHaveRun: true, timedOut: false, reason};
+      const loss = {mayHaveRun: true, timedOut: false, linkLost: true, reason};
+      return {kind: 'lost', ...loss};
     }
     return message.kind === 'answer' ? {...message, kind: 'answered'} : message;
   }
