--- a/packages/dispatch/src/member_outliers.ts
+++ b/packages/dispatch/src/member_outliers.ts
@@ -5,7 +5,7 @@
 const HALF_LIFE_MILLISECONDS = 20_000;
 /** Two failures may be a coincidence of one restart; a share of them is not. */
 const MINIMUM_FAILURES = 1.9;
-const MINIMUM_FAILURE_SHARE = 0.15;
+const MINIMUM_FAILURE_SHARE = 0.05;
 /** How much more often than the other members an outlier fails. */
 const FAILURE_RATIO = 3;
 /** Observations without which the other members are no standard. */
