Spread reads over members of equal cost, and remember queues for seconds

Cause: of members at the same cost the first one listed was always tried first, on all VMs. With members in three of four data centres, the first listed replica got the reads of its own data centre, of the primary's and of the fourth, three times as many as the other. Reported waits did not correct it: they count for 200 ms, while a VM sees about one answer of each member in a second.

Members of equal cost now take turns, and after its validity a reported wait is followed by the mean of the reported waits, halved every 2 s.

--- a/packages/dispatch/src/member_estimates.ts
+++ b/packages/dispatch/src/member_estimates.ts
@@ -4,6 +4,13 @@
 
 /** How long the expected wait that a member reported stays valid. */
 const LOAD_VALIDITY_MILLISECONDS = 200;
+/**
+ * After that, the mean of the reported waits counts, for half as much after each
+ * period of this length: each VM sees about one answer of each member in a
+ * second, so that its newest report is usually no longer valid.
+ */
+const MEAN_WAIT_HALF_LIFE_MILLISECONDS = 2_000;
+const MEAN_WAIT_WEIGHT = 0.3;
 /** How long a member is avoided after a failure. */
 const AVOID_MILLISECONDS = 400;
 /**
@@ -27,6 +34,8 @@
   lagValidity: number;
   waitMilliseconds: number;
   waitAt: number;
+  meanWaitMilliseconds: number;
+  meanWaitAt: number;
   avoidUntil: number;
 }
 
@@ -37,6 +46,8 @@
   lagValidity: LAG_VALIDITY_MILLISECONDS,
   waitMilliseconds: 0,
   waitAt: -Infinity,
+  meanWaitMilliseconds: 0,
+  meanWaitAt: -Infinity,
   avoidUntil: -Infinity,
 };
 
@@ -61,9 +72,14 @@
     waitMilliseconds: number,
   ): void {
     const estimate = this.changeableEstimate(member);
+    const now = this.timer.now();
+    const mean = this.meanWaitMilliseconds(member);
     estimate.position = position ?? estimate.position;
     estimate.waitMilliseconds = waitMilliseconds;
-    estimate.waitAt = this.timer.now();
+    estimate.waitAt = now;
+    estimate.meanWaitMilliseconds =
+      mean + (waitMilliseconds - mean) * MEAN_WAIT_WEIGHT;
+    estimate.meanWaitAt = now;
   }
 
   /**
@@ -110,7 +126,19 @@
   expectedWaitMilliseconds(member: string): number {
     const {waitMilliseconds, waitAt} = this.estimateFor(member);
     const age = this.timer.now() - waitAt;
-    return age > LOAD_VALIDITY_MILLISECONDS ? 0 : waitMilliseconds;
+    return age > LOAD_VALIDITY_MILLISECONDS
+      ? this.meanWaitMilliseconds(member)
+      : waitMilliseconds;
+  }
+
+  /** Returns the mean wait at the member of late, in milliseconds. */
+  meanWaitMilliseconds(member: string): number {
+    const {meanWaitMilliseconds, meanWaitAt} = this.estimateFor(member);
+    if (meanWaitMilliseconds === 0) return 0;
+    const age = this.timer.now() - meanWaitAt;
+    return (
+      meanWaitMilliseconds * 0.5 ** (age / MEAN_WAIT_HALF_LIFE_MILLISECONDS)
+    );
   }
 
   /**
--- a/packages/dispatch/src/read_order.ts
+++ b/packages/dispatch/src/read_order.ts
@@ -25,7 +25,8 @@
  * member that is expected to be free and up to date first comes first. The
  * costs suit many more reads than writes, replicas that lag at different times,
  * and a primary whose slots are needed for writes: a read waits for a replica
- * to catch up if that takes less time than waiting for the primary.
+ * to catch up if that takes less time than waiting for the primary. Members of
+ * equal cost take turns.
  */
 export function readOrder(
   group: DatabaseGroup,
@@ -33,10 +34,17 @@
   requirement: ReadRequirement,
   estimates: MemberEstimates,
   outliers?: MemberOutliers,
+  turn = 0,
 ): readonly Member[] {
   const ordered: Member[] = [];
   const costs: number[] = [];
-  for (const member of group.members) {
+  const {members} = group;
+  // Both directions from each start, so that any two members that are equal come
+  // first equally often.
+  const start = turn >> 1;
+  const step = turn % 2 === 0 ? 1 : members.length - 1;
+  for (let offset = 0; offset < members.length; offset++) {
+    const member = members[(start + offset * step) % members.length] as Member;
     if (member.state !== 'active') continue;
     const cost =
       readCost(group, member, dataCentre, requirement, estimates) +
--- a/packages/dispatch/src/read_router.ts
+++ b/packages/dispatch/src/read_router.ts
@@ -53,6 +53,7 @@
 /** Routes reads that any member with a recent enough log may run. */
 export class ReadRouter {
   private readonly requirements: ReadRequirements;
+  private turn = 0;
 
   private constructor(private readonly options: ReadRouterOptions) {
     const {timeline} = options.attempts;
@@ -119,7 +120,15 @@
   ): Promise<Attempt> {
     const {dataCentre, timer, attempts} = this.options;
     const {estimates, outliers} = attempts;
-    let order = readOrder(group, dataCentre, requirement, estimates, outliers);
+    this.turn += 1;
+    let order = readOrder(
+      group,
+      dataCentre,
+      requirement,
+      estimates,
+      outliers,
+      this.turn,
+    );
     let last = retryable('the database has no member that accepts work');
     const tryMember = (member: string) =>
       this.tryMember(statement, group, member, requirement, waitMilliseconds);
--- a/packages/dispatch/test/decisions_test.ts
+++ b/packages/dispatch/test/decisions_test.ts
@@ -93,6 +93,33 @@
       expect(order(2_000)[0]).to.equal('near');
     });
 
+    it('lets members of equal cost take turns', () => {
+      const group = {
+        ...GROUP,
+        members: [member('primary', 'there'), member('far', 'there')].concat(
+          member('other', 'elsewhere'),
+        ),
+      };
+      const requirement = {floor: FLOOR, floorAgeMilliseconds: 2_000};
+      const first = [0, 1, 2, 3, 4, 5].map(
+        turn =>
+          readOrder(group, 'here', requirement, estimates, undefined, turn)[0],
+      );
+      const names = first.map(each => each?.name);
+      expect(names.filter(name => name === 'far')).to.have.length(3);
+      expect(names.filter(name => name === 'other')).to.have.length(3);
+    });
+
+    it('prefers another replica while one has had a queue in most answers', () => {
+      for (let count = 0; count < 5; count++) {
+        estimates.recordAnswer('near', FLOOR, 30);
+        timer.advance(500);
+      }
+      expect(order(2_000)[0]).to.equal('far');
+      timer.advance(10_000);
+      expect(order(2_000)[0]).to.equal('near');
+    });
+
     it('tries a failed member after all others, but does not omit it', () => {
       estimates.recordFailure('near');
       expect(order(2_000)).to.deep.equal(['far', 'primary', 'near']);
