Refuse statements at once that no member can serve in time

Queues admitted reads for 270 ms at most, whatever their objective, so reads with an objective of 1,200 ms were held and tried again while a queue would have served them in time. All callers of a burst got the same retry time.

Once every member has announced a wait, the statement is refused at once if the shortest of them exceeds both its objective and what it may wait in a queue. The retry time is that wait and up to half of it more, spread by a sequence that begins elsewhere on each VM. Attempts of a read last as long as its objective, up to 1,350 ms, and a late one may queue behind other work until its time limit. Of statements held by an announced wait, one in 30 ms is sent when it fits.

--- a/packages/dispatch/src/announced_waits.ts
+++ b/packages/dispatch/src/announced_waits.ts
@@ -1,5 +1,12 @@
 import {TimerService} from '@apricotlock/timer';
 
+/**
+ * Once an announced wait fits, one statement is sent in each period of this
+ * length until the member has answered. Otherwise all that were held would be
+ * sent, and refused, at the same moment.
+ */
+const TRIAL_INTERVAL_MILLISECONDS = 30;
+
 /** How urgent a statement is to a member's queue, when it is attempted. */
 export interface Urgency {
   /** 0 is the highest priority; larger numbers are lower priorities. */
@@ -12,6 +19,8 @@
   readonly urgency: Urgency;
   readonly waitMilliseconds: number;
   readonly at: number;
+  /** When a statement was last sent although the refusal was recorded. */
+  trialAt: number;
 }
 
 /**
@@ -40,7 +49,8 @@
     waitMilliseconds: number,
   ): void {
     const at = this.timer.now();
-    this.refusals.set(member, {urgency, waitMilliseconds, at});
+    const trialAt = -Infinity;
+    this.refusals.set(member, {urgency, waitMilliseconds, at, trialAt});
   }
 
   /** Records that a member has answered, with the wait of new work there. */
@@ -53,8 +63,9 @@
   }
 
   /**
-   * Returns the wait that a member announced, if it is known that a statement
-   * would still wait there for longer than its limit; otherwise `undefined`.
+   * Returns the wait that a member announced, if a statement is not to be sent
+   * there: it would still wait for longer than its limit, or another one has just
+   * been sent to find out. Otherwise returns `undefined`.
    */
   knownRefusal(
     member: string,
@@ -63,10 +74,27 @@
   ): number | undefined {
     const refusal = this.refusals.get(member);
     if (refusal === undefined) return undefined;
-    const isKnown =
-      !isMoreUrgent(urgency, refusal.urgency) &&
-      this.remainingMilliseconds(refusal) > limitMilliseconds;
-    return isKnown ? refusal.waitMilliseconds : undefined;
+    if (isMoreUrgent(urgency, refusal.urgency)) return undefined;
+    const remainingMilliseconds = this.remainingMilliseconds(refusal);
+    if (remainingMilliseconds > limitMilliseconds) {
+      return refusal.waitMilliseconds;
+    }
+    if (remainingMilliseconds === 0) {
+      this.refusals.delete(member);
+      return undefined;
+    }
+    const now = this.timer.now();
+    if (now - refusal.trialAt < TRIAL_INTERVAL_MILLISECONDS) {
+      return refusal.waitMilliseconds;
+    }
+    refusal.trialAt = now;
+    return undefined;
+  }
+
+  /** Returns how much is left of the wait that a member announced. */
+  remainingWaitMilliseconds(member: string): number {
+    const refusal = this.refusals.get(member);
+    return refusal === undefined ? 0 : this.remainingMilliseconds(refusal);
   }
 
   private remainingMilliseconds({waitMilliseconds, at}: Refusal): number {
--- a/packages/dispatch/src/attempt.ts
+++ b/packages/dispatch/src/attempt.ts
@@ -1,4 +1,5 @@
 import {StatementAnswer} from '@apricotlock/statement';
+import {RetrySpread} from './early_refusal.js';
 import {WorkHandle} from './work_handle.js';
 
 /** With less time than this left, no further attempt is made. */
@@ -38,6 +39,8 @@
   readonly mayHaveRun: boolean;
   /** Whether the member was behind the floor of the read. */
   readonly behind?: boolean;
+  /** Whether every member that may run the statement announced a wait. */
+  readonly allAnnounced?: boolean;
   /** Wait that a member with a full queue announced, in milliseconds. */
   readonly expectedWaitMilliseconds: number | undefined;
 }
@@ -67,15 +70,18 @@
 /**
  * Returns the outcome of a statement whose retries are exhausted. Without an
  * expected wait at a member, the caller is advised to retry after
- * `outageRetryAfterMilliseconds`.
+ * `outageRetryAfterMilliseconds`; otherwise after that wait, spread over callers.
  */
 export function toFinalOutcome(
   {reason, mayHaveRun, expectedWaitMilliseconds}: RetryableFailure,
   outageRetryAfterMilliseconds: number,
+  spread: RetrySpread,
 ): RouteOutcome {
   if (mayHaveRun) return {kind: 'unknown', timedOut: true, reason};
   const retryAfterMilliseconds =
-    expectedWaitMilliseconds ?? outageRetryAfterMilliseconds;
+    expectedWaitMilliseconds === undefined
+      ? outageRetryAfterMilliseconds
+      : spread.next(expectedWaitMilliseconds);
   return {kind: 'notRun', reason, retryAfterMilliseconds};
 }
 
--- a/packages/dispatch/src/member_attempts.ts
+++ b/packages/dispatch/src/member_attempts.ts
@@ -100,7 +100,8 @@
     );
     if (announced === undefined) return undefined;
     const reason = `${member}: overloaded, as it has announced`;
-    return retryable(reason, false, announced);
+    const remaining = this.announcedWaits.remainingWaitMilliseconds(member);
+    return {...retryable(reason, false, remaining), allAnnounced: true};
   }
 
   private handleAnswer(
@@ -196,9 +197,9 @@
     } else if (reason === 'unreachable') {
       this.options.dispatcher.recordUnreachable(machine, member);
     }
-    const queueWaitMilliseconds =
-      reason === 'overloaded' ? retryAfterMilliseconds : undefined;
-    return retryable(`${member}: ${reason}`, false, queueWaitMilliseconds);
+    const allAnnounced = reason === 'overloaded';
+    const wait = allAnnounced ? retryAfterMilliseconds : undefined;
+    return {...retryable(`${member}: ${reason}`, false, wait), allAnnounced};
   }
 
   private log(
--- /dev/null
+++ b/packages/dispatch/src/read_round.ts
@@ -0,0 +1,194 @@
+import {TimerService} from '@apricotlock/timer';
+import {DatabaseGroup, Member} from '@apricotlock/topology';
+import {
+  Attempt,
+  carryMayHaveRun,
+  MINIMUM_ATTEMPT_MILLISECONDS,
+  retryable,
+  RetryableFailure,
+  RouteOutcome,
+  withShortestWait,
+} from './attempt.js';
+import {isMemberFailure, MemberAttempts} from './member_attempts.js';
+import {TimedRequirement} from './read_requirements.js';
+import {
+  isRepeatable,
+  objectiveTimeLeft,
+  RoutedStatement,
+  timeLeft,
+} from './routed_statement.js';
+import {SessionObserver} from './session_observer.js';
+
+/**
+ * Share of the time until the objective for which a read waits for a replica to
+ * catch up; the rest is for its queue and the statement.
+ */
+const CATCH_UP_SHARE = 0.5;
+
+/** A read to be tried once on each member, and the limits of its attempts. */
+export interface ReadRoundOptions {
+  readonly statement: RoutedStatement;
+  readonly group: DatabaseGroup;
+  readonly requirement: TimedRequirement;
+  readonly waitMilliseconds: number;
+  readonly timeoutMilliseconds: number;
+  readonly attempts: MemberAttempts;
+  readonly timer: TimerService;
+  readonly observer: SessionObserver;
+}
+
+/** An answer of a member, which may be an error. */
+type AnsweredAttempt = Extract<Attempt, {kind: 'answered'}>;
+
+/** Tries one read on the members of a group, one after the other. */
+export class ReadRound {
+  private last = retryable('the database has no member that accepts work');
+  private failed: AnsweredAttempt | undefined;
+  private anyTried = false;
+  private allAnnounced = true;
+  /** The first replica that was not tried because it is behind. */
+  private skipped: string | undefined;
+
+  private constructor(private readonly options: ReadRoundOptions) {}
+
+  /** Creates a round that has tried no member. */
+  static create(options: ReadRoundOptions): ReadRound {
+    return new ReadRound(options);
+  }
+
+  /** Tries the members in order until one can run the statement. */
+  async run(order: readonly Member[]): Promise<Attempt> {
+    const {statement, timer} = this.options;
+    let members = order;
+    for (let index = 0; index < members.length; index++) {
+      const {name} = members[index] as Member;
+      const remainingMilliseconds = timeLeft(statement, timer.now());
+      if (remainingMilliseconds < MINIMUM_ATTEMPT_MILLISECONDS) break;
+      if (!(await this.isReady(name))) continue;
+      this.anyTried = true;
+      const attempt = await this.tryMember(name);
+      if (attempt.kind === 'retryable') {
+        if (attempt.behind === true) {
+          members = this.primaryFirst(members, index + 1);
+        }
+        this.recordFailure(attempt);
+      } else if (!isFailureToRepeat(statement, attempt)) {
+        this.endFailed();
+        return attempt;
+      } else if (this.failed === undefined) {
+        this.failed = attempt;
+      } else {
+        attempt.handle.end();
+        return this.failed;
+      }
+    }
+    return this.failed ?? this.tryLastResort();
+  }
+
+  private recordFailure(attempt: RetryableFailure): void {
+    this.allAnnounced &&= attempt.allAnnounced === true;
+    this.last = withShortestWait(
+      this.last,
+      carryMayHaveRun(this.last, attempt),
+    );
+  }
+
+  /**
+   * Tries a replica that was known to be behind, if nothing else could be tried:
+   * a read is then the only way to notice that it has caught up.
+   */
+  private async tryLastResort(): Promise<Attempt> {
+    const {last, anyTried, allAnnounced, skipped} = this;
+    const {estimates} = this.options.attempts;
+    if (anyTried) return {...last, allAnnounced};
+    if (skipped === undefined || !estimates.isLagProbeDue(skipped)) return last;
+    return this.tryMember(skipped);
+  }
+
+  /**
+   * Waits for a replica that will soon have caught up with the requirement.
+   * Resolves to whether the member should be tried.
+   */
+  private async isReady(member: string): Promise<boolean> {
+    const {statement, group, requirement, timer, attempts, observer} =
+      this.options;
+    if (member === group.primary) return true;
+    const {floor, floorAgeMilliseconds, at} = requirement;
+    const now = timer.now();
+    const catchUpMilliseconds = attempts.estimates.catchUpMilliseconds(
+      member,
+      floor,
+      floorAgeMilliseconds + now - at,
+    );
+    if (catchUpMilliseconds === 0) return true;
+    const remaining =
+      objectiveTimeLeft(statement, now) || timeLeft(statement, now);
+    if (catchUpMilliseconds > remaining * CATCH_UP_SHARE) {
+      observer.onRouting('behindSkipped');
+      this.skipped ??= member;
+      const reason = `${member} is behind the required log position`;
+      this.recordFailure(retryable(reason));
+      return false;
+    }
+    observer.onRouting('waitedForReplica');
+    await timer.sleep(catchUpMilliseconds);
+    return true;
+  }
+
+  private tryMember(member: string): Promise<Attempt> {
+    const {statement, group, requirement, timer, attempts} = this.options;
+    const {floor, floorAgeMilliseconds, at} = requirement;
+    const now = timer.now();
+    const timeoutMilliseconds = Math.min(
+      timeLeft(statement, now),
+      this.options.timeoutMilliseconds,
+    );
+    return attempts.run(statement, group, {
+      member,
+      primaryTerm: 0,
+      floor,
+      floorAgeMilliseconds: floorAgeMilliseconds + now - at,
+      repeatable: isRepeatable(statement),
+      timeoutMilliseconds,
+      waitMilliseconds: this.options.waitMilliseconds,
+    });
+  }
+
+  /** Ends the work of a failed read that another member has answered. */
+  private endFailed(): void {
+    if (this.failed === undefined) return;
+    this.failed.handle.end();
+    this.options.observer.onRouting('failedElsewhere');
+  }
+
+  /**
+   * Returns the order with the primary as the first of the members from `index`
+   * on, if it is among them. Where one replica is behind the floor of a read,
+   * others often are too.
+   */
+  private primaryFirst(
+    order: readonly Member[],
+    index: number,
+  ): readonly Member[] {
+    const {primary} = this.options.group;
+    const rest = order.slice(index);
+    const found = rest.filter(({name}) => name === primary);
+    const others = rest.filter(({name}) => name !== primary);
+    return [...order.slice(0, index), ...found, ...others];
+  }
+}
+
+/**
+ * Returns whether a member failed a read that may run twice. The cause is the
+ * member or the statement; another member shows which.
+ */
+function isFailureToRepeat(
+  statement: RoutedStatement,
+  attempt: RouteOutcome,
+): attempt is AnsweredAttempt {
+  return (
+    attempt.kind === 'answered' &&
+    isMemberFailure(attempt.answer.end) &&
+    isRepeatable(statement)
+  );
+}
--- a/packages/dispatch/src/read_router.ts
+++ b/packages/dispatch/src/read_router.ts
@@ -1,41 +1,28 @@
 import {Observable} from '@apricotlock/flow';
 import {TimerService} from '@apricotlock/timer';
-import {
-  ClusterView,
-  DatabaseGroup,
-  findGroup,
-  Member,
-} from '@apricotlock/topology';
+import {ClusterView, DatabaseGroup, findGroup} from '@apricotlock/topology';
 import {
   Attempt,
   carryMayHaveRun,
-  MINIMUM_ATTEMPT_MILLISECONDS,
   retryable,
   RetryableFailure,
-  RouteOutcome,
-  withShortestWait,
 } from './attempt.js';
-import {isMemberFailure, MemberAttempts} from './member_attempts.js';
+import {MemberAttempts} from './member_attempts.js';
 import {PrimaryPositionTracker} from './primary_position_tracker.js';
 import {readOrder} from './read_order.js';
 import {ReadRequirements, TimedRequirement} from './read_requirements.js';
-import {
-  isRepeatable,
-  objectiveTimeLeft,
-  RoutedStatement,
-  timeLeft,
-} from './routed_statement.js';
+import {ReadRound} from './read_round.js';
+import {objectiveTimeLeft, RoutedStatement} from './routed_statement.js';
 import {SessionObserver} from './session_observer.js';
 import {queueMilliseconds} from './wait_policy.js';
 
-/** A read without an answer for this long is tried on another member. */
-const READ_ATTEMPT_TIMEOUT_MILLISECONDS = 450;
-
 /**
- * Share of the time until the objective for which a read waits for a replica to
- * catch up; the rest is for its queue and the statement.
+ * A read without an answer for this long is tried on another member. It is
+ * longer for reads whose objective allows a longer wait in a queue, since a
+ * queue admits work for a part of this time only.
  */
-const CATCH_UP_SHARE = 0.5;
+const READ_ATTEMPT_TIMEOUT_MILLISECONDS = 450;
+const LONGEST_READ_ATTEMPT_MILLISECONDS = 1_350;
 
 /** Dependencies of the routing of reads. */
 export interface ReadRouterOptions {
@@ -47,8 +34,11 @@
   readonly observer: SessionObserver;
 }
 
-/** An answer of a member, which may be an error. */
-type AnsweredAttempt = Extract<Attempt, {kind: 'answered'}>;
+/** Limits of the attempts on the members of a group. */
+interface AttemptLimits {
+  readonly waitMilliseconds: number;
+  readonly timeoutMilliseconds: number;
+}
 
 /** Routes reads that any member with a recent enough log may run. */
 export class ReadRouter {
@@ -80,188 +70,74 @@
   /**
    * Tries all members, first with waits that allow an answer within the latency
    * objective. Only if the queues of all members are longer than that does the
-   * statement wait beyond its objective.
+   * statement wait beyond its objective, behind work that is not late yet.
    */
   private async tryMembers(
     statement: RoutedStatement,
     group: DatabaseGroup,
     requirement: TimedRequirement,
   ): Promise<Attempt> {
-    const {timer} = this.options;
-    const remainingObjective = objectiveTimeLeft(statement, timer.now());
+    const now = this.options.timer.now();
+    const remainingObjective = objectiveTimeLeft(statement, now);
     const maximumWaitMilliseconds = queueMilliseconds(statement.terms);
-    const waitLimits =
-      remainingObjective > 0
-        ? [
-            Math.min(remainingObjective, maximumWaitMilliseconds),
-            maximumWaitMilliseconds,
-          ]
-        : [maximumWaitMilliseconds];
-    let last: RetryableFailure | undefined;
-    for (const wait of waitLimits) {
-      const attempt = await this.tryInOrder(
-        statement,
-        group,
-        requirement,
-        wait,
-      );
+    let first: RetryableFailure | undefined;
+    if (remainingObjective > 0) {
+      const attempt = await this.tryInOrder(statement, group, requirement, {
+        waitMilliseconds: Math.min(remainingObjective, maximumWaitMilliseconds),
+        timeoutMilliseconds: readAttemptTimeout(statement, now),
+      });
       if (attempt.kind !== 'retryable') return attempt;
-      last = carryMayHaveRun(last, attempt);
-      if (last.expectedWaitMilliseconds === undefined) return last;
+      if (attempt.expectedWaitMilliseconds === undefined) return attempt;
+      first = attempt;
     }
-    return last ?? retryable('the statement has no time left');
+    const attempt = await this.tryInOrder(statement, group, requirement, {
+      waitMilliseconds: maximumWaitMilliseconds,
+      timeoutMilliseconds: statement.terms.statementMilliseconds,
+    });
+    return attempt.kind === 'retryable'
+      ? carryMayHaveRun(first, attempt)
+      : attempt;
   }
 
-  private async tryInOrder(
+  private tryInOrder(
     statement: RoutedStatement,
     group: DatabaseGroup,
     requirement: TimedRequirement,
-    waitMilliseconds: number,
+    limits: AttemptLimits,
   ): Promise<Attempt> {
-    const {dataCentre, timer, attempts} = this.options;
-    const {estimates, outliers} = attempts;
+    const {dataCentre, timer, attempts, observer} = this.options;
     this.turn += 1;
-    let order = readOrder(
+    const order = readOrder(
       group,
       dataCentre,
       requirement,
-      estimates,
-      outliers,
+      attempts.estimates,
+      attempts.outliers,
       this.turn,
     );
-    let last = retryable('the database has no member that accepts work');
-    const tryMember = (member: string) =>
-      this.tryMember(statement, group, member, requirement, waitMilliseconds);
-    let failed: AnsweredAttempt | undefined;
-    let anyTried = false;
-    let skipped: string | undefined;
-    for (let index = 0; index < order.length; index++) {
-      const {name} = order[index] as Member;
-      const remainingMilliseconds = timeLeft(statement, timer.now());
-      if (remainingMilliseconds < MINIMUM_ATTEMPT_MILLISECONDS) break;
-      if (!(await this.isReady(statement, group, name, requirement))) {
-        skipped ??= name;
-        const reason = `${name} is behind the required log position`;
-        last = withShortestWait(last, carryMayHaveRun(last, retryable(reason)));
-        continue;
-      }
-      anyTried = true;
-      const attempt = await tryMember(name);
-      if (attempt.kind === 'retryable') {
-        if (attempt.behind === true) {
-          order = primaryFirst(order, group, index + 1);
-        }
-        last = withShortestWait(last, carryMayHaveRun(last, attempt));
-      } else if (!isFailureToRepeat(statement, attempt)) {
-        if (failed !== undefined) this.endFailed(failed);
-        return attempt;
-      } else if (failed === undefined) {
-        failed = attempt;
-      } else {
-        attempt.handle.end();
-        return failed;
-      }
-    }
-    if (failed !== undefined) return failed;
-    // Without any other member, a read is the only way to notice that a replica
-    // has caught up.
-    if (
-      anyTried ||
-      skipped === undefined ||
-      !estimates.isLagProbeDue(skipped)
-    ) {
-      return last;
-    }
-    return tryMember(skipped);
-  }
-
-  /** Ends the work of a failed read that another member has answered. */
-  private endFailed({handle}: AnsweredAttempt): void {
-    handle.end();
-    this.options.observer.onRouting('failedElsewhere');
-  }
-
-  /**
-   * Waits for a replica that will soon have caught up with the requirement.
-   * Resolves to whether the member should be tried.
-   */
-  private async isReady(
-    statement: RoutedStatement,
-    {primary}: DatabaseGroup,
-    member: string,
-    {floor, floorAgeMilliseconds, at}: TimedRequirement,
-  ): Promise<boolean> {
-    if (member === primary) return true;
-    const {timer, attempts, observer} = this.options;
-    const now = timer.now();
-    const catchUpMilliseconds = attempts.estimates.catchUpMilliseconds(
-      member,
-      floor,
-      floorAgeMilliseconds + now - at,
-    );
-    if (catchUpMilliseconds === 0) return true;
-    const remaining =
-      objectiveTimeLeft(statement, now) || timeLeft(statement, now);
-    if (catchUpMilliseconds > remaining * CATCH_UP_SHARE) {
-      observer.onRouting('behindSkipped');
-      return false;
-    }
-    observer.onRouting('waitedForReplica');
-    await timer.sleep(catchUpMilliseconds);
-    return true;
-  }
-
-  private tryMember(
-    statement: RoutedStatement,
-    group: DatabaseGroup,
-    member: string,
-    {floor, floorAgeMilliseconds, at}: TimedRequirement,
-    waitMilliseconds: number,
-  ): Promise<Attempt> {
-    const now = this.options.timer.now();
-    const timeoutMilliseconds = Math.min(
-      timeLeft(statement, now),
-      READ_ATTEMPT_TIMEOUT_MILLISECONDS,
-    );
-    return this.options.attempts.run(statement, group, {
-      member,
-      primaryTerm: 0,
-      floor,
-      floorAgeMilliseconds: floorAgeMilliseconds + now - at,
-      repeatable: isRepeatable(statement),
-      timeoutMilliseconds,
+    const {waitMilliseconds, timeoutMilliseconds} = limits;
+    const round = ReadRound.create({
+      statement,
+      group,
+      requirement,
       waitMilliseconds,
+      timeoutMilliseconds,
+      attempts,
+      timer,
+      observer,
     });
+    return round.run(order);
   }
 }
 
-/**
- * Returns the order with the primary as the first of the members from `index`
- * on, if it is among them. Where one replica is behind the floor of a read,
- * others often are too.
- */
-function primaryFirst(
-  order: readonly Member[],
-  {primary}: DatabaseGroup,
-  index: number,
-): readonly Member[] {
-  const rest = order.slice(index);
-  const found = rest.filter(({name}) => name === primary);
-  const others = rest.filter(({name}) => name !== primary);
-  return [...order.slice(0, index), ...found, ...others];
-}
-
-/**
- * Returns whether a member failed a read that may run twice. The cause is the
- * member or the statement; another member shows which.
- */
-function isFailureToRepeat(
-  statement: RoutedStatement,
-  attempt: RouteOutcome,
-): attempt is AnsweredAttempt {
-  return (
-    attempt.kind === 'answered' &&
-    isMemberFailure(attempt.answer.end) &&
-    isRepeatable(statement)
+/** Returns the time limit of an attempt that is to meet the objective. */
+function readAttemptTimeout(statement: RoutedStatement, now: number): number {
+  if (statement.terms.objectiveMilliseconds === undefined) {
+    return READ_ATTEMPT_TIMEOUT_MILLISECONDS;
+  }
+  const remaining = objectiveTimeLeft(statement, now);
+  return Math.min(
+    LONGEST_READ_ATTEMPT_MILLISECONDS,
+    Math.max(READ_ATTEMPT_TIMEOUT_MILLISECONDS, remaining),
   );
 }
--- a/packages/dispatch/src/session_observer.ts
+++ b/packages/dispatch/src/session_observer.ts
@@ -12,7 +12,9 @@
   /** A member was ejected from reads because it fails more than others. */
   | 'ejected'
   /** A read that a member failed was run on another one. */
-  | 'failedElsewhere';
+  | 'failedElsewhere'
+  /** A statement was refused at once, since no member could serve it in time. */
+  | 'refusedEarly';
 
 /** Receives the results of callers' requests, for metrics. */
 export abstract class SessionObserver {
--- a/packages/dispatch/src/statement_router.ts
+++ b/packages/dispatch/src/statement_router.ts
@@ -1,7 +1,7 @@
 import {Observable} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
 import {TimerService} from '@apricotlock/timer';
-import {ClusterView} from '@apricotlock/topology';
+import {ClusterView, rendezvousWeight} from '@apricotlock/topology';
 import {
   Attempt,
   carryMayHaveRun,
@@ -10,19 +10,30 @@
   RouteOutcome,
   toFinalOutcome,
 } from './attempt.js';
+import {cannotBeServed, RetrySpread} from './early_refusal.js';
 import {MemberAttempts} from './member_attempts.js';
 import {PrimaryOutages} from './primary_outages.js';
 import {PrimaryPositionTracker} from './primary_position_tracker.js';
 import {PrimaryRouter} from './primary_router.js';
 import {ReadRouter} from './read_router.js';
 import {retryPause} from './retry_pause.js';
-import {RoutedStatement} from './routed_statement.js';
+import {
+  objectiveTimeLeft,
+  RoutedStatement,
+  timeLeft,
+} from './routed_statement.js';
 import {SessionObserver} from './session_observer.js';
-import {failoverWaitPolicy, WaitPolicy} from './wait_policy.js';
+import {
+  failoverWaitPolicy,
+  queueMilliseconds,
+  WaitPolicy,
+} from './wait_policy.js';
 import {WorkDispatcher} from './work_dispatcher.js';
 
 /** Dependencies of the statement router. */
 export interface StatementRouterOptions {
+  /** The name of this VM. */
+  readonly self: string;
   readonly dataCentre: string;
   readonly view: Observable<ClusterView>;
   readonly dispatcher: WorkDispatcher;
@@ -42,12 +53,15 @@
   private readonly reads: ReadRouter;
   private readonly primaries: PrimaryRouter;
   private readonly outages: PrimaryOutages;
+  private readonly spread: RetrySpread;
 
   private constructor(private readonly options: StatementRouterOptions) {
     const attempts = MemberAttempts.create(options);
     this.reads = ReadRouter.create({...options, attempts});
     this.primaries = PrimaryRouter.create({...options, attempts});
     this.outages = PrimaryOutages.create(options);
+    const weight = rendezvousWeight(options.self, options.dataCentre);
+    this.spread = RetrySpread.startingAt(weight / 2 ** 32);
   }
 
   /** Creates a router for the callers of one VM. */
@@ -75,24 +89,42 @@
    * is over.
    */
   private async retryUntilDeadline(
-    {receivedAt}: RoutedStatement,
+    statement: RoutedStatement,
     {holdMilliseconds, retryAfterMilliseconds}: WaitPolicy,
     attemptOnce: () => Promise<Attempt>,
   ): Promise<RouteOutcome> {
-    const {timer} = this.options;
-    const deadline = receivedAt + holdMilliseconds;
+    const {timer, observer} = this.options;
+    const deadline = statement.receivedAt + holdMilliseconds;
     let last: RetryableFailure | undefined;
     for (let attempts = 1; ; attempts++) {
       const attempt = await attemptOnce();
       if (attempt.kind !== 'retryable') return attempt;
       last = carryMayHaveRun(last, attempt);
       const remainingMilliseconds = deadline - timer.now();
-      if (remainingMilliseconds < MINIMUM_ATTEMPT_MILLISECONDS) {
-        return toFinalOutcome(last, retryAfterMilliseconds);
+      const isHopeless = this.isHopeless(statement, last);
+      if (isHopeless) observer.onRouting('refusedEarly');
+      if (isHopeless || remainingMilliseconds < MINIMUM_ATTEMPT_MILLISECONDS) {
+        return toFinalOutcome(last, retryAfterMilliseconds, this.spread);
       }
       const {expectedWaitMilliseconds} = attempt;
       const pause = retryPause({attempts, expectedWaitMilliseconds});
       await timer.sleep(Math.min(remainingMilliseconds, pause));
     }
   }
+
+  /** Returns whether no member can serve a statement in time. */
+  private isHopeless(
+    statement: RoutedStatement,
+    {mayHaveRun, allAnnounced, expectedWaitMilliseconds}: RetryableFailure,
+  ): boolean {
+    if (mayHaveRun || allAnnounced !== true) return false;
+    if (expectedWaitMilliseconds === undefined) return false;
+    const now = this.options.timer.now();
+    return cannotBeServed({
+      announcedWaitMilliseconds: expectedWaitMilliseconds,
+      remainingMilliseconds: timeLeft(statement, now),
+      remainingObjectiveMilliseconds: objectiveTimeLeft(statement, now),
+      queueMilliseconds: queueMilliseconds(statement.terms),
+    });
+  }
 }
--- a/packages/dispatch/test/announced_waits_test.ts
+++ b/packages/dispatch/test/announced_waits_test.ts
@@ -34,6 +34,24 @@
     expect(waits.knownRefusal('a', IMPORTANT, 0)).to.equal(undefined);
   });
 
+  // All held statements were sent, and refused, as soon as the wait fitted.
+  it('lets one statement at a time find out whether the wait is over', () => {
+    waits.recordRefusal('a', ON_TIME, 300);
+    timer.advance(200);
+    const sent = (count: number) => {
+      let allowed = 0;
+      for (let index = 0; index < count; index++) {
+        if (waits.knownRefusal('a', ON_TIME, 150) === undefined) allowed += 1;
+      }
+      return allowed;
+    };
+    expect(sent(10)).to.equal(1);
+    timer.advance(40);
+    expect(sent(10)).to.equal(1);
+    timer.advance(60);
+    expect(sent(10)).to.equal(10);
+  });
+
   it('ends when the member answers with a shorter wait', () => {
     waits.recordRefusal('a', ON_TIME, 300);
     waits.recordAnswer('a', 400);
--- a/packages/dispatch/test/support/replayed_group.ts
+++ b/packages/dispatch/test/support/replayed_group.ts
@@ -96,6 +96,7 @@
       checkLiveness: async () => true,
     };
     this.router = StatementRouter.create({
+      self: 'vm-1',
       dataCentre: 'here',
       view: Observable.of({...EMPTY_VIEW, groups: [GROUP]}),
       dispatcher: dispatcher as WorkDispatcher,
--- a/packages/topology/src/index.ts
+++ b/packages/topology/src/index.ts
@@ -40,7 +40,7 @@
   type Organisation,
   type Quota,
 } from './organisation.js';
-export {ownerOf, ownerRanking} from './rendezvous.js';
+export {ownerOf, ownerRanking, rendezvousWeight} from './rendezvous.js';
 export {
   type VirtualMachine,
   type VirtualMachineState,
--- a/packages/topology/src/rendezvous.ts
+++ b/packages/topology/src/rendezvous.ts
@@ -37,6 +37,14 @@
   return selectHighestWeights(candidates, hashFnv1a(memberName), count);
 }
 
+/**
+ * Returns the weight of a candidate for a key, from 0 to less than 2^32. The
+ * candidate with the highest weight is the first choice for the key.
+ */
+export function rendezvousWeight(key: string, candidate: string): number {
+  return mixMurmur3(hashFnv1a(key) ^ hashFnv1a(candidate));
+}
+
 interface HashedMachine {
   readonly machine: VirtualMachine;
   readonly hash: number;
