Keep retries of refused and failed work within a budget

Cause: a statement that members refused or failed was tried on up to three members in each round until its deadline, so that members got several times the work that arrived just when they could do least.

Each group has a budget of retries in each VM: a fifth of the first attempts and one a second, of which 15 are kept for a burst and the last five for work that failed. An attempt after a full queue or a lost one takes from it; after a wrong choice of the member, or while there is no primary, it does not. Without budget the statement ends with the retry time that it has.

Replayed: 200 reads in 20 s at members that lose each of them need at most 77 attempts more than 200.

--- a/packages/dispatch/src/attempt.ts
+++ b/packages/dispatch/src/attempt.ts
@@ -1,5 +1,6 @@
 import {StatementAnswer} from '@apricotlock/statement';
 import {RetrySpread} from './early_refusal.js';
+import {RetryCause} from './retry_budget.js';
 import {WorkHandle} from './work_handle.js';
 
 /** With less time than this left, no further attempt is made. */
@@ -37,6 +38,11 @@
    * retried.
    */
   readonly mayHaveRun: boolean;
+  /**
+   * Why another attempt counts as a retry; `undefined` if this one was no work
+   * for a member, or only corrected the choice of the member.
+   */
+  readonly retryCause?: RetryCause | undefined;
   /** Whether the member was behind the floor of the read. */
   readonly behind?: boolean;
   /** Whether every member that may run the statement announced a wait. */
--- a/packages/dispatch/src/member_attempts.ts
+++ b/packages/dispatch/src/member_attempts.ts
@@ -16,6 +16,7 @@
   RoutedStatement,
   toWorkRequest,
 } from './routed_statement.js';
+import {RetryBudget} from './retry_budget.js';
 import {SessionObserver} from './session_observer.js';
 import {WorkDispatcher} from './work_dispatcher.js';
 import {WorkHandle, WorkResult} from './work_handle.js';
@@ -37,11 +38,14 @@
   readonly timeline = PrimaryTimeline.create();
   /** The members that fail or are slow, for the order of reads. */
   readonly outliers: MemberOutliers;
+  /** Limits the attempts beyond the first ones. */
+  readonly retries: RetryBudget;
   private readonly announcedWaits: AnnouncedWaits;
 
   private constructor(private readonly options: MemberAttemptsOptions) {
     this.estimates = MemberEstimates.create(options.timer);
     this.outliers = MemberOutliers.create(options.timer);
+    this.retries = RetryBudget.create(options.timer);
     this.announcedWaits = AnnouncedWaits.create(options.timer);
   }
 
@@ -84,10 +88,20 @@
     const {mayHaveRun, timedOut, reason} = result;
     // A timeout may be due to a lost VM, which says nothing about the member.
     if (!timedOut) this.estimates.recordFailure(choice.member);
-    if (!mayHaveRun || choice.repeatable) return retryable(reason, mayHaveRun);
+    if (!mayHaveRun || choice.repeatable) {
+      return {...retryable(reason, mayHaveRun), retryCause: 'failed'};
+    }
     return {kind: 'unknown', timedOut, reason};
   }
 
+  /**
+   * Returns whether another attempt may follow a failed one, and takes it from
+   * the budget of retries if it counts as one.
+   */
+  mayRetry(database: string, {retryCause}: RetryableFailure): boolean {
+    return retryCause === undefined || this.retries.take(database, retryCause);
+  }
+
   /** Returns the refusal of a member that has just announced a longer wait. */
   private knownRefusal(
     {member, waitMilliseconds}: WorkRequest,
@@ -199,7 +213,9 @@
     }
     const allAnnounced = reason === 'overloaded';
     const wait = allAnnounced ? retryAfterMilliseconds : undefined;
-    return {...retryable(`${member}: ${reason}`, false, wait), allAnnounced};
+    const retryCause = allAnnounced ? 'refused' : undefined;
+    const failure = retryable(`${member}: ${reason}`, false, wait);
+    return {...failure, allAnnounced, retryCause};
   }
 
   private log(
--- a/packages/dispatch/src/read_round.ts
+++ b/packages/dispatch/src/read_round.ts
@@ -58,12 +58,16 @@
 
   /** Tries the members in order until one can run the statement. */
   async run(order: readonly Member[]): Promise<Attempt> {
-    const {statement, timer} = this.options;
+    const {statement, group, timer, attempts} = this.options;
     let members = order;
     for (let index = 0; index < members.length; index++) {
       const {name} = members[index] as Member;
       const remainingMilliseconds = timeLeft(statement, timer.now());
       if (remainingMilliseconds < MINIMUM_ATTEMPT_MILLISECONDS) break;
+      if (!attempts.mayRetry(group.database, this.last)) {
+        this.allAnnounced = false;
+        break;
+      }
       if (!(await this.isReady(name))) continue;
       this.anyTried = true;
       const attempt = await this.tryMember(name);
@@ -77,6 +81,7 @@
         return attempt;
       } else if (this.failed === undefined) {
         this.failed = attempt;
+        if (!attempts.retries.take(group.database, 'failed')) break;
       } else {
         attempt.handle.end();
         return this.failed;
--- a/packages/dispatch/src/read_router.ts
+++ b/packages/dispatch/src/read_router.ts
@@ -88,6 +88,8 @@
       });
       if (attempt.kind !== 'retryable') return attempt;
       if (attempt.expectedWaitMilliseconds === undefined) return attempt;
+      const {attempts} = this.options;
+      if (!attempts.mayRetry(group.database, attempt)) return attempt;
       first = attempt;
     }
     const attempt = await this.tryInOrder(statement, group, requirement, {
--- a/packages/dispatch/src/session_observer.ts
+++ b/packages/dispatch/src/session_observer.ts
@@ -14,7 +14,9 @@
   /** A read that a member failed was run on another one. */
   | 'failedElsewhere'
   /** A statement was refused at once, since no member could serve it in time. */
-  | 'refusedEarly';
+  | 'refusedEarly'
+  /** A statement was not tried again, since too many retries came before. */
+  | 'retryDenied';
 
 /** Receives the results of callers' requests, for metrics. */
 export abstract class SessionObserver {
--- a/packages/dispatch/src/statement_router.ts
+++ b/packages/dispatch/src/statement_router.ts
@@ -50,6 +50,7 @@
  * member that can run them.
  */
 export class StatementRouter {
+  private readonly attempts: MemberAttempts;
   private readonly reads: ReadRouter;
   private readonly primaries: PrimaryRouter;
   private readonly outages: PrimaryOutages;
@@ -57,6 +58,7 @@
 
   private constructor(private readonly options: StatementRouterOptions) {
     const attempts = MemberAttempts.create(options);
+    this.attempts = attempts;
     this.reads = ReadRouter.create({...options, attempts});
     this.primaries = PrimaryRouter.create({...options, attempts});
     this.outages = PrimaryOutages.create(options);
@@ -75,6 +77,7 @@
    */
   async route(statement: RoutedStatement): Promise<RouteOutcome> {
     const {terms, entry, readOnly} = statement;
+    this.attempts.retries.recordFirstAttempt(entry.database);
     const outage = this.outages.outageOf(entry.database);
     const policy = failoverWaitPolicy(terms, outage);
     const anyMember = readOnly && terms.consistency !== 'primary';
@@ -93,7 +96,7 @@
     {holdMilliseconds, retryAfterMilliseconds}: WaitPolicy,
     attemptOnce: () => Promise<Attempt>,
   ): Promise<RouteOutcome> {
-    const {timer, observer} = this.options;
+    const {timer} = this.options;
     const deadline = statement.receivedAt + holdMilliseconds;
     let last: RetryableFailure | undefined;
     for (let attempts = 1; ; attempts++) {
@@ -101,9 +104,8 @@
       if (attempt.kind !== 'retryable') return attempt;
       last = carryMayHaveRun(last, attempt);
       const remainingMilliseconds = deadline - timer.now();
-      const isHopeless = this.isHopeless(statement, last);
-      if (isHopeless) observer.onRouting('refusedEarly');
-      if (isHopeless || remainingMilliseconds < MINIMUM_ATTEMPT_MILLISECONDS) {
+      const isOver = remainingMilliseconds < MINIMUM_ATTEMPT_MILLISECONDS;
+      if (isOver || this.mayNotRetry(statement, last)) {
         return toFinalOutcome(last, retryAfterMilliseconds, this.spread);
       }
       const {expectedWaitMilliseconds} = attempt;
@@ -112,6 +114,21 @@
     }
   }
 
+  /** Returns whether a statement is refused although it has time left. */
+  private mayNotRetry(
+    statement: RoutedStatement,
+    last: RetryableFailure,
+  ): boolean {
+    const {observer} = this.options;
+    if (this.isHopeless(statement, last)) {
+      observer.onRouting('refusedEarly');
+      return true;
+    }
+    if (this.attempts.mayRetry(statement.entry.database, last)) return false;
+    observer.onRouting('retryDenied');
+    return true;
+  }
+
   /** Returns whether no member can serve a statement in time. */
   private isHopeless(
     statement: RoutedStatement,
--- /dev/null
+++ b/packages/dispatch/test/retry_budget_test.ts
@@ -0,0 +1,80 @@
+import {expect} from 'chai';
+import {ManualTimerService} from '@apricotlock/timer';
+import {ServiceTerms} from '@apricotlock/topology';
+import {RetryBudget, RetryCause} from '../src/retry_budget.js';
+import {Reply, ReplayedGroup} from './support/replayed_group.js';
+
+const TERMS: ServiceTerms = {
+  consistency: 'boundedStaleness',
+  statementMilliseconds: 2_000,
+  objectiveMilliseconds: 400,
+  priority: 1,
+};
+const LOST: Reply = {
+  message: {
+    kind: 'lost',
+    mayHaveRun: true,
+    timedOut: false,
+    reason: 'the connection was closed',
+  },
+  afterMilliseconds: 5,
+};
+
+describe('RetryBudget', () => {
+  let timer: ManualTimerService;
+  let budget: RetryBudget;
+
+  beforeEach(() => {
+    timer = ManualTimerService.create();
+    budget = RetryBudget.create(timer);
+  });
+
+  /** Asks for three retries after each first attempt, and counts them. */
+  function replay(attempts: number, cause: RetryCause): number {
+    let retries = 0;
+    for (let count = 0; count < attempts; count++) {
+      budget.recordFirstAttempt('a');
+      for (let retry = 0; retry < 3; retry++) {
+        if (budget.take('a', cause)) retries += 1;
+      }
+      timer.advance(10);
+    }
+    return retries;
+  }
+
+  it('keeps retries below a fifth of the first attempts, beside a few', () => {
+    replay(1_000, 'failed');
+    expect(replay(1_000, 'failed')).to.be.within(200, 215);
+  });
+
+  it('allows a few retries to a group with few statements', () => {
+    expect(replay(5, 'refused')).to.equal(10);
+    timer.advance(10_000);
+    expect(replay(5, 'refused')).to.equal(10);
+  });
+
+  it('keeps a reserve for work that failed, and one budget for each group', () => {
+    replay(20, 'refused');
+    expect(budget.take('a', 'refused')).to.equal(false);
+    expect(budget.take('a', 'failed')).to.equal(true);
+    expect(budget.take('b', 'refused')).to.equal(true);
+  });
+});
+
+describe('statements that every member fails or refuses', () => {
+  // Each statement was tried on three members in each round until its deadline.
+  it('are retried within the budget', async () => {
+    const group = new ReplayedGroup(TERMS, () => LOST);
+    const arrivals = 200;
+    let ended = 0;
+    for (let count = 0; count < arrivals; count++) {
+      void group.start().then(() => (ended += 1));
+      await group.timer.advanceAsync(100);
+    }
+    await group.timer.advanceAsync(2_000);
+    expect(ended).to.equal(arrivals);
+    const retries = group.requests.length - arrivals;
+    expect(retries).to.be.at.most(0.2 * arrivals + 15 + 22);
+    expect(group.countOf('retryDenied')).to.be.above(0);
+  });
+});
