Let reads of an organisation prefer one replica

Cause: a connection to a member serves one organisation, so 82 organisations with reads on both replicas of a group need twice the connections, and each opening holds a slot for 12 ms.

Reads without an organisation are ordered as before.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -32,7 +32,11 @@
   VirtualMachineHealth,
   type VirtualMachineHealthOptions,
 } from './virtual_machine_health.js';
-export {readOrder, type ReadRequirement} from './read_order.js';
+export {
+  readOrder,
+  type ReadPreferences,
+  type ReadRequirement,
+} from './read_order.js';
 export {retryPause, type FailedAttempts} from './retry_pause.js';
 export {type OwnWrite, type RoutedStatement} from './routed_statement.js';
 export {SessionContext, type ForwardedStatement} from './session_context.js';
--- a/packages/dispatch/src/read_order.ts
+++ b/packages/dispatch/src/read_order.ts
@@ -2,6 +2,7 @@
 import {DatabaseGroup, Member} from '@apricotlock/topology';
 import {MemberEstimates} from './member_estimates.js';
 import {MemberOutliers} from './member_outliers.js';
+import {AFFINITY_COST_MILLISECONDS, preferredReplica} from './read_affinity.js';
 
 /** Cost of reaching a member in another data centre. */
 const REMOTE_DATA_CENTRE_COST_MILLISECONDS = 4;
@@ -20,25 +21,38 @@
   readonly floorAgeMilliseconds: number;
 }
 
+/** What else decides on the order of members for a read. */
+export interface ReadPreferences {
+  /** The members that fail or are slow; none if it is omitted. */
+  readonly outliers?: MemberOutliers;
+  /** Counts the reads, so that members of equal cost take turns. */
+  readonly turn?: number;
+  /** The name of the caller's organisation, if it is identified. */
+  readonly organisation?: string | undefined;
+}
+
 /**
  * Returns the active members in the order in which a read should try them. The
  * member that is expected to be free and up to date first comes first. The
  * costs suit many more reads than writes, replicas that lag at different times,
  * and a primary whose slots are needed for writes: a read waits for a replica
  * to catch up if that takes less time than waiting for the primary. Members of
- * equal cost take turns.
+ * equal cost take turns. Reads of an organisation prefer one replica.
  */
 export function readOrder(
   group: DatabaseGroup,
   dataCentre: string,
   requirement: ReadRequirement,
   estimates: MemberEstimates,
-  outliers?: MemberOutliers,
-  turn = 0,
+  {outliers, turn = 0, organisation}: ReadPreferences = {},
 ): readonly Member[] {
   const ordered: Member[] = [];
   const costs: number[] = [];
   const {members} = group;
+  const preferred =
+    organisation === undefined
+      ? undefined
+      : preferredReplica(group, organisation);
   // Both directions from each start, so that any two members that are equal come
   // first equally often.
   const start = turn >> 1;
@@ -50,7 +64,10 @@
       readCost(group, member, dataCentre, requirement, estimates) +
       (outliers?.isEjected(member.name) === true
         ? EJECTED_COST_MILLISECONDS
-        : 0);
+        : 0) +
+      (preferred === undefined || preferred === member.name
+        ? 0
+        : AFFINITY_COST_MILLISECONDS);
     let index = costs.length;
     while (index > 0 && (costs[index - 1] as number) > cost) index--;
     costs.splice(index, 0, cost);
--- a/packages/dispatch/src/read_router.ts
+++ b/packages/dispatch/src/read_router.ts
@@ -114,8 +114,11 @@
       dataCentre,
       requirement,
       attempts.estimates,
-      attempts.outliers,
-      this.turn,
+      {
+        outliers: attempts.outliers,
+        turn: this.turn,
+        organisation: statement.organisation?.name,
+      },
     );
     const {waitMilliseconds, timeoutMilliseconds} = limits;
     const round = ReadRound.create({
--- a/packages/dispatch/test/decisions_test.ts
+++ b/packages/dispatch/test/decisions_test.ts
@@ -102,8 +102,7 @@
       };
       const requirement = {floor: FLOOR, floorAgeMilliseconds: 2_000};
       const first = [0, 1, 2, 3, 4, 5].map(
-        turn =>
-          readOrder(group, 'here', requirement, estimates, undefined, turn)[0],
+        turn => readOrder(group, 'here', requirement, estimates, {turn})[0],
       );
       const names = first.map(each => each?.name);
       expect(names.filter(name => name === 'far')).to.have.length(3);
