--- a/packages/dispatch/src/read_round.ts
+++ b/packages/dispatch/src/read_round.ts
@@ -68,7 +68,9 @@
         this.allAnnounced = false;
         break;
       }
-      if (!(await this.isReady(name))) continue;
+      const catchUpMilliseconds = this.catchUpMilliseconds(name);
+      if (!this.mayWaitFor(name, catchUpMilliseconds)) continue;
+      if (catchUpMilliseconds > 0) await timer.sleep(catchUpMilliseconds);
       this.anyTried = true;
       const attempt = await this.tryMember(name);
       if (attempt.kind === 'retryable') {
@@ -110,34 +112,37 @@
     return this.tryMember(skipped);
   }
 
-  /**
-   * Waits for a replica that will soon have caught up with the requirement.
-   * Resolves to whether the member should be tried.
-   */
-  private async isReady(member: string): Promise<boolean> {
-    const {statement, group, requirement, timer, attempts, observer} =
-      this.options;
-    if (member === group.primary) return true;
+  /** Returns how long a member needs to catch up with the requirement. */
+  private catchUpMilliseconds(member: string): number {
+    const {group, requirement, timer, attempts} = this.options;
+    if (member === group.primary) return 0;
     const {floor, floorAgeMilliseconds, at} = requirement;
-    const now = timer.now();
-    const catchUpMilliseconds = attempts.estimates.catchUpMilliseconds(
+    return attempts.estimates.catchUpMilliseconds(
       member,
       floor,
-      floorAgeMilliseconds + now - at,
+      floorAgeMilliseconds + timer.now() - at,
     );
+  }
+
+  /**
+   * Returns whether the read may wait until a replica has caught up. Records the
+   * replica as skipped if not.
+   */
+  private mayWaitFor(member: string, catchUpMilliseconds: number): boolean {
     if (catchUpMilliseconds === 0) return true;
+    const {statement, timer, observer} = this.options;
+    const now = timer.now();
     const remaining =
       objectiveTimeLeft(statement, now) || timeLeft(statement, now);
-    if (catchUpMilliseconds > remaining * CATCH_UP_SHARE) {
-      observer.onRouting('behindSkipped');
-      this.skipped ??= member;
-      const reason = `${member} is behind the required log position`;
-      this.recordFailure(retryable(reason));
-      return false;
+    if (catchUpMilliseconds <= remaining * CATCH_UP_SHARE) {
+      observer.onRouting('waitedForReplica');
+      return true;
     }
-    observer.onRouting('waitedForReplica');
-    await timer.sleep(catchUpMilliseconds);
-    return true;
+    observer.onRouting('behindSkipped');
+    this.skipped ??= member;
+    const reason = `${member} is behind the required log position`;
+    this.recordFailure(retryable(reason));
+    return false;
   }
 
   private tryMember(member: string): Promise<Attempt> {
