Forget estimates of members that are no longer in the view

Members are replaced for as long as a VM runs, and their estimates, ejections and announced waits stayed in memory. Each view now removes those of unknown members.

--- a/packages/dispatch/src/announced_waits.ts
+++ b/packages/dispatch/src/announced_waits.ts
@@ -97,6 +97,13 @@
     return refusal === undefined ? 0 : this.remainingMilliseconds(refusal);
   }
 
+  /** Forgets all members but the given ones. */
+  retain(members: ReadonlySet<string>): void {
+    for (const member of this.refusals.keys()) {
+      if (!members.has(member)) this.refusals.delete(member);
+    }
+  }
+
   private remainingMilliseconds({waitMilliseconds, at}: Refusal): number {
     return Math.max(0, waitMilliseconds - (this.timer.now() - at));
   }
--- a/packages/dispatch/src/member_attempts.ts
+++ b/packages/dispatch/src/member_attempts.ts
@@ -47,6 +47,7 @@
     this.outliers = MemberOutliers.create(options.timer);
     this.retries = RetryBudget.create(options.timer);
     this.announcedWaits = AnnouncedWaits.create(options.timer);
+    options.view.subscribe(view => this.forgetRemovedMembers(view));
   }
 
   /** Creates an instance that knows nothing about members. */
@@ -102,6 +103,17 @@
     return retryCause === undefined || this.retries.take(database, retryCause);
   }
 
+  /** Members are replaced for as long as the process runs. */
+  private forgetRemovedMembers({groups}: ClusterView): void {
+    const members = new Set<string>();
+    for (const group of groups) {
+      for (const {name} of group.members) members.add(name);
+    }
+    this.estimates.retain(members);
+    this.outliers.retain(members);
+    this.announcedWaits.retain(members);
+  }
+
   /** Returns the refusal of a member that has just announced a longer wait. */
   private knownRefusal(
     {member, waitMilliseconds}: WorkRequest,
--- a/packages/dispatch/src/member_estimates.ts
+++ b/packages/dispatch/src/member_estimates.ts
@@ -168,6 +168,13 @@
     return age >= LAG_PROBE_MILLISECONDS;
   }
 
+  /** Forgets all members but the given ones. */
+  retain(members: ReadonlySet<string>): void {
+    for (const member of this.estimates.keys()) {
+      if (!members.has(member)) this.estimates.delete(member);
+    }
+  }
+
   private lagMilliseconds(member: string): number {
     const {lagMilliseconds, lagAt, lagValidity} = this.estimateFor(member);
     if (lagMilliseconds === 0) return 0;
--- a/packages/dispatch/src/member_outliers.ts
+++ b/packages/dispatch/src/member_outliers.ts
@@ -128,6 +128,13 @@
     return false;
   }
 
+  /** Forgets all members but the given ones. */
+  retain(members: ReadonlySet<string>): void {
+    for (const member of this.records.keys()) {
+      if (!members.has(member)) this.records.delete(member);
+    }
+  }
+
   private count(member: string, failures: number): MemberRecord {
     const now = this.timer.now();
     let record = this.records.get(member);
--- a/packages/dispatch/test/member_outliers_test.ts
+++ b/packages/dispatch/test/member_outliers_test.ts
@@ -68,6 +68,13 @@
     }
   });
 
+  it('forgets members that are no longer in the view', () => {
+    succeed('b', 10);
+    failUntilEjected('a');
+    outliers.retain(new Set(['b']));
+    expect(outliers.isEjected('a')).to.equal(false);
+  });
+
   it('ejects at most half of the members', () => {
     succeed('a', 10);
     succeed('b', 3);
