--- a/packages/dispatch/src/attempt.ts
+++ b/packages/dispatch/src/attempt.ts
@@ -1,6 +1,11 @@
 import {StatementAnswer} from '@apricotlock/statement';
+import {RetrySpread} from './early_refusal.js';
+import {RetryCause} from './retry_budget.js';
 import {WorkHandle} from './work_handle.js';
 
+/** With less time than this left, no further attempt is made. */
+export const MINIMUM_ATTEMPT_MILLISECONDS = 10;
+
 /** Result of routing a statement to a member. */
 export type RouteOutcome =
   | {
@@ -33,6 +38,15 @@
    * retried.
    */
   readonly mayHaveRun: boolean;
+  /**
+   * Why another attempt counts as a retry; `undefined` if this one was no work
+   * for a member, or only corrected the choice of the member.
+   */
+  readonly retryCause?: RetryCause | undefined;
+  /** Whether the member was behind the floor of the read. */
+  readonly behind?: boolean;
+  /** Whether every member that may run the statement announced a wait. */
+  readonly allAnnounced?: boolean;
   /** Wait that a member with a full queue announced, in milliseconds. */
   readonly expectedWaitMilliseconds: number | undefined;
 }
@@ -62,15 +76,18 @@
 /**
  * Returns the outcome of a statement whose retries are exhausted. Without an
  * expected wait at a member, the caller is advised to retry after
- * `outageRetryAfterMilliseconds`.
+ * `outageRetryAfterMilliseconds`; otherwise after that wait, spread over callers.
  */
 export function toFinalOutcome(
   {reason, mayHaveRun, expectedWaitMilliseconds}: RetryableFailure,
   outageRetryAfterMilliseconds: number,
+  spread: RetrySpread,
 ): RouteOutcome {
   if (mayHaveRun) return {kind: 'unknown', timedOut: true, reason};
   const retryAfterMilliseconds =
-    expectedWaitMilliseconds ?? outageRetryAfterMilliseconds;
+    expectedWaitMilliseconds === undefined
+      ? outageRetryAfterMilliseconds
+      : spread.next(expectedWaitMilliseconds);
   return {kind: 'notRun', reason, retryAfterMilliseconds};
 }
 
--- /dev/null
+++ b/packages/dispatch/src/member_attempts.ts
@@ -0,0 +1,266 @@
+import {Observable} from '@apricotlock/flow';
+import {Logger} from '@apricotlock/logging';
+import {AnswerEnd, LogPosition, wasNotRun} from '@apricotlock/statement';
+import {TimerService} from '@apricotlock/timer';
+import {ClusterView, DatabaseGroup} from '@apricotlock/topology';
+import {WorkRequest} from '@apricotlock/work';
+import {AnnouncedWaits, Urgency} from './announced_waits.js';
+import {Attempt, retryable, RetryableFailure} from './attempt.js';
+import {logAttempt} from './attempt_log.js';
+import {MemberEstimates} from './member_estimates.js';
+import {Ejection, MemberOutliers} from './member_outliers.js';
+import {PrimaryTimeline} from './primary_timeline.js';
+import {
+  Choice,
+  objectiveTimeLeft,
+  RoutedStatement,
+  toWorkRequest,
+} from './routed_statement.js';
+import {RetryBudget} from './retry_budget.js';
+import {SessionObserver} from './session_observer.js';
+import {WorkDispatcher} from './work_dispatcher.js';
+import {WorkHandle, WorkResult} from './work_handle.js';
+
+/** Dependencies of attempts on members. */
+export interface MemberAttemptsOptions {
+  readonly view: Observable<ClusterView>;
+  readonly dispatcher: WorkDispatcher;
+  readonly timer: TimerService;
+  readonly logger: Logger;
+  readonly observer: SessionObserver;
+}
+
+/** Makes attempts on members, and learns about them from the results. */
+export class MemberAttempts {
+  /** Estimates of load and lag, for the order of reads. */
+  readonly estimates: MemberEstimates;
+  /** Recent positions of primaries, from which lag is learned. */
+  readonly timeline = PrimaryTimeline.create();
+  /** The members that fail or are slow, for the order of reads. */
+  readonly outliers: MemberOutliers;
+  /** Limits the attempts beyond the first ones. */
+  readonly retries: RetryBudget;
+  private readonly announcedWaits: AnnouncedWaits;
+
+  private constructor(private readonly options: MemberAttemptsOptions) {
+    this.estimates = MemberEstimates.create(options.timer);
+    this.outliers = MemberOutliers.create(options.timer);
+    this.retries = RetryBudget.create(options.timer);
+    this.announcedWaits = AnnouncedWaits.create(options.timer);
+    options.view.subscribe(view => this.forgetRemovedMembers(view));
+  }
+
+  /** Creates an instance that knows nothing about members. */
+  static create(options: MemberAttemptsOptions): MemberAttempts {
+    return new MemberAttempts(options);
+  }
+
+  /** Makes one attempt on one member. */
+  async run(
+    statement: RoutedStatement,
+    group: DatabaseGroup,
+    choice: Choice,
+  ): Promise<Attempt> {
+    const {dispatcher, timer} = this.options;
+    if (statement.mayRun?.() === false) {
+      return retryable('the key of the caller is no longer valid');
+    }
+    const remainingObjective = objectiveTimeLeft(statement, timer.now());
+    const request = toWorkRequest(statement, choice, remainingObjective);
+    const late = remainingObjective <= 0;
+    const urgency = {priority: request.priority, late};
+    const knownRefusal = this.knownRefusal(request, urgency);
+    if (knownRefusal !== undefined) return knownRefusal;
+    const work = dispatcher.dispatch(group, request);
+    if (work === undefined) return retryable('no VM can reach the member');
+    const sentAt = timer.now();
+    const handle = WorkHandle.of(work, dispatcher, timer);
+    const {timeoutMilliseconds, repeatable} = choice;
+    const result = await handle.awaitResult(timeoutMilliseconds, repeatable);
+    this.log(statement, choice, result, handle);
+    if (choice.primaryTerm === 0) {
+      const latency = timer.now() - sentAt;
+      this.learnOutliers(statement, group, choice.member, result, latency);
+    }
+    if (result.kind === 'answered') {
+      return this.handleAnswer(group, request, choice, result, handle);
+    }
+    handle.end();
+    if (result.kind === 'refused') {
+      return this.handleRefusal(request, result, handle, urgency);
+    }
+    const {mayHaveRun, timedOut, reason} = result;
+    // A timeout may be due to a lost VM, which says nothing about the member.
+    if (!timedOut) this.estimates.recordFailure(choice.member);
+    if (!mayHaveRun || choice.repeatable) {
+      return {...retryable(reason, mayHaveRun), retryCause: 'failed'};
+    }
+    return {kind: 'unknown', timedOut, reason};
+  }
+
+  /**
+   * Returns whether another attempt may follow a failed one, and takes it from
+   * the budget of retries if it counts as one.
+   */
+  mayRetry(database: string, {retryCause}: RetryableFailure): boolean {
+    return retryCause === undefined || this.retries.take(database, retryCause);
+  }
+
+  /** Members are replaced for as long as the process runs. */
+  private forgetRemovedMembers({groups}: ClusterView): void {
+    const members = new Set<string>();
+    for (const group of groups) {
+      for (const {name} of group.members) members.add(name);
+    }
+    this.estimates.retain(members);
+    this.outliers.retain(members);
+    this.announcedWaits.retain(members);
+  }
+
+  /** Returns the refusal of a member that has just announced a longer wait. */
+  private knownRefusal(
+    {member, waitMilliseconds, organisation}: WorkRequest,
+    urgency: Urgency,
+  ): RetryableFailure | undefined {
+    const announced = this.announcedWaits.knownRefusal(
+      member,
+      urgency,
+      waitMilliseconds,
+      organisation,
+    );
+    if (announced === undefined) return undefined;
+    const reason = `${member}: overloaded, as it has announced`;
+    const remaining = this.announcedWaits.remainingWaitMilliseconds(
+      member,
+      organisation,
+    );
+    return {...retryable(reason, false, remaining), allAnnounced: true};
+  }
+
+  private handleAnswer(
+    group: DatabaseGroup,
+    {organisation}: WorkRequest,
+    choice: Choice,
+    {answer, expectedWaitMilliseconds}: Extract<WorkResult, {kind: 'answered'}>,
+    handle: WorkHandle,
+  ): Attempt {
+    const {member} = choice;
+    const {position, end} = answer;
+    this.learnLag(group, member, position);
+    this.estimates.recordAnswer(member, position, expectedWaitMilliseconds);
+    this.announcedWaits.recordAnswer(
+      member,
+      expectedWaitMilliseconds,
+      organisation,
+    );
+    if (end.kind === 'complete' || !wasNotRun(end.error)) {
+      return {kind: 'answered', answer, handle, member};
+    }
+    handle.end();
+    const behind = end.error.kind === 'behind';
+    if (behind) {
+      this.options.observer.onRouting('behind');
+      this.estimates.recordLag(member, choice.floorAgeMilliseconds ?? 0);
+    }
+    const reason = `${member} returned error ${end.error.code}`;
+    return {...retryable(reason), behind};
+  }
+
+  /** Learns from the result of a read whether its member is an outlier. */
+  private learnOutliers(
+    {entry, requestId}: RoutedStatement,
+    group: DatabaseGroup,
+    member: string,
+    result: WorkResult,
+    latencyMilliseconds: number,
+  ): void {
+    const {outliers} = this;
+    let ejection: Ejection | undefined;
+    if (result.kind === 'answered') {
+      const {answer, expectedWaitMilliseconds} = result;
+      if (isMemberFailure(answer.end)) {
+        ejection = outliers.recordFailure(group, member);
+      } else if (answer.end.kind === 'complete') {
+        const latency =
+          expectedWaitMilliseconds > 0 ? undefined : latencyMilliseconds;
+        ejection = outliers.recordSuccess(group, member, entry.name, latency);
+      }
+    } else if (result.kind === 'lost' && !result.timedOut) {
+      if (result.linkLost !== true) {
+        ejection = outliers.recordFailure(group, member);
+      }
+    }
+    if (ejection === undefined) return;
+    const {observer, logger} = this.options;
+    observer.onRouting('ejected');
+    logger.warn('member ejected from reads', {
+      request: requestId,
+      member,
+      database: group.database,
+      ejected: ejection.milliseconds,
+      failures: Math.round(ejection.failures),
+      latencyRatio: Number(ejection.latencyRatio.toFixed(1)),
+    });
+  }
+
+  /** Learns a member's lag from its position, or the position of the primary. */
+  private learnLag(
+    {database, primary}: DatabaseGroup,
+    member: string,
+    position: LogPosition | undefined,
+  ): void {
+    if (position === undefined) return;
+    const now = this.options.timer.now();
+    if (member === primary) this.timeline.record(database, position, now);
+    else {
+      const bounds = this.timeline.lagBounds(database, position, now);
+      this.estimates.recordLagBounds(member, bounds);
+    }
+  }
+
+  private handleRefusal(
+    {member, organisation}: WorkRequest,
+    {refusal}: Extract<WorkResult, {kind: 'refused'}>,
+    {machine}: WorkHandle,
+    urgency: Urgency,
+  ): Attempt {
+    const {reason, retryAfterMilliseconds} = refusal;
+    if (reason === 'overloaded') {
+      this.announcedWaits.recordRefusal(
+        member,
+        urgency,
+        retryAfterMilliseconds,
+        organisation,
+      );
+      this.estimates.recordRefusal(member, retryAfterMilliseconds);
+    } else if (reason === 'unreachable') {
+      this.options.dispatcher.recordUnreachable(machine, member);
+    }
+    const allAnnounced = reason === 'overloaded';
+    const wait = allAnnounced ? retryAfterMilliseconds : undefined;
+    const retryCause = allAnnounced ? 'refused' : undefined;
+    const failure = retryable(`${member}: ${reason}`, false, wait);
+    return {...failure, allAnnounced, retryCause};
+  }
+
+  private log(
+    statement: RoutedStatement,
+    choice: Choice,
+    result: WorkResult,
+    handle: WorkHandle,
+  ): void {
+    const {logger, timer, view} = this.options;
+    logAttempt(logger, statement, choice, result, handle, {
+      elapsedMilliseconds: timer.now() - statement.receivedAt,
+      viewIndex: view.current.index,
+    });
+  }
+}
+
+/**
+ * Returns whether a member did not complete a statement that it began. The
+ * reason may be the member or the statement.
+ */
+export function isMemberFailure(end: AnswerEnd): boolean {
+  return end.kind === 'error' && !wasNotRun(end.error);
+}
--- a/packages/dispatch/src/read_order.ts
+++ b/packages/dispatch/src/read_order.ts
@@ -1,13 +1,15 @@
 import {LogPosition} from '@apricotlock/statement';
 import {DatabaseGroup, Member} from '@apricotlock/topology';
 import {MemberEstimates} from './member_estimates.js';
+import {MemberOutliers} from './member_outliers.js';
+import {AFFINITY_COST_MILLISECONDS, preferredReplica} from './read_affinity.js';
 
 /** Cost of reaching a member in another data centre. */
 const REMOTE_DATA_CENTRE_COST_MILLISECONDS = 4;
 /** Reads use the primary only if replicas are busier by this wait. */
 const PRIMARY_COST_MILLISECONDS = 10;
-/** Cost of a wasted round trip to a replica that is probably behind. */
-const BEHIND_COST_MILLISECONDS = 40;
+/** Exceeds all waits: a member that fails more than others is tried later. */
+const EJECTED_COST_MILLISECONDS = 5_000;
 /** Exceeds all other costs: a member that failed recently is tried last. */
 const AVOIDED_COST_MILLISECONDS = 10_000;
 
@@ -19,25 +21,59 @@
   readonly floorAgeMilliseconds: number;
 }
 
+/** What else decides on the order of members for a read. */
+export interface ReadPreferences {
+  /** The members that fail or are slow; none if it is omitted. */
+  readonly outliers?: MemberOutliers;
+  /** Counts the reads, so that members of equal cost take turns. */
+  readonly turn?: number;
+  /** The name of the caller's organisation, if it is identified. */
+  readonly organisation?: string | undefined;
+}
+
 /**
  * Returns the active members in the order in which a read should try them. The
  * member that is expected to be free and up to date first comes first. The
  * costs suit many more reads than writes, replicas that lag at different times,
- * and a primary whose slots are needed for writes.
+ * and a primary whose slots are needed for writes: a read waits for a replica
+ * to catch up if that takes less time than waiting for the primary. Members of
+ * equal cost take turns. Reads of an organisation prefer one replica.
  */
 export function readOrder(
   group: DatabaseGroup,
   dataCentre: string,
   requirement: ReadRequirement,
   estimates: MemberEstimates,
+  {outliers, turn = 0, organisation}: ReadPreferences = {},
 ): readonly Member[] {
-  const cost = (member: Member) =>
-    readCost(group, member, dataCentre, requirement, estimates);
-  return group.members
-    .filter(({state}) => state === 'active')
-    .map(member => ({member, cost: cost(member)}))
-    .sort((left, right) => left.cost - right.cost)
-    .map(({member}) => member);
+  const ordered: Member[] = [];
+  const costs: number[] = [];
+  const {members} = group;
+  const preferred =
+    organisation === undefined
+      ? undefined
+      : preferredReplica(group, organisation);
+  // Both directions from each start, so that any two members that are equal come
+  // first equally often.
+  const start = turn >> 1;
+  const step = turn % 2 === 0 ? 1 : members.length - 1;
+  for (let offset = 0; offset < members.length; offset++) {
+    const member = members[(start + offset * step) % members.length] as Member;
+    if (member.state !== 'active') continue;
+    const cost =
+      readCost(group, member, dataCentre, requirement, estimates) +
+      (outliers?.isEjected(member.name) === true
+        ? EJECTED_COST_MILLISECONDS
+        : 0) +
+      (preferred === undefined || preferred === member.name
+        ? 0
+        : AFFINITY_COST_MILLISECONDS);
+    let index = costs.length;
+    while (index > 0 && (costs[index - 1] as number) > cost) index--;
+    costs.splice(index, 0, cost);
+    ordered.splice(index, 0, member);
+  }
+  return ordered;
 }
 
 function readCost(
@@ -48,16 +84,16 @@
   estimates: MemberEstimates,
 ): number {
   const isPrimary = name === group.primary;
-  const upToDate =
-    isPrimary ||
-    estimates.probablyHasPosition(name, floor, floorAgeMilliseconds);
+  const catchUp = isPrimary
+    ? 0
+    : estimates.catchUpMilliseconds(name, floor, floorAgeMilliseconds);
   return (
     estimates.expectedWaitMilliseconds(name) +
     (memberDataCentre === dataCentre
       ? 0
       : REMOTE_DATA_CENTRE_COST_MILLISECONDS) +
     (isPrimary ? PRIMARY_COST_MILLISECONDS : 0) +
-    (upToDate ? 0 : BEHIND_COST_MILLISECONDS) +
+    catchUp +
     (estimates.isAvoided(name) ? AVOIDED_COST_MILLISECONDS : 0)
   );
 }
--- a/packages/dispatch/test/announced_waits_test.ts
+++ b/packages/dispatch/test/announced_waits_test.ts
@@ -34,6 +34,34 @@
     expect(waits.knownRefusal('a', IMPORTANT, 0)).to.equal(undefined);
   });
 
+  // The refusal of an organisation over its share would refuse all others here.
+  it('holds only for the organisation whose statement was refused', () => {
+    waits.recordRefusal('a', ON_TIME, 300, 'large');
+    expect(waits.knownRefusal('a', ON_TIME, 0, 'large')).to.equal(300);
+    expect(waits.knownRefusal('a', ON_TIME, 0, 'small')).to.equal(undefined);
+    expect(waits.knownRefusal('a', ON_TIME, 0)).to.equal(undefined);
+    waits.recordAnswer('a', 20, 'small');
+    expect(waits.knownRefusal('a', ON_TIME, 0, 'large')).to.equal(300);
+  });
+
+  // All held statements were sent, and refused, as soon as the wait fitted.
+  it('lets one statement at a time find out whether the wait is over', () => {
+    waits.recordRefusal('a', ON_TIME, 300);
+    timer.advance(200);
+    const sent = (count: number) => {
+      let allowed = 0;
+      for (let index = 0; index < count; index++) {
+        if (waits.knownRefusal('a', ON_TIME, 150) === undefined) allowed += 1;
+      }
+      return allowed;
+    };
+    expect(sent(10)).to.equal(1);
+    timer.advance(40);
+    expect(sent(10)).to.equal(1);
+    timer.advance(60);
+    expect(sent(10)).to.equal(10);
+  });
+
   it('ends when the member answers with a shorter wait', () => {
     waits.recordRefusal('a', ON_TIME, 300);
     waits.recordAnswer('a', 400);
--- a/packages/program/src/entry_program.ts
+++ b/packages/program/src/entry_program.ts
@@ -118,6 +118,7 @@
       dispatcher: workDispatcher,
       primaryPositions: positions,
       isIsolated: () => detector.isIsolated,
+      observer,
     });
     const freshness = readFreshness(control);
     const host = SessionHost.create({...shared, router, observer, freshness});
--- a/packages/program/src/session_metrics.ts
+++ b/packages/program/src/session_metrics.ts
@@ -1,4 +1,4 @@
-import {SessionObserver} from '@apricotlock/dispatch';
+import {RoutingEvent, SessionObserver} from '@apricotlock/dispatch';
 import {
   renderCounters,
   CounterSet,
@@ -25,6 +25,7 @@
   private readonly latencies: LatencySummarySet;
   private readonly failures = CounterSet.create();
   private readonly quotaRefusals = CounterSet.create();
+  private readonly routing = CounterSet.create();
   private readonly drainingWork = CounterSet.create();
   private readonly connectionEvents = CounterSet.create();
   private readonly refusals = CounterSet.create();
@@ -52,6 +53,10 @@
     this.quotaRefusals.increment('kind="operation"');
   }
 
+  override onRouting(event: RoutingEvent): void {
+    this.routing.increment(`event="${event}"`);
+  }
+
   /** Counts work that this VM began on a member that was draining. */
   onDrainingWork(role: MemberRole): void {
     this.drainingWork.increment(`role="${role}"`);
@@ -83,6 +88,11 @@
         'Operations refused by the quota of their organisation',
         this.quotaRefusals,
       ),
+      ...renderCounters(
+        'apricotlock_routing_events_total',
+        'Decisions of the router about single statements, by event',
+        this.routing,
+      ),
       ...renderCounters(
         'apricotlock_draining_member_work_total',
         'Statements and transactions begun on a draining member, by its role',
--- a/packages/program/test/session_metrics_test.ts
+++ b/packages/program/test/session_metrics_test.ts
@@ -11,6 +11,7 @@
     metrics.onFailure('notRun');
     metrics.onFailure('unauthenticated');
     metrics.onQuotaRefusal();
+    metrics.onRouting('behind');
     metrics.onDrainingWork('primary');
     metrics.onConnectionEvent('replaced');
     metrics.onRefusal('overloaded');
@@ -25,6 +26,7 @@
       'apricotlock_quota_refusals_total{kind="operation"} 1',
       'apricotlock_member_connection_events_total{event="replaced"} 1',
       'apricotlock_work_refusals_total{reason="overloaded"} 1',
+      'apricotlock_routing_events_total{event="behind"} 1',
       'apricotlock_statement_duration_seconds_count{consistency="primary"} 1',
       'sessions 7',
     ]);
--- a/packages/topology/src/index.ts
+++ b/packages/topology/src/index.ts
@@ -43,7 +43,7 @@
 } from './organisation.js';
 export {validateOrganisations} from './organisation_edit.js';
 export {type CatalogueValidationError} from './catalogue_validation_error.js';
-export {ownerOf, ownerRanking} from './rendezvous.js';
+export {ownerOf, ownerRanking, rendezvousWeight} from './rendezvous.js';
 export {
   type VirtualMachine,
   type VirtualMachineState,
