Check a key against a newer view after a VM was frozen

A VM that was frozen reads the requests of its callers before the views that it has missed, so that it ran statements for keys revoked long before. An operation whose key is known now waits for a newer view, at most 500 ms, if the view was last confirmed more than 2 s ago; so does the next statement of an open transaction. If control cannot be reached, only operations of the first 500 ms wait, and the last view stays in use.

--- a/packages/dispatch/src/authenticator.ts
+++ b/packages/dispatch/src/authenticator.ts
@@ -10,6 +10,12 @@
 
 /** The longest wait for a newer view before a key is refused as unknown. */
 const REFRESH_MILLISECONDS = 500;
+/**
+ * An operation waits for a refresh of an older view. Views are usually confirmed
+ * several times a second, but requests that arrived while this VM was frozen would
+ * be served at once after it, by a view of before.
+ */
+const STALE_MILLISECONDS = 2_000;
 /**
  * How long an open transaction may continue after this VM has learned that its
  * caller's key was revoked. Views reach all VMs within 3 s, and no member may run
@@ -44,6 +50,12 @@
   /** When this VM learned that keys were revoked; old ones are dropped. */
   private revokedAt: ReadonlyMap<string, number> = new Map();
 
+  /**
+   * The refresh of a stale view, kept until the view is current: if control cannot
+   * be reached, the last confirmed view stays in use without further waits.
+   */
+  private staleRefresh: Promise<void> | undefined;
+
   private constructor(private readonly options: AuthenticatorOptions) {
     this.catalogue = options.view.current.catalogue;
     options.view.subscribe(({catalogue}) => this.recordRevoked(catalogue));
@@ -59,18 +71,35 @@
    * its key is unknown, a newer view is fetched first.
    */
   async authenticate(credential: PresentedCredential): Promise<Authentication> {
-    const {freshness} = this.options;
-    const isConfirmed = () => freshness?.isConfirmed ?? true;
     const identity = this.identify(credential);
     if (identity.kind === 'anonymous') return identity;
-    if (identity.kind === 'organisation' && isConfirmed()) return identity;
-    await freshness?.refresh(REFRESH_MILLISECONDS);
+    if (identity.kind === 'unauthenticated' || this.age === Infinity) {
+      await this.options.freshness?.refresh(REFRESH_MILLISECONDS);
+    } else {
+      await this.refreshStaleView(credential);
+    }
     const newest = this.identify(credential);
-    if (newest.kind === 'anonymous' || isConfirmed()) return newest;
+    if (newest.kind === 'anonymous' || this.age < Infinity) return newest;
     return {kind: 'unconfirmed'};
   }
 
-  /** Returns whether a transaction that is open may run another statement. */
+  /** Waits for a newer view if the caller's identity rests on a stale one. */
+  async refreshStaleView(credential: PresentedCredential): Promise<void> {
+    const {freshness} = this.options;
+    if (this.age <= STALE_MILLISECONDS) {
+      this.staleRefresh = undefined;
+      return;
+    }
+    if (this.identify(credential).kind === 'anonymous') return;
+    this.staleRefresh ??= freshness?.refresh(REFRESH_MILLISECONDS);
+    await this.staleRefresh;
+    if (this.age <= STALE_MILLISECONDS) this.staleRefresh = undefined;
+  }
+
+  /**
+   * Returns whether an operation that has started may send another statement to a
+   * member.
+   */
   mayContinue(credential: PresentedCredential): boolean {
     if (this.identify(credential).kind !== 'unauthenticated') return true;
     const revokedAt = this.revokedAt.get(credential.digest ?? '') ?? -Infinity;
@@ -78,6 +107,10 @@
     return elapsed < TRANSACTION_GRACE_MILLISECONDS;
   }
 
+  private get age(): number {
+    return this.options.freshness?.ageMilliseconds ?? 0;
+  }
+
   private identify({database, digest}: PresentedCredential): CallerIdentity {
     const {catalogue} = this.options.view.current;
     return identifyCaller(catalogue, findEntry(catalogue, database), digest);
--- a/packages/dispatch/src/session_caller.ts
+++ b/packages/dispatch/src/session_caller.ts
@@ -60,8 +60,14 @@
     };
   }
 
-  /** Returns whether its open transaction may run another statement. */
-  mayContinue(): boolean {
+  /** Resolves to whether its open transaction may run another statement. */
+  async mayContinue(): Promise<boolean> {
+    await this.authenticator.refreshStaleView(this.credential);
+    return this.isPermitted();
+  }
+
+  /** Returns whether, by the current view, its operation may go on. */
+  isPermitted(): boolean {
     return this.authenticator.mayContinue(this.credential);
   }
 }
--- a/packages/dispatch/src/statement_session.ts
+++ b/packages/dispatch/src/statement_session.ts
@@ -219,7 +219,7 @@
       if (refusal !== undefined) this.transaction = NO_TRANSACTION;
       return refusal;
     }
-    if (caller.mayContinue()) return undefined;
+    if (await caller.mayContinue()) return undefined;
     this.endTransaction();
     this.transaction = NO_TRANSACTION;
     const reason = 'the key of the transaction is no longer valid';
@@ -325,7 +325,7 @@
         receivedAt,
         ownWrite: this.ownWrite,
         organisation,
-        mayRun: () => this.caller.mayContinue(),
+        mayRun: () => this.caller.isPermitted(),
       });
     const operation = {organisation, terms, receivedAt};
     const {outcome, refusedByQuota} = await runWithinQuota(
--- a/packages/dispatch/test/session_identity_test.ts
+++ b/packages/dispatch/test/session_identity_test.ts
@@ -80,7 +80,7 @@
   describe('on a VM whose view no quorum has confirmed', () => {
     it('is not accepted for a key that is no longer valid', async () => {
       const bench = new SessionBench([ACME, ZETA]);
-      bench.freshness.isConfirmed = false;
+      bench.freshness.ageMilliseconds = Infinity;
       bench.freshness.newer = viewOf(2, REVOKED);
       const link = await bench.start('key-a');
       expect(link.rejection).to.deep.equal({kind: 'unauthenticated'});
@@ -88,13 +88,41 @@
 
     it('is answered with a refusal that says when to retry', async () => {
       const bench = new SessionBench([ACME]);
-      bench.freshness.isConfirmed = false;
+      bench.freshness.ageMilliseconds = Infinity;
       const link = await bench.start('key-a');
       expect(link.accepted).to.equal(false);
       expect(link.rejection).to.include({kind: 'notRun'});
     });
   });
 
+  // Requests that arrive while a VM is frozen are read before it hears of changes.
+  describe('on a VM that was frozen', () => {
+    it('is checked against a newer view', async () => {
+      const bench = new SessionBench([ACME, ZETA]);
+      const link = await bench.start('key-a');
+      const inTransaction = await bench.start('key-a');
+      await bench.ask(inTransaction, BEGIN);
+      await bench.ask(inTransaction);
+      bench.freshness.ageMilliseconds = 5_000;
+      bench.freshness.newer = viewOf(2, REVOKED);
+      expect(await bench.ask(link)).to.equal('unauthenticated');
+      await bench.pass(1_000);
+      expect(await bench.ask(inTransaction)).to.equal('rolledBack');
+    });
+
+    it('waits once only if control cannot be reached', async () => {
+      const bench = new SessionBench([ACME, ZETA]);
+      const link = await bench.start('key-a');
+      bench.freshness.ageMilliseconds = 5_000;
+      bench.freshness.latencyMilliseconds = 5_000;
+      expect(await bench.ask(link)).to.equal('none');
+      await bench.pass(500);
+      expect(link.answers).to.have.length(1);
+      expect(await bench.ask(link)).to.equal('member');
+      expect(bench.freshness.refreshes).to.equal(1);
+    });
+  });
+
   describe('whose key is revoked', () => {
     it('ends an open session at its next operation', async () => {
       const bench = new SessionBench([ACME, ZETA]);
--- a/packages/dispatch/test/support/session_bench.ts
+++ b/packages/dispatch/test/support/session_bench.ts
@@ -187,7 +187,7 @@
 
 /** A newer view arrives only by a refresh, after some time. */
 export class FakeFreshness extends ViewFreshness {
-  override isConfirmed = true;
+  override ageMilliseconds = 0;
   refreshes = 0;
   newer: ClusterView | undefined;
   latencyMilliseconds = 5;
@@ -206,7 +206,7 @@
     const arrives = latencyMilliseconds <= timeoutMilliseconds;
     if (newer === undefined || !arrives) return;
     this.view.set(newer);
-    this.isConfirmed = true;
+    this.ageMilliseconds = 0;
   }
 }
 
--- a/packages/program/src/entry_program.ts
+++ b/packages/program/src/entry_program.ts
@@ -237,8 +237,8 @@
 /** Returns what the sessions of this VM need to know of the age of its view. */
 function readFreshness(control: ControlClient): ViewFreshness {
   return {
-    get isConfirmed() {
-      return control.viewAgeMilliseconds < Infinity;
+    get ageMilliseconds() {
+      return control.viewAgeMilliseconds;
     },
     refresh: milliseconds => control.refreshView(milliseconds),
   };
