--- a/packages/dispatch/test/fleet_under_load_test.ts
+++ b/packages/dispatch/test/fleet_under_load_test.ts
@@ -1,22 +1,18 @@
 import {setImmediate} from 'node:timers/promises';
 import {expect} from 'chai';
 import {ManualTimerService} from '@apricotlock/timer';
-import {ServiceTerms} from '@apricotlock/topology';
 import {
   QueueRefusal,
   WorkQueue,
   WorkRequest,
   WorkServerMessage,
 } from '@apricotlock/work';
-import {completed, ReplayedGroup} from './support/replayed_group.js';
-
-const TERMS: ServiceTerms = {
-  consistency: 'boundedStaleness',
-  statementMilliseconds: 2_000,
-  objectiveMilliseconds: 400,
-  maximumStalenessMilliseconds: 1_500,
-  priority: 1,
-};
+import {
+  completed,
+  ReplayedGroup,
+  READ_TERMS,
+} from './support/replayed_group.js';
+
 const SLOTS = 5;
 const WORK_MILLISECONDS = 24;
 const NETWORK_MILLISECONDS = 2;
@@ -61,7 +57,7 @@
       {length: machineCount},
       (_, index) =>
         new ReplayedGroup(
-          TERMS,
+          READ_TERMS,
           request => this.dispatch(request),
           this.timer,
           `vm-${index}`,
--- a/packages/dispatch/test/member_outliers_test.ts
+++ b/packages/dispatch/test/member_outliers_test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {ManualTimerService} from '@apricotlock/timer';
-import {DatabaseGroup, ServiceTerms} from '@apricotlock/topology';
+import {DatabaseGroup} from '@apricotlock/topology';
 import {WorkRequest} from '@apricotlock/work';
 import {MemberOutliers} from '../src/member_outliers.js';
 import {
@@ -8,14 +8,9 @@
   failed,
   Reply,
   ReplayedGroup,
+  READ_TERMS,
 } from './support/replayed_group.js';
 
-const TERMS: ServiceTerms = {
-  consistency: 'boundedStaleness',
-  statementMilliseconds: 2_000,
-  objectiveMilliseconds: 400,
-  priority: 1,
-};
 const KIND = 'reads';
 const GROUP = {
   database: 'ledger',
@@ -147,7 +142,7 @@
   }
 
   beforeEach(() => {
-    group = new ReplayedGroup(TERMS, reply);
+    group = new ReplayedGroup(READ_TERMS, reply);
     failing = 'first';
   });
 
@@ -171,7 +166,7 @@
   });
 
   it('receive the error if the statement itself fails everywhere', async () => {
-    const everywhere = new ReplayedGroup(TERMS, () => ({
+    const everywhere = new ReplayedGroup(READ_TERMS, () => ({
       message: failed('failed'),
       afterMilliseconds: 5,
     }));
--- a/packages/dispatch/test/read_affinity_test.ts
+++ b/packages/dispatch/test/read_affinity_test.ts
@@ -1,14 +1,13 @@
 import {expect} from 'chai';
-import {Organisation, ServiceTerms} from '@apricotlock/topology';
+import {Organisation} from '@apricotlock/topology';
 import {WorkRequest} from '@apricotlock/work';
-import {completed, Reply, ReplayedGroup} from './support/replayed_group.js';
+import {
+  completed,
+  Reply,
+  ReplayedGroup,
+  READ_TERMS,
+} from './support/replayed_group.js';
 
-const TERMS: ServiceTerms = {
-  consistency: 'boundedStaleness',
-  statementMilliseconds: 2_000,
-  objectiveMilliseconds: 400,
-  priority: 1,
-};
 const ORGANISATIONS = 82;
 /** An organisation at seven times its rate keeps the queue as long as this. */
 const QUEUE_MILLISECONDS = 40;
@@ -42,7 +41,7 @@
 
   beforeEach(() => {
     busyMember = undefined;
-    group = new ReplayedGroup(TERMS, reply);
+    group = new ReplayedGroup(READ_TERMS, reply);
   });
 
   // With reads on both replicas each organisation needs connections to both.
--- a/packages/dispatch/test/replica_lag_test.ts
+++ b/packages/dispatch/test/replica_lag_test.ts
@@ -1,20 +1,15 @@
 import {expect} from 'chai';
-import {ServiceTerms} from '@apricotlock/topology';
 import {WorkRequest} from '@apricotlock/work';
 import {PrimaryTimeline} from '../src/primary_timeline.js';
 import {
   completed,
   failed,
   Reply,
+  READ_TERMS,
   ReplayedGroup,
 } from './support/replayed_group.js';
 
-const TERMS: ServiceTerms = {
-  consistency: 'readYourWrites',
-  statementMilliseconds: 2_000,
-  objectiveMilliseconds: 400,
-  priority: 1,
-};
+const TERMS = {...READ_TERMS, consistency: 'readYourWrites'} as const;
 const WRITE_INTERVAL_MILLISECONDS = 50;
 const OVERLOADED: Reply = {
   message: {
--- a/packages/dispatch/test/retry_budget_test.ts
+++ b/packages/dispatch/test/retry_budget_test.ts
@@ -1,24 +1,7 @@
 import {expect} from 'chai';
 import {ManualTimerService} from '@apricotlock/timer';
-import {ServiceTerms} from '@apricotlock/topology';
 import {RetryBudget, RetryCause} from '../src/retry_budget.js';
-import {Reply, ReplayedGroup} from './support/replayed_group.js';
-
-const TERMS: ServiceTerms = {
-  consistency: 'boundedStaleness',
-  statementMilliseconds: 2_000,
-  objectiveMilliseconds: 400,
-  priority: 1,
-};
-const LOST: Reply = {
-  message: {
-    kind: 'lost',
-    mayHaveRun: true,
-    timedOut: false,
-    reason: 'the connection was closed',
-  },
-  afterMilliseconds: 5,
-};
+import {LOST, ReplayedGroup, READ_TERMS} from './support/replayed_group.js';
 
 describe('RetryBudget', () => {
   let timer: ManualTimerService;
@@ -64,7 +47,10 @@
 describe('statements that every member fails or refuses', () => {
   // Each statement was tried on three members in each round until its deadline.
   it('are retried within the budget', async () => {
-    const group = new ReplayedGroup(TERMS, () => LOST);
+    const group = new ReplayedGroup(READ_TERMS, () => ({
+      message: LOST,
+      afterMilliseconds: 5,
+    }));
     const arrivals = 200;
     let ended = 0;
     for (let count = 0; count < arrivals; count++) {
--- a/packages/dispatch/test/support/replayed_group.ts
+++ b/packages/dispatch/test/support/replayed_group.ts
@@ -29,6 +29,22 @@
 
 const DATABASE = 'ledger';
 
+/** Terms of reads that any member with recent data may run. */
+export const READ_TERMS: ServiceTerms = {
+  consistency: 'boundedStaleness',
+  statementMilliseconds: 2_000,
+  objectiveMilliseconds: 400,
+  maximumStalenessMilliseconds: 1_500,
+  priority: 1,
+};
+/** The message of a VM that gave up a read without an answer. */
+export const LOST: WorkServerMessage = {
+  kind: 'lost',
+  mayHaveRun: true,
+  timedOut: false,
+  reason: 'the connection was closed',
+};
+
 /** What a member answers to a request, and after how long. */
 export interface Reply {
   /** `undefined` if the member never answers. */
@@ -69,7 +85,7 @@
   }
 }
 
-/** A router before a group of three members that answer as a test says. */
+/** A router before a group whose members answer as a test says. */
 export class ReplayedGroup {
   readonly requests: WorkRequest[] = [];
   readonly observer = new CountingObserver();
@@ -88,6 +104,7 @@
     ) => Reply | Promise<WorkServerMessage>,
     readonly timer = ManualTimerService.create(),
     self = 'vm-1',
+    members: readonly string[] = ['primary', 'first', 'second'],
   ) {
     const tracker: Partial<PrimaryPositionTracker> = {
       waitForCoveringSample: async () => this.sample,
@@ -102,7 +119,7 @@
     this.router = StatementRouter.create({
       self,
       dataCentre: 'here',
-      view: Observable.of({...EMPTY_VIEW, groups: [GROUP]}),
+      view: Observable.of({...EMPTY_VIEW, groups: [createGroup(members)]}),
       dispatcher: dispatcher as WorkDispatcher,
       primaryPositions: tracker as PrimaryPositionTracker,
       isIsolated: () => false,
@@ -178,10 +195,12 @@
   };
 }
 
-const GROUP: DatabaseGroup = {
-  database: DATABASE,
-  size: 3,
-  term: 1,
-  primary: 'primary',
-  members: [member('primary'), member('first'), member('second')],
-};
+function createGroup(members: readonly string[]): DatabaseGroup {
+  return {
+    database: DATABASE,
+    size: members.length,
+    term: 1,
+    primary: 'primary',
+    members: members.map(member),
+  };
+}
