Bound the lag of replicas by the times of requests and answers

A report of a position was given the time at which this VM read it, or asked for it. A VM that waits for its processor reads answers hundreds of milliseconds late, and would take that for lag of the replica for seconds. Bounds now use whichever of the two times can only make them weaker.

--- a/packages/dispatch/src/member_attempts.ts
+++ b/packages/dispatch/src/member_attempts.ts
@@ -80,7 +80,7 @@
       this.learnOutliers(statement, group, choice.member, result, latency);
     }
     if (result.kind === 'answered') {
-      return this.handleAnswer(group, choice, result, handle);
+      return this.handleAnswer(group, choice, result, handle, sentAt);
     }
     handle.end();
     if (result.kind === 'refused') {
@@ -135,10 +135,11 @@
     choice: Choice,
     {answer, expectedWaitMilliseconds}: Extract<WorkResult, {kind: 'answered'}>,
     handle: WorkHandle,
+    sentAt: number,
   ): Attempt {
     const {member} = choice;
     const {position, end} = answer;
-    this.learnLag(group, member, position);
+    this.learnLag(group, member, position, sentAt);
     this.estimates.recordAnswer(member, position, expectedWaitMilliseconds);
     this.announcedWaits.recordAnswer(member, expectedWaitMilliseconds);
     if (end.kind === 'complete' || !wasNotRun(end.error)) {
@@ -196,12 +197,13 @@
     {database, primary}: DatabaseGroup,
     member: string,
     position: LogPosition | undefined,
+    requestedAt: number,
   ): void {
     if (position === undefined) return;
-    const now = this.options.timer.now();
-    if (member === primary) this.timeline.record(database, position, now);
+    const times = {requestedAt, receivedAt: this.options.timer.now()};
+    if (member === primary) this.timeline.record(database, position, times);
     else {
-      const bounds = this.timeline.lagBounds(database, position, now);
+      const bounds = this.timeline.lagBounds(database, position, times);
       this.estimates.recordLagBounds(member, bounds);
     }
   }
--- a/packages/dispatch/src/position_sample_history.ts
+++ b/packages/dispatch/src/position_sample_history.ts
@@ -8,6 +8,8 @@
   readonly term: number;
   /** When the position was requested, on this VM's clock, in milliseconds. */
   readonly requestedAt: number;
+  /** When the answer was received; the time of the request if it is omitted. */
+  readonly receivedAt?: number;
   readonly position: LogPosition;
 }
 
--- a/packages/dispatch/src/primary_position_tracker.ts
+++ b/packages/dispatch/src/primary_position_tracker.ts
@@ -168,7 +168,12 @@
       REQUEST_TIMEOUT_MILLISECONDS,
     );
     answer.ifRight(position =>
-      this.history.record(database, {term, requestedAt, position}),
+      this.history.record(database, {
+        term,
+        requestedAt,
+        receivedAt: timer.now(),
+        position,
+      }),
     );
   }
 }
--- a/packages/dispatch/src/primary_timeline.ts
+++ b/packages/dispatch/src/primary_timeline.ts
@@ -11,10 +11,18 @@
   readonly atMost: number;
 }
 
-/** A position at which the primary was seen, from the first to the last time. */
+/** Between which times a member reported its position. */
+export interface ReportTimes {
+  readonly requestedAt: number;
+  readonly receivedAt: number;
+}
+
+/** A position at which the primary was seen. */
 interface Point {
   readonly position: LogPosition;
+  /** When the first report with the position was received. */
   readonly firstAt: number;
+  /** When the last report with the position was requested. */
   readonly lastAt: number;
 }
 
@@ -23,7 +31,8 @@
  * they were seen. A position in an answer of a replica lies between two of them,
  * which bounds the lag of the replica. Load pattern: each VM sees few answers of
  * each member, so every answer has to yield a bound, not only those that failed
- * because the member was behind.
+ * because the member was behind. The bounds hold however long this VM waited for
+ * its processor, as they use the times of requests and answers separately.
  */
 export class PrimaryTimeline {
   private readonly points = new Map<string, Point[]>();
@@ -35,8 +44,12 @@
     return new PrimaryTimeline();
   }
 
-  /** Records that the primary of a group had a position at a given time. */
-  record(database: string, position: LogPosition, at: number): void {
+  /** Records a position that the primary of a group reported. */
+  record(
+    database: string,
+    position: LogPosition,
+    {requestedAt, receivedAt}: ReportTimes,
+  ): void {
     let points = this.points.get(database);
     if (points === undefined) {
       points = [];
@@ -44,32 +57,38 @@
     }
     const last = points[points.length - 1];
     if (last === undefined) {
-      points.push({position, firstAt: at, lastAt: at});
+      points.push({position, firstAt: receivedAt, lastAt: requestedAt});
       return;
     }
     const difference = comparePositions(position, last.position);
-    if (difference < 0 || at < last.lastAt) return;
+    if (difference < 0 || requestedAt < last.lastAt) return;
     if (difference === 0) {
-      points[points.length - 1] = {...last, lastAt: at};
+      points[points.length - 1] = {...last, lastAt: requestedAt};
       return;
     }
     // A failover may have lost records of the earlier term.
     if (position.term > last.position.term) points.length = 0;
-    else if (at - last.lastAt < MINIMUM_SPACING_MILLISECONDS) return;
-    points.push({position, firstAt: at, lastAt: at});
+    else if (requestedAt - last.lastAt < MINIMUM_SPACING_MILLISECONDS) return;
+    points.push({position, firstAt: receivedAt, lastAt: requestedAt});
     if (points.length > MAXIMUM_POINTS) points.shift();
   }
 
-  /** Returns what a member's position at a given time says about its lag. */
-  lagBounds(database: string, position: LogPosition, now: number): LagBounds {
+  /** Returns what the position that a member reported says about its lag. */
+  lagBounds(
+    database: string,
+    position: LogPosition,
+    {requestedAt, receivedAt}: ReportTimes,
+  ): LagBounds {
     const points = this.points.get(database) ?? [];
     let atLeast = 0;
     for (let index = points.length - 1; index >= 0; index--) {
       const point = points[index] as Point;
       const difference = comparePositions(point.position, position);
-      if (difference > 0) atLeast = Math.max(0, now - point.firstAt);
+      if (difference > 0) {
+        atLeast = Math.max(0, requestedAt - point.firstAt);
+      }
       if (difference < 0) {
-        const atMost = Math.max(atLeast, now - point.lastAt);
+        const atMost = Math.max(atLeast, receivedAt - point.lastAt);
         return {atLeast, atMost};
       }
     }
--- a/packages/dispatch/src/read_requirements.ts
+++ b/packages/dispatch/src/read_requirements.ts
@@ -73,6 +73,7 @@
     const {primaryPositions, timeline} = this.options;
     const newest = primaryPositions.newestSample(database);
     if (newest === undefined) return;
-    timeline.record(database, newest.position, newest.requestedAt);
+    const {position, requestedAt, receivedAt = requestedAt} = newest;
+    timeline.record(database, position, {requestedAt, receivedAt});
   }
 }
--- a/packages/dispatch/test/replica_lag_test.ts
+++ b/packages/dispatch/test/replica_lag_test.ts
@@ -19,27 +19,45 @@
   afterMilliseconds: 1,
 };
 
+/** A report without any delay. */
+function at(time: number) {
+  return {requestedAt: time, receivedAt: time};
+}
+
 describe('PrimaryTimeline', () => {
   it('bounds the lag of a member between two positions of the primary', () => {
     const timeline = PrimaryTimeline.create();
-    timeline.record('a', {term: 1, number: 10}, 1_000);
-    timeline.record('a', {term: 1, number: 10}, 1_400);
-    timeline.record('a', {term: 1, number: 20}, 1_500);
+    timeline.record('a', {term: 1, number: 10}, at(1_000));
+    timeline.record('a', {term: 1, number: 10}, at(1_400));
+    timeline.record('a', {term: 1, number: 20}, at(1_500));
     const between = {term: 1, number: 15};
-    expect(timeline.lagBounds('a', between, 1_600)).to.deep.equal({
+    expect(timeline.lagBounds('a', between, at(1_600))).to.deep.equal({
       atLeast: 100,
       atMost: 200,
     });
     const newer = {term: 1, number: 21};
-    expect(timeline.lagBounds('a', newer, 1_600).atLeast).to.equal(0);
-    expect(timeline.lagBounds('b', newer, 1_600).atMost).to.equal(Infinity);
+    expect(timeline.lagBounds('a', newer, at(1_600)).atLeast).to.equal(0);
+    expect(timeline.lagBounds('b', newer, at(1_600)).atMost).to.equal(Infinity);
+  });
+
+  it('bounds the lag too although a VM reads answers late', () => {
+    const timeline = PrimaryTimeline.create();
+    const position = {term: 1, number: 10};
+    const late = {requestedAt: 1_000, receivedAt: 1_300};
+    timeline.record('a', position, late);
+    const bounds = timeline.lagBounds(
+      'a',
+      {term: 1, number: 9},
+      {requestedAt: 1_350, receivedAt: 1_700},
+    );
+    expect(bounds).to.deep.equal({atLeast: 50, atMost: Infinity});
   });
 
   it('forgets positions of a term that a failover has ended', () => {
     const timeline = PrimaryTimeline.create();
-    timeline.record('a', {term: 1, number: 30}, 1_000);
-    timeline.record('a', {term: 2, number: 20}, 1_100);
-    const {atLeast} = timeline.lagBounds('a', {term: 1, number: 20}, 1_200);
+    timeline.record('a', {term: 1, number: 30}, at(1_000));
+    timeline.record('a', {term: 2, number: 20}, at(1_100));
+    const {atLeast} = timeline.lagBounds('a', {term: 1, number: 20}, at(1_200));
     expect(atLeast).to.equal(100);
   });
 });
