--- a/packages/dispatch/src/member_attempts.ts
+++ b/packages/dispatch/src/member_attempts.ts
@@ -30,6 +30,14 @@
   readonly observer: SessionObserver;
 }
 
+/** An attempt that was sent to the VM that works on the member. */
+interface SentAttempt {
+  readonly request: WorkRequest;
+  readonly handle: WorkHandle;
+  /** When it was sent, on the timer's clock. */
+  readonly sentAt: number;
+}
+
 /** Makes attempts on members, and learns about them from the results. */
 export class MemberAttempts {
   /** Estimates of load and lag, for the order of reads. */
@@ -83,7 +91,8 @@
       this.learnOutliers(statement, group, choice.member, result, latency);
     }
     if (result.kind === 'answered') {
-      return this.handleAnswer(group, request, choice, result, handle);
+      const sent = {request, handle, sentAt};
+      return this.handleAnswer(group, choice, result, sent);
     }
     handle.end();
     if (result.kind === 'refused') {
@@ -139,14 +148,14 @@
 
   private handleAnswer(
     group: DatabaseGroup,
-    {organisation}: WorkRequest,
     choice: Choice,
     {answer, expectedWaitMilliseconds}: Extract<WorkResult, {kind: 'answered'}>,
-    handle: WorkHandle,
+    {request, handle, sentAt}: SentAttempt,
   ): Attempt {
     const {member} = choice;
+    const {organisation} = request;
     const {position, end} = answer;
-    this.learnLag(group, member, position);
+    this.learnLag(group, member, position, sentAt);
     this.estimates.recordAnswer(member, position, expectedWaitMilliseconds);
     this.announcedWaits.recordAnswer(
       member,
@@ -208,12 +217,13 @@
     {database, primary}: DatabaseGroup,
     member: string,
     position: LogPosition | undefined,
+    requestedAt: number,
   ): void {
     if (position === undefined) return;
-    const now = this.options.timer.now();
-    if (member === primary) this.timeline.record(database, position, now);
+    const times = {requestedAt, receivedAt: this.options.timer.now()};
+    if (member === primary) this.timeline.record(database, position, times);
     else {
-      const bounds = this.timeline.lagBounds(database, position, now);
+      const bounds = this.timeline.lagBounds(database, position, times);
       this.estimates.recordLagBounds(member, bounds);
     }
   }
@@ -235,6 +245,7 @@
       this.estimates.recordRefusal(member, retryAfterMilliseconds);
     } else if (reason === 'unreachable') {
       this.options.dispatcher.recordUnreachable(machine, member);
+      this.estimates.recordFailure(member);
     }
     const allAnnounced = reason === 'overloaded';
     const wait = allAnnounced ? retryAfterMilliseconds : undefined;
