Model quotas in Spin, and close two gaps in taking over a shard

Cause: the model found two coordinators that grant at once: one waits for the answer of a frozen one, which goes on and asks it at the same moment. Random cases found a data centre that is cut off for long and grants again before membership has joined the sides.

A VM that leaves a shard to another one in a claim asks again before it grants.

--- a/packages/quota/src/grant_requester.ts
+++ b/packages/quota/src/grant_requester.ts
@@ -139,7 +139,7 @@
     sentAt: number,
   ): void {
     // Another VM may still grant, so that the reserve must not be used.
-    organisation.reserve.onAnswer();
+    organisation.reserve.reset();
     // The request is sent again later; its answer may then be a different one.
     if (answer.length === 0) {
       organisation.refusedSince = sentAt;
--- a/packages/quota/src/quota_client.ts
+++ b/packages/quota/src/quota_client.ts
@@ -162,7 +162,10 @@
 
   private takeReserve(organisation: OrganisationDemand, now: number): boolean {
     if (!organisation.reserve.isInUse) return false;
-    if (!this.options.coordinator.mayGrant) return false;
+    if (!this.options.coordinator.checkConnection()) {
+      organisation.reserve.reset();
+      return false;
+    }
     const {quota} = organisation;
     const count = Math.max(1, this.options.coordinator.knownMachineCount);
     return organisation.reserve.take(
--- a/packages/quota/src/quota_coordinator.ts
+++ b/packages/quota/src/quota_coordinator.ts
@@ -65,7 +65,7 @@
   private readAt: number;
   private prunedAt: number;
   /** When this VM was last seen to be cut off from control. */
-  private cutOffAt = -Infinity;
+  private cutOffAt: number | undefined;
   private wasConnected = false;
   private currentShare = 0;
   private readonly buckets = new Map<string, OrganisationBucket>();
@@ -111,21 +111,30 @@
     return this.share.known().length;
   }
 
-  /** Whether this VM is connected to control, and has been for some time. */
-  get mayGrant(): boolean {
+  /**
+   * Returns whether this VM is connected to control, and has been for some time.
+   * After it was cut off, it counts as a new coordinator.
+   */
+  checkConnection(): boolean {
     const now = this.options.timer.now();
-    if (this.options.viewAgeMilliseconds() <= MAXIMUM_VIEW_AGE_MILLISECONDS) {
-      this.wasConnected = true;
-      return now - this.cutOffAt >= REJOIN_MILLISECONDS;
+    if (this.options.viewAgeMilliseconds() > MAXIMUM_VIEW_AGE_MILLISECONDS) {
+      if (this.wasConnected) this.cutOffAt = now;
+      return false;
     }
-    if (this.wasConnected) this.cutOffAt = now;
-    return false;
+    this.wasConnected = true;
+    if (this.cutOffAt === undefined) return true;
+    if (now - this.cutOffAt < REJOIN_MILLISECONDS) return false;
+    this.cutOffAt = undefined;
+    this.restart(this.readClock());
+    return true;
   }
 
   /** Answers the requests of one VM. */
   grant({from, items}: GrantRequest): Either<string, GrantAnswers> {
     const now = this.readClock();
-    if (!this.mayGrant) return Left('this VM was cut off from control');
+    if (!this.checkConnection()) {
+      return Left('this VM was cut off from control');
+    }
     const answers = items.map(item => this.answer(from, item, now));
     return Right({answers});
   }
@@ -204,8 +213,7 @@
 
   private tick(): void {
     const now = this.readClock();
-    // Records that this VM is cut off, also if nobody requests anything.
-    void this.mayGrant;
+    this.checkConnection();
     const monotonicNow = this.options.timer.now();
     if (monotonicNow - this.prunedAt < PRUNE_INTERVAL_MILLISECONDS) return;
     this.prunedAt = monotonicNow;
--- a/packages/quota/src/reserve.ts
+++ b/packages/quota/src/reserve.ts
@@ -38,7 +38,7 @@
   }
 
   /** Empties the reserve, and ends its filling. */
-  onAnswer(): void {
+  reset(): void {
     this.unansweredSince = undefined;
     this.bucket = undefined;
   }
--- a/packages/quota/src/shard_takeover.ts
+++ b/packages/quota/src/shard_takeover.ts
@@ -39,6 +39,9 @@
  * therefore asks the other candidates before it grants.
  */
 export class ShardTakeover {
+  /** Shards that were left to another VM since the current round began. */
+  private readonly yielded = new Set<number>();
+
   private constructor(private readonly options: ShardTakeoverOptions) {
     options.network.handle(CLAIM_SHARDS, async claim =>
       Either.of({kept: this.keptOf(claim)}),
@@ -56,7 +59,9 @@
     let remaining = shards;
     while (remaining.length > 0) {
       const startedAt = timer.now();
-      const kept = await this.claim(remaining, startedAt);
+      for (const shard of remaining) this.yielded.delete(shard);
+      const claimed = await this.claim(remaining, startedAt);
+      const kept = new Set([...claimed, ...this.yielded]);
       remaining = remaining.filter(
         shard => ownership.ownedSince(shard) === since,
       );
@@ -135,10 +140,14 @@
    */
   private keptOf({from, shards}: ShardClaim): readonly number[] {
     const {self, ownership} = this.options;
-    return shards.filter(
+    const kept = shards.filter(
       shard =>
         ownership.activeSince(shard) !== undefined ||
         (ownership.ownedSince(shard) !== undefined && self < from),
     );
+    for (const shard of shards) {
+      if (!kept.includes(shard)) this.yielded.add(shard);
+    }
+    return kept;
   }
 }
--- a/spec/check_model.sh
+++ b/spec/check_model.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Checks the models of a database group and of the control voters exhaustively
-# within the bounds below, and checks that an error is found in each broken
-# variant. Prints the errors, states and seconds of each run.
+# Checks the models of a database group, of the control voters and of quotas
+# exhaustively within the bounds below, and checks that an error is found in each
+# broken variant. Prints the errors, states and seconds of each run.
 set -euo pipefail
 models="$(cd "$(dirname "$0")" && pwd)"
 model="$models/group.pml"
@@ -66,4 +66,12 @@
 expect 1 -DTERMS=3 -DENTRIES=4 -DTWO_AT_ONCE
 expect 1 -DTERMS=3 -DENTRIES=3 -DSAME_IDENTITY
 expect 1 -DDISKS=5 -DFOUNDERS=15 -DTERMS=3 -DENTRIES=3 -DNO_TERM_START
+
+model="$models/quota.pml"
+expect 0 -DTICKS=5 -DBURST=2
+expect 1 -DTICKS=5 -DBURST=2 -DFULL_START
+expect 1 -DTICKS=5 -DBURST=2 -DNO_CLAIM
+expect 1 -DTICKS=5 -DBURST=2 -DNO_RESTART
+expect 1 -DTICKS=5 -DBURST=2 -DNO_EXPIRY
+expect 1 -DTICKS=5 -DBURST=2 -DNO_WITHHOLDING
 exit "$status"
