--- a/packages/program/src/entry_program.ts
+++ b/packages/program/src/entry_program.ts
@@ -16,6 +16,7 @@
 import {TimerService} from '@apricotlock/timer';
 import {Address, VirtualMachine} from '@apricotlock/topology';
 import {ControlLeaderClient, RUN_WORK, WorkService} from '@apricotlock/work';
+import {startEntryQuota} from './entry_quota.js';
 import {ProgramContext} from './program_context.js';
 import {HttpResponse, HttpListener} from './http_listener.js';
 import {PROCESS_GAUGES, startMetricsListener} from './metrics_listener.js';
@@ -87,25 +88,18 @@
       fetchMilliseconds: VIEW_FETCH_INTERVAL_MILLISECONDS,
     });
     const {view} = control;
-    const leader = ControlLeaderClient.create({network, machines});
-    const connector = platform.createMemberConnector(timer);
     const shared = {self, view, network, timer, logger};
+    const entry = {...shared, machines: entryMachines};
     const observer = SessionMetrics.create(timer);
     const work = WorkService.start({
-      ...shared,
-      machines: entryMachines,
-      connector,
-      leader,
+      ...entry,
+      connector: platform.createMemberConnector(timer),
+      leader: ControlLeaderClient.create({network, machines}),
       observer,
       onDrainingWork: role => observer.onDrainingWork(role),
     });
     const health = VirtualMachineHealth.create({...shared, machines});
-    const workDispatcher = WorkDispatcher.create({
-      ...shared,
-      machines: entryMachines,
-      work,
-      health,
-    });
+    const dispatcher = WorkDispatcher.create({...entry, work, health});
     const positions = PrimaryPositionTracker.start({...shared, machines, work});
     const detector = IsolationDetector.start({
       connectivity: () => readConnectivity(control, positions),
@@ -115,13 +109,18 @@
     const router = StatementRouter.create({
       ...shared,
       dataCentre: settings.dataCentre,
-      dispatcher: workDispatcher,
+      dispatcher,
       primaryPositions: positions,
       isIsolated: () => detector.isIsolated,
       observer,
     });
-    const freshness = readFreshness(control);
-    const host = SessionHost.create({...shared, router, observer, freshness});
+    const host = SessionHost.create({
+      ...shared,
+      router,
+      observer,
+      freshness: readFreshness(control),
+      quota: startEntryQuota(entry, control, observer),
+    });
     const program = new EntryProgram(context, control, work, host, detector);
     timer.every(IDLE_CHECK_INTERVAL_MILLISECONDS, () =>
       program.closeIdleIfIsolated(),
