Run periodic actions in shared time slots

Each periodic action had its own timer, so an idle process was woken about once for each. Actions with a period of at least 50 ms now run in slots of 50 ms that they share.

--- a/packages/timer/src/system_timer_service.ts
+++ b/packages/timer/src/system_timer_service.ts
@@ -1,8 +1,11 @@
 import {performance} from 'node:perf_hooks';
+import {PeriodicSchedule} from './periodic_schedule.js';
 import {TimerService, Unsubscribe} from './timer_service.js';
 
 /** A timer service on the clocks and timers of Node.js. */
 export class SystemTimerService extends TimerService {
+  private readonly schedule = PeriodicSchedule.create(() => this.now());
+
   private constructor() {
     super();
   }
@@ -26,6 +29,9 @@
   }
 
   override every(periodMilliseconds: number, action: () => void): Unsubscribe {
+    if (PeriodicSchedule.supports(periodMilliseconds)) {
+      return this.schedule.add(periodMilliseconds, action);
+    }
     const handle = setInterval(action, periodMilliseconds);
     return () => clearInterval(handle);
   }
