Begin periods of 100 ms and more at every other slot

Two actions with a period of 100 ms could run in alternate slots, so the process was woken twice as often as either needs.

--- a/packages/timer/src/periodic_schedule.ts
+++ b/packages/timer/src/periodic_schedule.ts
@@ -2,6 +2,8 @@
 
 /** Periodic actions run at multiples of this time on the monotonic clock. */
 const SLOT_MILLISECONDS = 50;
+/** Longer periods begin at every other slot, so that more of them coincide. */
+const LONG_PERIOD_SLOTS = 2;
 /** Node.js may fire a timer this much too early, since it caches the time. */
 const EARLY_MILLISECONDS = 10;
 
@@ -35,7 +37,7 @@
   }
 
   /**
-   * Runs an action in the first slot after each period. The period is rounded
+   * Runs an action after each period, in the next slot that is shared. The period is rounded
    * up to whole slots. Periods that pass while the process is suspended or busy
    * are skipped.
    */
@@ -43,7 +45,9 @@
     const periodSlots = Math.ceil(periodMilliseconds / SLOT_MILLISECONDS);
     const action: PeriodicAction = {periodSlots, run};
     const firstAt = this.now() + periodMilliseconds;
-    const slot = Math.ceil(firstAt / SLOT_MILLISECONDS);
+    const alignment = Math.min(periodSlots, LONG_PERIOD_SLOTS);
+    const slot =
+      Math.ceil(firstAt / (SLOT_MILLISECONDS * alignment)) * alignment;
     this.insert(action, slot);
     if (slot < this.armedSlot) this.arm(slot);
     return () => this.remove(action);
--- a/packages/timer/src/timer_service.ts
+++ b/packages/timer/src/timer_service.ts
@@ -23,8 +23,8 @@
 
   /**
    * Calls `action` every `periodMilliseconds`; the first call comes after one
-   * period. Calls may be up to 50 ms late, so that periodic actions share the
-   * wake-ups of the process.
+   * period. The first call may be up to 100 ms late and the period up to 50 ms
+   * longer, so that periodic actions share the wake-ups of the process.
    */
   abstract every(periodMilliseconds: number, action: () => void): Unsubscribe;
 
