Write log lines together, and format JSON lines directly

Each line was one write in a thread of the pool, with a wake-up for its end, and passed through consola. Lines now wait at most 100 ms for a common write; they are flushed at exit and bounded as before. JSON lines are formatted without consola, which still formats readable ones.

--- a/packages/logging/src/index.ts
+++ b/packages/logging/src/index.ts
@@ -5,4 +5,5 @@
  */
 export {LineRateLimiter} from './line_rate_limiter.js';
 export {LogOutput, StandardOutput} from './log_output.js';
-export {Logger, type LogFields, type LogFormat} from './logger.js';
+export {type LogFields} from './line_sink.js';
+export {Logger, type LogFormat} from './logger.js';
--- a/packages/logging/src/log_output.ts
+++ b/packages/logging/src/log_output.ts
@@ -2,6 +2,10 @@
 
 const STANDARD_OUTPUT_DESCRIPTOR = 1;
 const MAXIMUM_PENDING_BYTES = 256 << 10;
+/** Lines wait for at most this long, so that one write takes many of them. */
+const WRITE_DELAY_MILLISECONDS = 100;
+/** With this many bytes pending, they are written without waiting. */
+const IMMEDIATE_WRITE_BYTES = 32 << 10;
 
 /** A destination of log lines. */
 export abstract class LogOutput {
@@ -14,14 +18,16 @@
 
 /**
  * Writes lines to standard output without blocking when the reader is slow.
- * Pending lines are buffered up to a limit; lines beyond it are dropped, and a
- * notice reports their number.
+ * Lines are collected for a short time, since each write is a system call in
+ * another thread. Pending lines are buffered up to a limit; lines beyond it are
+ * dropped, and a notice reports their number.
  */
 export class StandardOutput extends LogOutput {
   private pendingLines: string[] = [];
   private pendingBytes = 0;
   private droppedLines = 0;
   private writing = false;
+  private delay: NodeJS.Timeout | undefined;
 
   private constructor() {
     super();
@@ -39,7 +45,9 @@
     }
     this.pendingLines.push(`${text}\n`);
     this.pendingBytes += text.length;
-    if (!this.writing) this.writeNext();
+    if (this.writing) return;
+    if (this.pendingBytes >= IMMEDIATE_WRITE_BYTES) this.writeNext();
+    else this.delay ??= this.startDelay();
   }
 
   override flush(): void {
@@ -54,11 +62,19 @@
     }
   }
 
+  private startDelay(): NodeJS.Timeout {
+    const delay = setTimeout(() => this.writeNext(), WRITE_DELAY_MILLISECONDS);
+    // A process that ends before the write flushes the lines.
+    return delay.unref();
+  }
+
   /**
    * Writes all pending lines, with at most one write in progress, so that a
    * stalled reader blocks only that write.
    */
   private writeNext(): void {
+    clearTimeout(this.delay);
+    this.delay = undefined;
     const text = this.takePendingText();
     if (text === '') return;
     this.writing = true;
--- a/packages/logging/src/logger.ts
+++ b/packages/logging/src/logger.ts
@@ -1,14 +1,8 @@
 import {performance} from 'node:perf_hooks';
-import {
-  createConsola,
-  type ConsolaInstance,
-  type LogObject,
-} from 'consola/core';
 import {LineRateLimiter} from './line_rate_limiter.js';
+import {JsonSink, Level, LineSink, LogFields, TextSink} from './line_sink.js';
 import {LogOutput, StandardOutput} from './log_output.js';
 
-type Level = 'error' | 'warn' | 'info' | 'debug';
-
 /** The numbers that consola gives to the levels. */
 const LEVELS: Readonly<Record<Level, number>> = {
   error: 0,
@@ -18,11 +12,6 @@
 };
 const SILENT_LEVEL = -999;
 
-/** Named values of a log line. */
-export type LogFields = Readonly<
-  Record<string, string | number | boolean | undefined>
->;
-
 /** The format of log lines: readable text, or one JSON object per line. */
 export type LogFormat = 'text' | 'json';
 
@@ -33,7 +22,8 @@
  */
 export class Logger {
   private constructor(
-    private readonly sink: ConsolaInstance,
+    private readonly sink: LineSink,
+    private readonly level: number,
     private readonly rateLimiter: LineRateLimiter,
     private readonly fields: LogFields,
   ) {}
@@ -44,12 +34,12 @@
     level: number,
     output: LogOutput = StandardOutput.create(),
   ): Logger {
-    const reporters = [reporterFor(format, output)];
-    const throttle = 0;
-    const sink = createConsola({level, reporters, throttle});
+    const sink =
+      format === 'json' ? JsonSink.create(output) : TextSink.create(output);
     process.once('exit', () => output.flush());
     return new Logger(
       sink,
+      level,
       LineRateLimiter.create(() => performance.now()),
       {},
     );
@@ -57,9 +47,10 @@
 
   /** Creates a logger that writes nothing. */
   static silent(): Logger {
-    const sink = createConsola({level: SILENT_LEVEL, reporters: []});
+    const sink = JsonSink.create(StandardOutput.create());
     return new Logger(
       sink,
+      SILENT_LEVEL,
       LineRateLimiter.create(() => 0),
       {},
     );
@@ -67,7 +58,8 @@
 
   /** Returns a logger that adds `fields` to every line. */
   withFields(fields: LogFields): Logger {
-    return new Logger(this.sink, this.rateLimiter, {...this.fields, ...fields});
+    const {sink, level, rateLimiter} = this;
+    return new Logger(sink, level, rateLimiter, {...this.fields, ...fields});
   }
 
   /** Logs details that help to investigate a fault. */
@@ -92,37 +84,10 @@
 
   /** Checks level and rate limit first, so that suppressed lines are cheap. */
   private write(level: Level, message: string, fields: LogFields): void {
-    if (LEVELS[level] > this.sink.level) return;
+    if (LEVELS[level] > this.level) return;
     const suppressed = this.rateLimiter.admit(message);
     if (suppressed === undefined) return;
-    const suppression = suppressed > 0 ? {suppressed} : {};
-    this.sink[level](message, {...this.fields, ...fields, ...suppression});
+    const own = suppressed > 0 ? {...fields, suppressed} : fields;
+    this.sink.write(level, message, {...this.fields, ...own});
   }
 }
-
-interface Reporter {
-  log(line: LogObject): void;
-}
-
-function reporterFor(format: LogFormat, output: LogOutput): Reporter {
-  const render = format === 'json' ? renderJson : renderText;
-  return {log: line => output.writeLine(render(line))};
-}
-
-function renderJson(line: LogObject): string {
-  const [message, fields] = line.args as [string, LogFields];
-  return JSON.stringify({
-    time: line.date.toISOString(),
-    level: line.type,
-    message,
-    ...fields,
-  });
-}
-
-function renderText(line: LogObject): string {
-  const [message, fields] = line.args as [string, LogFields];
-  const pairs = Object.entries(fields)
-    .filter(([, value]) => value !== undefined)
-    .map(([name, value]) => `${name}=${String(value)}`);
-  return [line.date.toISOString(), line.type, message, ...pairs].join(' ');
-}
