Confirm views of control VMs by heartbeats, and fetch views when due

Every VM fetched the newest view every 350 ms, also from neighbours that knew no more. A control VM now learns from the heartbeats of the leader, in the answers that it sends anyway, until when its log was the newest one. An entry VM asks its parent once its view is unconfirmed for 600 ms, and at the earlier pace if that does not help. Heartbeats and the check of the quorum share one timer of 100 ms (60 ms before, with a timer for each follower); an election waits until messages that arrived during a pause of the process are read. Leases are confirmed by the heartbeat's answer instead of a poll every 10 ms.

--- a/packages/control/src/consensus.ts
+++ b/packages/control/src/consensus.ts
@@ -14,6 +14,7 @@
   VoteAnswer,
   VoteRequest,
 } from './consensus_messages.js';
+import {SentAnswers} from './confirmed_answers.js';
 import {ConsensusTimings} from './consensus_timings.js';
 import {ControlPeers} from './control_peers.js';
 import {DurableLog} from './durable_log.js';
@@ -25,6 +26,9 @@
 
 const WRONG_CLUSTER_REASON = 'this disk belongs to another cluster';
 
+/** Leaves room for all later numbers in 32 bits, the compact encoding. */
+const MAXIMUM_FIRST_ANSWER = 2 ** 30;
+
 /** Options of {@link Consensus}. */
 export interface ConsensusOptions {
   readonly self: string;
@@ -58,10 +62,15 @@
   private activeLeadership: Leadership | undefined;
   /** When a leader's message last arrived, or this VM last granted a vote. */
   private electionTimerResetAt = -Infinity;
+  /** Latest time at which the log here is known to have been the newest. */
+  private knownNewestAt = -Infinity;
+  private readonly sentAnswers: SentAnswers;
   private readonly election: Election;
   private stopped = false;
 
   private constructor(private readonly options: ConsensusOptions) {
+    const firstAnswer = options.random.nextBetween(0, MAXIMUM_FIRST_ANSWER);
+    this.sentAnswers = SentAnswers.create(Math.floor(firstAnswer));
     this.election = Election.start({
       ...options,
       leaderContactAt: () => this.electionTimerResetAt,
@@ -103,6 +112,14 @@
     return this.activeLeadership?.quorumContactAt ?? this.electionTimerResetAt;
   }
 
+  /**
+   * When the committed entries that are applied here are known to have been all
+   * that were committed; `-Infinity` if unknown.
+   */
+  get newestKnownAt(): number {
+    return this.activeLeadership?.quorumContactAt ?? this.knownNewestAt;
+  }
+
   /** Starts an election at once, with a trial vote first. */
   campaign(): Promise<void> {
     return this.election.campaign(false);
@@ -175,7 +192,17 @@
     if (matchedIndex > log.flushedIndex || firstNew >= 0) await log.flushed();
     if (log.vote.term !== request.term) return Right(this.failureAnswer(0));
     this.options.onCommitted(Math.min(request.commitIndex, matchedIndex));
-    return Right({term: request.term, success: true, index: matchedIndex});
+    if (request.commitIndex <= matchedIndex) this.recordNewest(request);
+    const answer = this.sentAnswers.add(this.options.timer.now());
+    const {term} = request;
+    return Right({term, success: true, index: matchedIndex, answer});
+  }
+
+  /** Records until when the leader's log is known to have been the newest. */
+  private recordNewest({confirmedAnswer}: AppendRequest): void {
+    if (confirmedAnswer === undefined) return;
+    const sentAt = this.sentAnswers.find(confirmedAnswer) ?? -Infinity;
+    this.knownNewestAt = Math.max(this.knownNewestAt, sentAt);
   }
 
   private async handleInstallSnapshot(
--- a/packages/control/src/consensus_messages.ts
+++ b/packages/control/src/consensus_messages.ts
@@ -8,9 +8,10 @@
 } from './control_schemas.js';
 
 const MAXIMUM_ENTRIES = 10_000;
+const MAXIMUM_ID_CHARACTERS = 100;
 
 const count = z.int().min(0);
-const diskId = z.string().min(1).max(100);
+const diskId = z.string().min(1).max(MAXIMUM_ID_CHARACTERS);
 
 /** The disks between which a message passes, and its term. */
 const envelope = {
@@ -38,11 +39,16 @@
 
 const appendRequest = z.object({
   ...envelope,
-  leader: z.string().max(100),
+  leader: z.string().max(MAXIMUM_ID_CHARACTERS),
   previousIndex: count,
   previousTerm: count,
   entries: z.array(logEntrySchema).max(MAXIMUM_ENTRIES),
   commitIndex: count,
+  /**
+   * The newest answer of the receiver after whose receipt a quorum has confirmed
+   * the leader. Processes of earlier versions send none.
+   */
+  confirmedAnswer: count.optional(),
 });
 
 const appendAnswer = z.object({
@@ -53,6 +59,8 @@
    * where the logs may match.
    */
   index: count,
+  /** Identifies the answer for `confirmedAnswer`. */
+  answer: count.optional(),
 });
 
 const snapshotRequest = z.object({
@@ -81,6 +89,53 @@
 /** Identifies the disk of a VM. */
 export type DiskReport = Readonly<z.infer<typeof diskReport>>;
 
+const checkAppendRequest = checkFromSchema(appendRequest);
+const checkAppendAnswer = checkFromSchema(appendAnswer);
+
+/**
+ * Returns whether a value is a valid heartbeat. Heartbeats are most of the
+ * messages between control VMs, and this costs a small part of the schema.
+ */
+function isHeartbeat(candidate: unknown): candidate is AppendRequest {
+  const {cluster, from, to, term, leader, entries, ...indexes} = (candidate ??
+    {}) as Readonly<Record<string, unknown>>;
+  const {previousIndex, previousTerm, commitIndex, confirmedAnswer} = indexes;
+  return (
+    Array.isArray(entries) &&
+    entries.length === 0 &&
+    [cluster, from, to].every(isDiskId) &&
+    [term, previousIndex, previousTerm, commitIndex].every(isCount) &&
+    (confirmedAnswer === undefined || isCount(confirmedAnswer)) &&
+    typeof leader === 'string' &&
+    leader.length <= MAXIMUM_ID_CHARACTERS
+  );
+}
+
+/** Returns whether a value is a valid answer, at a small part of the cost. */
+function isAppendAnswer(candidate: unknown): candidate is AppendAnswer {
+  const {term, success, index, answer} = (candidate ?? {}) as Readonly<
+    Record<string, unknown>
+  >;
+  return (
+    isCount(term) &&
+    typeof success === 'boolean' &&
+    isCount(index) &&
+    (answer === undefined || isCount(answer))
+  );
+}
+
+function isDiskId(value: unknown): boolean {
+  return (
+    typeof value === 'string' &&
+    value.length >= 1 &&
+    value.length <= MAXIMUM_ID_CHARACTERS
+  );
+}
+
+function isCount(value: unknown): boolean {
+  return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
 /** Requests a vote from a voter. */
 export const VOTE = PeerCall.define<VoteRequest, VoteAnswer>(
   'control.vote',
@@ -91,8 +146,10 @@
 /** Appends entries to a follower's log; without entries it is a heartbeat. */
 export const APPEND = PeerCall.define<AppendRequest, AppendAnswer>(
   'control.append',
-  checkFromSchema(appendRequest),
-  checkFromSchema(appendAnswer),
+  candidate =>
+    isHeartbeat(candidate) ? candidate : checkAppendRequest(candidate),
+  candidate =>
+    isAppendAnswer(candidate) ? candidate : checkAppendAnswer(candidate),
 );
 
 /** Replaces the start of a follower's log by a snapshot. */
--- a/packages/control/src/consensus_timings.ts
+++ b/packages/control/src/consensus_timings.ts
@@ -27,7 +27,7 @@
 
 /** Default timings, for network latencies of a few milliseconds between VMs. */
 export const CONSENSUS_TIMINGS: ConsensusTimings = {
-  heartbeatIntervalMilliseconds: 60,
+  heartbeatIntervalMilliseconds: 100,
   electionMinimumMilliseconds: 350,
   electionMaximumMilliseconds: 700,
   callTimeoutMilliseconds: 1_000,
--- a/packages/control/src/control_client.ts
+++ b/packages/control/src/control_client.ts
@@ -49,8 +49,16 @@
   readonly log: ControlLog | undefined;
   /** Where the newest view is stored, on a VM with a disk. */
   readonly folder: StorageFolder | undefined;
-  /** Interval at which each VM fetches updates that it may have missed. */
+  /**
+   * Interval at which each VM fetches updates that it may have missed, unless
+   * its view is known to be current.
+   */
   readonly fetchMilliseconds?: number;
+  /**
+   * A view that was known to be the newest one within this time needs no fetch;
+   * 0 by default.
+   */
+  readonly currentMilliseconds?: number;
 }
 
 /**
--- a/packages/control/src/control_log.ts
+++ b/packages/control/src/control_log.ts
@@ -34,6 +34,14 @@
   /** Time since this process last had contact with a quorum. */
   abstract readonly ageMilliseconds: number;
 
+  /**
+   * Time since `state` was known to be the newest one of all, by messages
+   * between control VMs alone; `Infinity` if unknown.
+   */
+  get stateAgeMilliseconds(): number {
+    return this.leading.current ? this.ageMilliseconds : Infinity;
+  }
+
   /**
    * The term in which this process leads; `undefined` if it does not lead, or
    * does not know yet all entries that were committed before its term.
--- a/packages/control/src/election.ts
+++ b/packages/control/src/election.ts
@@ -14,6 +14,9 @@
 /** Longest time that a newly started VM waits before it checks for a leader. */
 const FIRST_WAIT_MAXIMUM_MILLISECONDS = 250;
 
+/** Time for messages that have arrived to be read. */
+const INPUT_DELAY_MILLISECONDS = 5;
+
 /** Dependencies of {@link Election}. */
 export interface ElectionContext {
   readonly log: DurableLog;
@@ -100,6 +103,9 @@
           leaderContactAt() + electionTimeoutMilliseconds - timer.now();
         if (remainingMilliseconds <= 0 || this.stopped) break;
         await timer.sleep(remainingMilliseconds);
+        // After a pause of this process, messages of the leader may have
+        // arrived that are read only after the timers.
+        await timer.sleep(INPUT_DELAY_MILLISECONDS);
       }
       if (this.stopped) return;
       if (!this.context.isLeading()) this.context.onLeaderLost();
--- a/packages/control/src/leadership.ts
+++ b/packages/control/src/leadership.ts
@@ -1,5 +1,6 @@
 import {Either, Left, Right} from 'purify-ts';
 import {Deferred} from '@apricotlock/flow';
+import {Unsubscribe} from '@apricotlock/timer';
 import {CommandAnswer} from './control_command.js';
 import {
   findControlMember,
@@ -22,6 +23,12 @@
   readonly onQuorumLost: () => void;
 }
 
+/** A caller that waits until a quorum has confirmed the leadership. */
+interface Confirmation {
+  readonly requestedAt: number;
+  readonly done: Deferred<boolean>;
+}
+
 /** One term in which this control VM leads. */
 export class Leadership {
   /**
@@ -33,6 +40,9 @@
   private readonly pending = new Map<number, Deferred<ProposalOutcome>>();
   private committedIndex = 0;
   private readonly startedAt: number;
+  /** Confirmations of this leadership that wait for a quorum. */
+  private confirmations: readonly Confirmation[] = [];
+  private stopTicking: Unsubscribe = () => undefined;
   private ended = false;
 
   private constructor(
@@ -49,7 +59,10 @@
 
   /** Starts the leadership by appending the first entry of the term. */
   static begin(
-    context: Omit<LeaderContext, 'onMatchAdvanced' | 'commitIndex'>,
+    context: Omit<
+      LeaderContext,
+      'onMatchAdvanced' | 'onContact' | 'commitIndex' | 'quorumContactAt'
+    >,
     events: LeadershipEvents,
     quorumTimeoutMilliseconds: number,
   ): Leadership {
@@ -57,13 +70,18 @@
       {
         ...context,
         onMatchAdvanced: () => leadership.advanceCommitIndex(),
+        onContact: () => leadership.resolveConfirmations(),
+        quorumContactAt: () => leadership.quorumContactAt,
         commitIndex: () => leadership.committedIndex,
       },
       events,
       quorumTimeoutMilliseconds,
     );
     leadership.append({kind: 'termStart'});
-    void leadership.checkQuorum();
+    leadership.stopTicking = context.timer.every(
+      context.heartbeatIntervalMilliseconds,
+      () => leadership.tick(),
+    );
     return leadership;
   }
 
@@ -79,6 +97,19 @@
     return contactTimes[quorumOf(configuration) - 1] ?? this.startedAt;
   }
 
+  /**
+   * Resolves to `true` once a quorum has followed this leader at some moment
+   * after the call, or to `false` if the leadership ends before.
+   */
+  confirm(): Promise<boolean> {
+    if (this.ended) return Promise.resolve(false);
+    const done = Deferred.create<boolean>();
+    const requestedAt = this.context.timer.now();
+    this.confirmations = [...this.confirmations, {requestedAt, done}];
+    this.resolveConfirmations();
+    return done.promise;
+  }
+
   /** Returns the replication task for a disk. */
   replicatorOf(diskId: string): Replicator | undefined {
     return this.replicators.find(({member}) => member.diskId === diskId);
@@ -107,6 +138,9 @@
    */
   end(): void {
     this.ended = true;
+    this.stopTicking();
+    for (const {done} of this.confirmations) done.resolve(false);
+    this.confirmations = [];
     for (const replicator of this.replicators) replicator.stop();
     const reason = 'leadership ended before the entry was committed';
     for (const deferred of this.pending.values()) {
@@ -172,13 +206,24 @@
     return this.replicatorOf(diskId)?.lastContactAt ?? this.startedAt;
   }
 
-  private async checkQuorum(): Promise<void> {
-    const {timer, heartbeatIntervalMilliseconds} = this.context;
-    while (!this.ended) {
-      await timer.sleep(heartbeatIntervalMilliseconds);
-      const silence = timer.now() - this.quorumContactAt;
-      if (this.ended || silence <= this.quorumTimeoutMilliseconds) continue;
-      this.events.onQuorumLost();
-    }
+  private resolveConfirmations(): void {
+    if (this.confirmations.length === 0) return;
+    const {quorumContactAt} = this;
+    const isConfirmed = ({requestedAt}: Confirmation) =>
+      quorumContactAt >= requestedAt;
+    const confirmed = this.confirmations.filter(isConfirmed);
+    if (confirmed.length === 0) return;
+    this.confirmations = this.confirmations.filter(
+      each => !confirmed.includes(each),
+    );
+    for (const {done} of confirmed) done.resolve(true);
+  }
+
+  /** Checks the contact with a quorum and sends the heartbeats. */
+  private tick(): void {
+    const silence = this.context.timer.now() - this.quorumContactAt;
+    if (silence > this.quorumTimeoutMilliseconds) this.events.onQuorumLost();
+    if (this.ended) return;
+    for (const replicator of this.replicators) void replicator.sendHeartbeat();
   }
 }
--- a/packages/control/src/replicated_control_log.ts
+++ b/packages/control/src/replicated_control_log.ts
@@ -35,7 +35,6 @@
 const RETRY_INTERVAL_MILLISECONDS = 40;
 const OPEN_RETRY_INTERVAL_MILLISECONDS = 300;
 const CONFIRM_TIMEOUT_MILLISECONDS = 700;
-const CONFIRM_POLL_INTERVAL_MILLISECONDS = 10;
 
 type Outcome = Either<ControlError, CommandAnswer>;
 
@@ -167,17 +166,14 @@
   }
 
   override async confirmLeading(): Promise<boolean> {
-    const {timer} = this.options;
-    const requestedAt = timer.now();
     const leadership = this.establishedLeadership();
     if (leadership === undefined) return false;
-    const deadline = requestedAt + CONFIRM_TIMEOUT_MILLISECONDS;
-    while (leadership.quorumContactAt < requestedAt) {
-      if (timer.now() >= deadline) return false;
-      await timer.sleep(CONFIRM_POLL_INTERVAL_MILLISECONDS);
-      if (this.establishedLeadership() !== leadership) return false;
-    }
-    return true;
+    const confirmed = await withTimeout(
+      this.options.timer,
+      CONFIRM_TIMEOUT_MILLISECONDS,
+      leadership.confirm(),
+    );
+    return confirmed === true && this.establishedLeadership() === leadership;
   }
 
   /** Returns the status of the log, which is complete only on the leader. */
@@ -232,6 +228,13 @@
     return this.options.timer.now() - this.consensus.leaderContactAt;
   }
 
+  override get stateAgeMilliseconds(): number {
+    if (this.consensus.leadership !== undefined && !this.leading.current) {
+      return Infinity;
+    }
+    return this.options.timer.now() - this.consensus.newestKnownAt;
+  }
+
   /** Hands leadership over if this VM leads, then leaves the consensus. */
   async stop(): Promise<void> {
     this.bootstrap.stop();
--- a/packages/control/src/replicator.ts
+++ b/packages/control/src/replicator.ts
@@ -8,6 +8,7 @@
   AppendRequest,
   INSTALL_SNAPSHOT,
 } from './consensus_messages.js';
+import {ReceivedAnswers} from './confirmed_answers.js';
 import {ControlMember} from './control_configuration.js';
 import {ControlPeers} from './control_peers.js';
 import {DurableLog} from './durable_log.js';
@@ -30,6 +31,10 @@
   readonly self: string;
   readonly term: number;
   readonly commitIndex: () => number;
+  /** When a quorum was last known to follow this leader. */
+  readonly quorumContactAt: () => number;
+  /** Called with each answer that shows that a follower follows. */
+  readonly onContact: () => void;
   /** Called when a follower has synced more of the log. */
   readonly onMatchAdvanced: () => void;
   readonly onHigherTerm: (term: number) => void;
@@ -43,6 +48,7 @@
   private sentCommitIndex = -1;
   private diskMismatch = false;
   private stopped = false;
+  private readonly receivedAnswers = ReceivedAnswers.create();
   private wakeSignal = Deferred.create<void>();
 
   private constructor(
@@ -53,11 +59,10 @@
     this.contactAt = context.timer.now();
   }
 
-  /** Starts the replication and the heartbeats. */
+  /** Starts the replication. */
   static start(member: ControlMember, context: LeaderContext): Replicator {
     const replicator = new Replicator(member, context);
     void replicator.replicate();
-    void replicator.sendHeartbeats();
     return replicator;
   }
 
@@ -81,6 +86,21 @@
     this.wakeSignal.resolve();
   }
 
+  /**
+   * Sends a heartbeat, independently of the entries, whose answers a slow disk
+   * may delay.
+   */
+  async sendHeartbeat(): Promise<void> {
+    const {log} = this.context;
+    const term = log.termAt(this.matched);
+    const position =
+      term === undefined ? log.snapshot : {index: this.matched, term};
+    const request = this.createAppendRequest(position.index, position.term, []);
+    await this.send(() =>
+      this.context.peers.call(this.member, APPEND, request),
+    );
+  }
+
   /** Ends the task. */
   stop(): void {
     this.stopped = true;
@@ -102,18 +122,6 @@
     }
   }
 
-  /**
-   * Sends heartbeats independently of the entries, whose answers a slow disk
-   * may delay.
-   */
-  private async sendHeartbeats(): Promise<void> {
-    const {timer, heartbeatIntervalMilliseconds} = this.context;
-    while (!this.stopped) {
-      await timer.sleep(heartbeatIntervalMilliseconds);
-      if (!this.stopped) void this.sendHeartbeat();
-    }
-  }
-
   private hasMore(): boolean {
     const {log, commitIndex} = this.context;
     return (
@@ -162,17 +170,6 @@
     return true;
   }
 
-  private async sendHeartbeat(): Promise<void> {
-    const {log} = this.context;
-    const term = log.termAt(this.matched);
-    const position =
-      term === undefined ? log.snapshot : {index: this.matched, term};
-    const request = this.createAppendRequest(position.index, position.term, []);
-    await this.send(() =>
-      this.context.peers.call(this.member, APPEND, request),
-    );
-  }
-
   private async send(
     call: () => Promise<Either<PeerError, AppendAnswer>>,
   ): Promise<AppendAnswer | undefined> {
@@ -189,7 +186,11 @@
     const received = answer.unsafeCoerce();
     this.diskMismatch = false;
     this.contactAt = Math.max(this.contactAt, sentAt);
+    if (received.answer !== undefined) {
+      this.receivedAnswers.add(received.answer, timer.now());
+    }
     if (received.term > term) onHigherTerm(received.term);
+    else this.context.onContact();
     return received;
   }
 
@@ -205,13 +206,21 @@
     previousTerm: number,
     entries: readonly LogEntry[],
   ): AppendRequest {
+    const commitIndex = this.context.commitIndex();
+    // Before it commits its first entry, a leader may not know all entries that
+    // its predecessors committed, so its log may not be the newest.
+    const confirmedAnswer =
+      commitIndex === 0
+        ? undefined
+        : this.receivedAnswers.newestConfirmed(this.context.quorumContactAt());
     return {
       ...this.createEnvelope(),
       leader: this.context.self,
       previousIndex,
       previousTerm,
       entries: [...entries],
-      commitIndex: this.context.commitIndex(),
+      commitIndex,
+      ...(confirmedAnswer === undefined ? {} : {confirmedAnswer}),
     };
   }
 
--- a/packages/control/src/view_distributor.ts
+++ b/packages/control/src/view_distributor.ts
@@ -2,7 +2,7 @@
 import {Observable} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
 import {PeerNetwork} from '@apricotlock/peer';
-import {TimerService} from '@apricotlock/timer';
+import {TimerService, Unsubscribe} from '@apricotlock/timer';
 import {ClusterView, EMPTY_VIEW, VirtualMachine} from '@apricotlock/topology';
 import {ControlLog} from './control_log.js';
 import {
@@ -27,6 +27,8 @@
 /** The index in a fetch that asks for the age of the newest view only. */
 const NO_UPDATE_INDEX = Number.MAX_SAFE_INTEGER;
 const FETCH_INTERVAL_MILLISECONDS = 700;
+/** How often it is checked whether a fetch is due. */
+const FETCH_CHECK_MILLISECONDS = 100;
 const FIRST_FETCH_INTERVAL_MILLISECONDS = 50;
 
 /** Options of {@link ViewDistributor}. */
@@ -40,8 +42,16 @@
   readonly log: ControlLog | undefined;
   /** Where the newest view is stored, on a VM with a disk. */
   readonly store: ViewStore | undefined;
-  /** Interval at which each VM fetches updates that it may have missed. */
+  /**
+   * Interval at which each VM fetches updates that it may have missed, unless
+   * its view is known to be current.
+   */
   readonly fetchMilliseconds?: number;
+  /**
+   * A view that was known to be the newest one within this time needs no fetch;
+   * 0 by default.
+   */
+  readonly currentMilliseconds?: number;
 }
 
 /**
@@ -63,7 +73,10 @@
   private root: string | undefined;
   /** Latest time at which the active view is known to have been the newest. */
   private knownCurrentAt = -Infinity;
+  private fetchedAt = -Infinity;
+  /** Fetches since the view was last learned to be current. */
   private fetchCount = 0;
+  private stopFetching: Unsubscribe = () => undefined;
   /** Whether a fetch that may be answered with an update is unanswered. */
   private awaitsUpdate = false;
   /** Children that currently do not answer pushes. */
@@ -104,7 +117,7 @@
     log?.state.subscribe(({view}) => distributor.adoptView(view));
     if (log !== undefined) distributor.adoptView(log.state.current.view);
     distributor.becomeRootIfLeading();
-    void distributor.fetchPeriodically();
+    void distributor.startFetching();
     return distributor;
   }
 
@@ -121,16 +134,14 @@
   /** Stops pushing and fetching. */
   stop(): void {
     this.stopped = true;
+    this.stopFetching();
     for (const pusher of this.pushers) pusher.stop();
   }
 
   /** The age of the newest view, which may not be active yet. */
   private newestViewAge(): number {
-    const {log} = this.options;
-    const knownAge = this.knownAge();
-    return log?.leading.current
-      ? Math.min(log.ageMilliseconds, knownAge)
-      : knownAge;
+    const logAge = this.options.log?.stateAgeMilliseconds ?? Infinity;
+    return Math.min(logAge, this.knownAge());
   }
 
   private knownAge(): number {
@@ -260,31 +271,46 @@
     };
   }
 
-  private async fetchPeriodically(): Promise<void> {
+  /** Fetches at short intervals until the view is current, then when due. */
+  private async startFetching(): Promise<void> {
     const {timer} = this.options;
-    while (!this.stopped) {
-      const other = this.nextFetchTarget();
-      // The next fetch must not wait for a VM that does not answer.
-      if (other !== undefined) void this.fetchFrom(other);
-      const neverCurrent = this.knownCurrentAt === -Infinity;
-      await timer.sleep(
-        neverCurrent
-          ? FIRST_FETCH_INTERVAL_MILLISECONDS
-          : (this.options.fetchMilliseconds ?? FETCH_INTERVAL_MILLISECONDS),
-      );
+    while (!this.stopped && this.knownCurrentAt === -Infinity) {
+      this.fetch();
+      await timer.sleep(FIRST_FETCH_INTERVAL_MILLISECONDS);
     }
+    if (this.stopped) return;
+    this.stopFetching = timer.every(FETCH_CHECK_MILLISECONDS, () =>
+      this.fetchIfDue(),
+    );
+  }
+
+  private fetchIfDue(): void {
+    const {timer, fetchMilliseconds, currentMilliseconds = 0} = this.options;
+    if (this.ageMilliseconds < currentMilliseconds) return;
+    const interval = fetchMilliseconds ?? FETCH_INTERVAL_MILLISECONDS;
+    const isDue =
+      timer.now() - this.fetchedAt > interval - FETCH_CHECK_MILLISECONDS / 2;
+    if (isDue) this.fetch();
+  }
+
+  private fetch(): void {
+    this.fetchedAt = this.options.timer.now();
+    const other = this.nextFetchTarget();
+    // The next fetch must not wait for a VM that does not answer.
+    if (other !== undefined) void this.fetchFrom(other);
   }
 
   /**
-   * Returns the parent on every other call, and otherwise the neighbours in
-   * turn.
+   * Returns the parent first and then on every other call, and otherwise the
+   * neighbours in turn.
    */
   private nextFetchTarget(): VirtualMachine | undefined {
     const {self} = this.options;
     this.fetchCount += 1;
+    const isParentsTurn = this.fetchCount % 2 === 1;
     const parent =
       this.root === undefined ? undefined : this.tree.parentOf(self, this.root);
-    if (parent !== undefined && this.fetchCount % 2 === 0) return parent;
+    if (parent !== undefined && isParentsTurn) return parent;
     const neighbours = this.tree.neighboursOf(self);
     return neighbours[(this.fetchCount >> 1) % Math.max(1, neighbours.length)];
   }
@@ -324,6 +350,8 @@
     await this.view.waitUntil(({index}) => index >= fetched.index);
     const currentAt = sentAt - fetched.ageMilliseconds;
     this.knownCurrentAt = Math.max(this.knownCurrentAt, currentAt);
+    const {currentMilliseconds = 0} = this.options;
+    if (this.ageMilliseconds < currentMilliseconds) this.fetchCount = 0;
   }
 }
 
--- a/packages/program/src/control_program.ts
+++ b/packages/program/src/control_program.ts
@@ -41,7 +41,12 @@
 const ELECTION_MAXIMUM_MILLISECONDS = 450;
 /** Time for calls in progress to end before this VM leaves the membership. */
 const LEAVE_DELAY_MILLISECONDS = 300;
-const VIEW_FETCH_INTERVAL_MILLISECONDS = 350;
+const VIEW_FETCH_INTERVAL_MILLISECONDS = 300;
+/**
+ * A view that was confirmed within this time needs no fetch. Heartbeats of the
+ * control leader confirm it each 100 ms, two heartbeats later.
+ */
+const CURRENT_VIEW_MILLISECONDS = 400;
 /** The drain time where the settings name none. */
 const DEFAULT_DRAIN_MILLISECONDS = 3_000;
 
@@ -91,6 +96,7 @@
       log,
       folder: undefined,
       fetchMilliseconds: VIEW_FETCH_INTERVAL_MILLISECONDS,
+      currentMilliseconds: CURRENT_VIEW_MILLISECONDS,
     });
     startPrimarySupervisor(context, platform, log);
     if (settings.controlAddress === undefined) {
--- a/packages/program/src/entry_program.ts
+++ b/packages/program/src/entry_program.ts
@@ -37,7 +37,12 @@
 const SHUTDOWN_RESERVE_MILLISECONDS = 700;
 const IDLE_CHECK_INTERVAL_MILLISECONDS = 100;
 /** Short, so that an isolated VM soon detects that its view is outdated. */
-const VIEW_FETCH_INTERVAL_MILLISECONDS = 350;
+const VIEW_FETCH_INTERVAL_MILLISECONDS = 300;
+/**
+ * A view that was confirmed within this time needs no fetch. It leaves time for
+ * an answer before the view counts as outdated, which is at 900 ms.
+ */
+const CURRENT_VIEW_MILLISECONDS = 600;
 
 /** The protocols of the platform on which an entry VM runs. */
 export abstract class EntryPlatform {
@@ -84,6 +89,7 @@
       log: undefined,
       folder: undefined,
       fetchMilliseconds: VIEW_FETCH_INTERVAL_MILLISECONDS,
+      currentMilliseconds: CURRENT_VIEW_MILLISECONDS,
     });
     const {view} = control;
     const leader = ControlLeaderClient.create({network, machines});
