Ask one lease holder at a time for the positions of all primaries

Each entry VM asked the lease holder of every group that it read: with 85 VMs and 6 groups 8 requests a second on each VM, 100 on each holder. Lease holders now also pass on the samples that they received from each other, with their age on the clock that has run further.

--- a/packages/dispatch/src/primary_position_tracker.ts
+++ b/packages/dispatch/src/primary_position_tracker.ts
@@ -1,19 +1,32 @@
+import {Right} from 'purify-ts';
 import {Deferred, Observable, withTimeout, TIMED_OUT} from '@apricotlock/flow';
-import {PeerNetwork} from '@apricotlock/peer';
+import {PeerError, PeerNetwork} from '@apricotlock/peer';
 import {TimerService, Unsubscribe} from '@apricotlock/timer';
 import {ClusterView, findGroup, VirtualMachine} from '@apricotlock/topology';
 import {CURRENT_POSITION, WorkService} from '@apricotlock/work';
+import {DirectSamples} from './direct_samples.js';
 import {groupsToRefresh} from './position_refresh.js';
 import {
   PositionSample,
   PositionSampleHistory,
 } from './position_sample_history.js';
+import {
+  packSamples,
+  POSITION_SAMPLES,
+  RelayedSample,
+  unpackSamples,
+} from './position_samples.js';
 
 const REQUEST_TIMEOUT_MILLISECONDS = 500;
 const TICK_INTERVAL_MILLISECONDS = 100;
 /** How long after a read the position of a group is refreshed. */
 const TRACKING_DURATION_MILLISECONDS = 3_000;
 const RETRY_INTERVAL_MILLISECONDS = 20;
+/**
+ * Lease holders ask each other at the interval for this many VMs for each group,
+ * which is the shortest one up to 6 groups.
+ */
+const HOLDER_WEIGHT = 5;
 
 /** Dependencies of the primary position tracker. */
 export interface PrimaryPositionTrackerOptions {
@@ -27,15 +40,20 @@
 
 /**
  * Requests the log positions of primaries from their lease holders, for groups
- * that were read recently.
+ * that were read recently. A lease holder also passes on the positions that it
+ * has received from the others, so that each VM asks one holder at a time.
  */
 export class PrimaryPositionTracker {
   private readonly history = PositionSampleHistory.create();
   private readonly lastReadAt = new Map<string, number>();
   private readonly pendingRequests = new Map<string, Deferred<void>>();
+  private readonly directSamples: DirectSamples;
+  /** Processes of an earlier version, which pass on no samples. */
+  private readonly withoutRelay = new Set<string>();
   private readonly stopTicking: Unsubscribe;
 
   private constructor(private readonly options: PrimaryPositionTrackerOptions) {
+    this.directSamples = DirectSamples.create(options.timer);
     this.stopTicking = options.timer.every(TICK_INTERVAL_MILLISECONDS, () =>
       this.refresh(),
     );
@@ -43,7 +61,14 @@
 
   /** Starts tracking, without any samples. */
   static start(options: PrimaryPositionTrackerOptions): PrimaryPositionTracker {
-    return new PrimaryPositionTracker(options);
+    const tracker = new PrimaryPositionTracker(options);
+    options.network.handle(POSITION_SAMPLES, async () => {
+      for (const database of tracker.heldDatabases()) {
+        tracker.recordLocalPosition(database);
+      }
+      return Right({samples: packSamples(tracker.directSamples.list())});
+    });
+    return tracker;
   }
 
   /**
@@ -108,6 +133,7 @@
   }
 
   private refresh(): void {
+    if (this.lastReadAt.size === 0) return;
     const {timer, machines} = this.options;
     const now = timer.now();
     for (const [database, readAt] of this.lastReadAt) {
@@ -121,33 +147,62 @@
         sampleAgeMilliseconds: now - (requestedAt ?? -Infinity),
       };
     });
-    for (const database of groupsToRefresh(groups, machines.current.length)) {
-      void this.poll(database);
+    // The few lease holders ask each other, so that what they pass on is new.
+    const isHolder = this.heldDatabases().length > 0;
+    const askers = isHolder
+      ? Math.min(machines.current.length, HOLDER_WEIGHT * groups.length)
+      : machines.current.length;
+    for (const database of groupsToRefresh(groups, askers)) {
+      void this.poll(database, !isHolder);
     }
   }
 
+  /** Returns the groups whose primaries are used by this VM. */
+  private heldDatabases(): readonly string[] {
+    const {self, view} = this.options;
+    return view.current.groups
+      .filter(({holder}) => holder === self)
+      .map(({database}) => database);
+  }
+
   /** Records the position if this VM is the lease holder of the group. */
   private recordLocalPosition(database: string): void {
     const {view, work, timer} = this.options;
     const term = findGroup(view.current, database)?.term ?? 0;
     const position = work.currentPosition(database, term);
     if (position === undefined) return;
-    this.history.record(database, {term, requestedAt: timer.now(), position});
+    this.recordDirect(
+      database,
+      {term, requestedAt: timer.now(), position},
+      this.directSamples.startRequest(),
+    );
+  }
+
+  private recordDirect(
+    database: string,
+    sample: PositionSample,
+    wallAt: number,
+  ): void {
+    this.history.record(database, sample);
+    this.directSamples.record(database, sample, wallAt);
   }
 
-  private poll(database: string): Promise<void> {
+  private poll(database: string, acceptsRelayed = false): Promise<void> {
     const pending = this.pendingRequests.get(database);
     if (pending !== undefined) return pending.promise;
     const completion = Deferred.create<void>();
     this.pendingRequests.set(database, completion);
-    void this.pollHolder(database).finally(() => {
+    void this.pollHolder(database, acceptsRelayed).finally(() => {
       this.pendingRequests.delete(database);
       completion.resolve();
     });
     return completion.promise;
   }
 
-  private async pollHolder(database: string): Promise<void> {
+  private async pollHolder(
+    database: string,
+    acceptsRelayed: boolean,
+  ): Promise<void> {
     const {self, view, machines, network, timer} = this.options;
     const group = findGroup(view.current, database);
     if (group?.primary === undefined) return;
@@ -155,7 +210,9 @@
     const {term} = group;
     const holder = machines.current.find(({name}) => name === group.holder);
     if (holder === undefined) return;
+    if (acceptsRelayed && (await this.requestSamples(holder))) return;
     const requestedAt = timer.now();
+    const wallAt = this.directSamples.startRequest();
     const answer = await network.call(
       holder.peerAddress,
       CURRENT_POSITION,
@@ -163,7 +220,46 @@
       REQUEST_TIMEOUT_MILLISECONDS,
     );
     answer.ifRight(position =>
-      this.history.record(database, {term, requestedAt, position}),
+      this.recordDirect(database, {term, requestedAt, position}, wallAt),
     );
   }
+
+  /**
+   * Requests all samples that a lease holder has. Returns `false` if its process
+   * is of an earlier version.
+   */
+  private async requestSamples(holder: VirtualMachine): Promise<boolean> {
+    const {network, timer} = this.options;
+    const process = `${holder.name} ${holder.incarnation}`;
+    if (this.withoutRelay.has(process)) return false;
+    const requestedAt = timer.now();
+    const answer = await network.call(
+      holder.peerAddress,
+      POSITION_SAMPLES,
+      {},
+      REQUEST_TIMEOUT_MILLISECONDS,
+    );
+    if (answer.isRight()) {
+      const {samples} = answer.unsafeCoerce();
+      for (const sample of unpackSamples(samples)) {
+        this.recordRelayed(sample, requestedAt);
+      }
+      return true;
+    }
+    const isRefused = (answer.extract() as PeerError).kind === 'refused';
+    if (isRefused) this.withoutRelay.add(process);
+    return !isRefused;
+  }
+
+  /** Records a sample that is of the term in which the group is known here. */
+  private recordRelayed(
+    {database, term, position, ageMilliseconds}: RelayedSample,
+    answerRequestedAt: number,
+  ): void {
+    if (findGroup(this.options.view.current, database)?.term !== term) return;
+    const requestedAt = answerRequestedAt - ageMilliseconds;
+    const newestAt = this.history.newest(database)?.requestedAt ?? -Infinity;
+    if (requestedAt <= newestAt) return;
+    this.history.record(database, {term, requestedAt, position});
+  }
 }
