Handle frames and probes without pattern matching, and keep rankings of VMs

Frames and datagrams were matched by chained patterns, conversations on an open link waited for a promise, and each statement ranked all VMs for its member. The matches are switches now, the first frame is sent at once, and a ranking is computed once for each list of VMs. peer and membership no longer use ts-pattern.

--- a/packages/membership/src/swim_membership.ts
+++ b/packages/membership/src/swim_membership.ts
@@ -1,4 +1,3 @@
-import {match} from 'ts-pattern';
 import {Observable} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
 import {KeyRing} from '@apricotlock/peer';
@@ -248,25 +247,27 @@
     const newFlags = records.map(record =>
       this.receiveRecord(record, shouldPropagate),
     );
-    match(body)
-      .with({kind: 'ping'}, ({probe}) =>
-        this.send(from, {kind: 'ack', probe}, this.getRecordsToRefute(sender)),
-      )
-      .with({kind: 'ack'}, ({probe}) =>
-        this.prober.recordAcknowledgement(probe),
-      )
-      .with({kind: 'pingThrough'}, ({probe, target: [host, port]}) => {
-        void this.prober.pingOnBehalf(from, probe, {host, port});
-      })
-      .with({kind: 'digest'}, ({digest, answers}) =>
-        this.compareDigest(from, digest, answers),
-      )
-      .with({kind: 'records'}, () => undefined)
-      .with({kind: 'tablePart'}, () => {
+    // A plain switch, since datagrams are most of the work of an idle process.
+    switch (body.kind) {
+      case 'ping': {
+        const records = this.getRecordsToRefute(sender);
+        return this.send(from, {kind: 'ack', probe: body.probe}, records);
+      }
+      case 'ack':
+        return this.prober.recordAcknowledgement(body.probe);
+      case 'pingThrough': {
+        const [host, port] = body.target;
+        void this.prober.pingOnBehalf(from, body.probe, {host, port});
+        return;
+      }
+      case 'digest':
+        return this.compareDigest(from, body.digest, body.answers);
+      case 'records':
+        return;
+      case 'tablePart':
         // One exchange may not have carried all missing records.
         if (newFlags.includes(true)) this.needsSynchronization = true;
-      })
-      .exhaustive();
+    }
   }
 
   /** Processes a received record. Returns whether it was new. */
--- a/packages/peer/src/peer_link.ts
+++ b/packages/peer/src/peer_link.ts
@@ -1,4 +1,3 @@
-import {match, P} from 'ts-pattern';
 import {Either, Left, Right} from 'purify-ts';
 import {WebSocket} from 'ws';
 import {Deferred, TIMED_OUT, withTimeout} from '@apricotlock/flow';
@@ -92,10 +91,9 @@
   ): PeerChannel<ClientMessage, ServerMessage> {
     const id = this.nextId++;
     const {name} = conversation;
-    const bufferedFrames = [
-      encodeFrame({kind: 'open', id, name, body: opening}),
-    ];
-    let isConnected = false;
+    const openFrame = encodeFrame({kind: 'open', id, name, body: opening});
+    let isConnected = this.socket?.readyState === WebSocket.OPEN;
+    const bufferedFrames = [openFrame];
     const sendOrBuffer = (encoded: Buffer) => {
       if (isConnected) return this.sendEncoded(encoded);
       bufferedFrames.push(encoded);
@@ -106,6 +104,10 @@
       conversation.serverMessageCheck,
     );
     this.channels.set(id, channel as LinkChannel<unknown, unknown>);
+    if (isConnected) {
+      if (!this.sendEncoded(openFrame)) this.closeChannel(id);
+      return channel;
+    }
     void this.ensureConnected().then(connection => {
       isConnected = true;
       const sent =
@@ -198,18 +200,20 @@
 
   private handleFrame(frame: PeerFrame, bytes: number): void {
     const {id} = frame;
-    match(frame)
-      .with({kind: P.union('answer', 'refusal')}, answer =>
-        this.pendingCalls.get(id)?.resolve(answer),
-      )
-      .with({kind: 'down'}, ({body}) =>
-        this.channels.get(id)?.deliver(body, bytes),
-      )
-      .with({kind: 'credit'}, credit =>
-        this.channels.get(id)?.addCredit(credit.bytes),
-      )
-      .with({kind: 'end'}, () => this.closeChannel(id))
-      .otherwise(() => this.socket?.terminate());
+    // A plain switch, since several frames arrive for each statement.
+    switch (frame.kind) {
+      case 'answer':
+      case 'refusal':
+        return this.pendingCalls.get(id)?.resolve(frame);
+      case 'down':
+        return this.channels.get(id)?.deliver(frame.body, bytes);
+      case 'credit':
+        return this.channels.get(id)?.addCredit(frame.bytes);
+      case 'end':
+        return this.closeChannel(id);
+      default:
+        this.socket?.terminate();
+    }
   }
 
   private handleDisconnect(socket: WebSocket): void {
--- a/packages/peer/src/schema_check.ts
+++ b/packages/peer/src/schema_check.ts
@@ -16,7 +16,8 @@
 ): boolean {
   if (typeof candidate !== 'object' || candidate === null) return false;
   const values = candidate as Readonly<Record<string, unknown>>;
-  return Object.entries(types).every(
-    ([name, type]) => typeof values[name] === type,
-  );
+  for (const name in types) {
+    if (typeof values[name] !== types[name]) return false;
+  }
+  return true;
 }
--- a/packages/peer/src/web_socket_peer_network.ts
+++ b/packages/peer/src/web_socket_peer_network.ts
@@ -1,4 +1,3 @@
-import {match} from 'ts-pattern';
 import {Either} from 'purify-ts';
 import {WebSocket} from 'ws';
 import {Unsubscribe} from '@apricotlock/timer';
@@ -177,17 +176,22 @@
   }
 
   private route(link: AcceptedLink, frame: PeerFrame, bytes: number): void {
-    match(frame)
-      .with({kind: 'request'}, request => {
-        void link.serveRequest(request.id, () =>
-          this.answerRequest(link, request),
-        );
-      })
-      .with({kind: 'open'}, opening => this.openConversation(link, opening))
-      .with({kind: 'up'}, ({id, body}) => link.deliver(id, body, bytes))
-      .with({kind: 'credit'}, credit => link.addCredit(credit.id, credit.bytes))
-      .with({kind: 'end'}, ({id}) => link.closeChannel(id))
-      .otherwise(() => link.terminate());
+    // A plain switch, since several frames arrive for each statement.
+    switch (frame.kind) {
+      case 'request':
+        void link.serveRequest(frame.id, () => this.answerRequest(link, frame));
+        return;
+      case 'open':
+        return this.openConversation(link, frame);
+      case 'up':
+        return link.deliver(frame.id, frame.body, bytes);
+      case 'credit':
+        return link.addCredit(frame.id, frame.bytes);
+      case 'end':
+        return link.closeChannel(frame.id);
+      default:
+        link.terminate();
+    }
   }
 
   private async answerRequest(
--- a/packages/topology/src/rendezvous.ts
+++ b/packages/topology/src/rendezvous.ts
@@ -4,6 +4,7 @@
 const FNV_PRIME = 0x01000193;
 const MURMUR_FIRST_MULTIPLIER = 0x85ebca6b;
 const MURMUR_SECOND_MULTIPLIER = 0xc2b2ae35;
+const MAXIMUM_RANKINGS = 1_024;
 
 /**
  * Returns the entry VM that owns a member by rendezvous hashing: the serving VM
@@ -32,9 +33,19 @@
   machines: readonly VirtualMachine[],
   count: number,
 ): readonly VirtualMachine[] {
-  const {serving, byDataCentre} = indexMachines(machines);
+  const {serving, byDataCentre, rankings} = indexMachines(machines);
+  const key = `${count} ${dataCentre} ${memberName}`;
+  const known = rankings.get(key);
+  if (known !== undefined) return known;
   const candidates = byDataCentre.get(dataCentre) ?? serving;
-  return selectHighestWeights(candidates, hashFnv1a(memberName), count);
+  const ranking = selectHighestWeights(
+    candidates,
+    hashFnv1a(memberName),
+    count,
+  );
+  if (rankings.size >= MAXIMUM_RANKINGS) rankings.clear();
+  rankings.set(key, ranking);
+  return ranking;
 }
 
 interface HashedMachine {
@@ -49,6 +60,11 @@
 interface MachineIndex {
   readonly serving: readonly HashedMachine[];
   readonly byDataCentre: ReadonlyMap<string, readonly HashedMachine[]>;
+  /**
+   * Rankings by count, data centre and member. Each statement asks for the same
+   * few, which take time in proportion to the number of VMs.
+   */
+  readonly rankings: Map<string, readonly VirtualMachine[]>;
 }
 
 /** Indexes by list of VMs; valid because these lists are immutable. */
@@ -70,7 +86,7 @@
     if (others === undefined) byDataCentre.set(machine.dataCentre, [hashed]);
     else others.push(hashed);
   }
-  const index = {serving, byDataCentre};
+  const index = {serving, byDataCentre, rankings: new Map()};
   machineIndexCache.set(machines, index);
   return index;
 }
