Report event loop delay, utilization and CPU time of entry and control VMs

A VM that is short of CPU time did not show it. The delay is measured on the wake-ups that the process has anyway; the histogram of Node.js wakes it 100 times a second.

--- a/packages/program/src/control_program.ts
+++ b/packages/program/src/control_program.ts
@@ -21,7 +21,7 @@
 import {Address, formatAddress} from '@apricotlock/topology';
 import {ProgramContext} from './program_context.js';
 import {HttpHandler, HttpListener} from './http_listener.js';
-import {PROCESS_GAUGES, startMetricsListener} from './metrics_listener.js';
+import {createProcessGauges, startMetricsListener} from './metrics_listener.js';
 import {ProgramSettings} from './program_settings.js';
 import {RunningProgram} from './run_program.js';
 
@@ -110,7 +110,7 @@
       handler: platform.createApiHandler(control, context),
       logger,
     });
-    const gauges = createGauges(log);
+    const gauges = createGauges(log, timer);
     await startMetricsListener(context, () => renderGauges(gauges));
     return new ControlProgram(context, log);
   }
@@ -213,9 +213,12 @@
   });
 }
 
-function createGauges(log: ReplicatedControlLog): readonly Gauge[] {
+function createGauges(
+  log: ReplicatedControlLog,
+  timer: TimerService,
+): readonly Gauge[] {
   return [
-    ...PROCESS_GAUGES,
+    ...createProcessGauges(timer),
     {
       name: 'apricotlock_control_leading',
       help: '1 on the VM that leads control',
--- a/packages/program/src/entry_program.ts
+++ b/packages/program/src/entry_program.ts
@@ -17,7 +17,7 @@
 import {ControlLeaderClient, RUN_WORK, WorkService} from '@apricotlock/work';
 import {ProgramContext} from './program_context.js';
 import {HttpResponse, HttpListener} from './http_listener.js';
-import {PROCESS_GAUGES, startMetricsListener} from './metrics_listener.js';
+import {createProcessGauges, startMetricsListener} from './metrics_listener.js';
 import {ProgramSettings} from './program_settings.js';
 import {RunningProgram} from './run_program.js';
 import {SessionMetrics} from './session_metrics.js';
@@ -188,7 +188,7 @@
 
   private gauges(): readonly Gauge[] {
     return [
-      ...PROCESS_GAUGES,
+      ...createProcessGauges(this.context.timer),
       {
         name: 'apricotlock_caller_sessions',
         help: 'Callers that are connected',
--- a/packages/program/src/metrics_listener.ts
+++ b/packages/program/src/metrics_listener.ts
@@ -1,18 +1,23 @@
 import {Gauge} from '@apricotlock/metrics';
+import {TimerService} from '@apricotlock/timer';
+import {EventLoopMonitor} from './event_loop_monitor.js';
 import {ProgramContext} from './program_context.js';
 import {HttpListener} from './http_listener.js';
 
 const MAXIMUM_BODY_BYTES = 64 << 10;
 const CONTENT_TYPE = 'text/plain; version=0.0.4';
 
-/** Gauges that every program reports. */
-export const PROCESS_GAUGES: readonly Gauge[] = [
-  {
-    name: 'apricotlock_resident_memory_bytes',
-    help: 'Memory of the process',
-    read: () => process.memoryUsage.rss(),
-  },
-];
+/** Returns the gauges that every program reports. */
+export function createProcessGauges(timer: TimerService): readonly Gauge[] {
+  return [
+    {
+      name: 'apricotlock_resident_memory_bytes',
+      help: 'Memory of the process',
+      read: () => process.memoryUsage.rss(),
+    },
+    ...EventLoopMonitor.start(timer).gauges(),
+  ];
+}
 
 /**
  * Serves the metrics at the metrics address. Throws if the address cannot be
