--- a/packages/program/src/control_program.ts
+++ b/packages/program/src/control_program.ts
@@ -21,7 +21,7 @@
 import {Address, formatAddress} from '@apricotlock/topology';
 import {ProgramContext} from './program_context.js';
 import {HttpHandler, HttpListener} from './http_listener.js';
-import {PROCESS_GAUGES, startMetricsListener} from './metrics_listener.js';
+import {createProcessGauges, startMetricsListener} from './metrics_listener.js';
 import {ProgramSettings} from './program_settings.js';
 import {RunningProgram} from './run_program.js';
 
@@ -41,7 +41,12 @@
 const ELECTION_MAXIMUM_MILLISECONDS = 450;
 /** Time for calls in progress to end before this VM leaves the membership. */
 const LEAVE_DELAY_MILLISECONDS = 300;
-const VIEW_FETCH_INTERVAL_MILLISECONDS = 350;
+const VIEW_FETCH_INTERVAL_MILLISECONDS = 300;
+/**
+ * A view that was confirmed within this time needs no fetch. Heartbeats of the
+ * control leader confirm it each 100 ms, two heartbeats later.
+ */
+const CURRENT_VIEW_MILLISECONDS = 400;
 /** The drain time where the settings name none. */
 const DEFAULT_DRAIN_MILLISECONDS = 3_000;
 
@@ -91,6 +96,7 @@
       log,
       folder: undefined,
       fetchMilliseconds: VIEW_FETCH_INTERVAL_MILLISECONDS,
+      currentMilliseconds: CURRENT_VIEW_MILLISECONDS,
     });
     startPrimarySupervisor(context, platform, log);
     if (settings.controlAddress === undefined) {
@@ -104,7 +110,7 @@
       handler: platform.createApiHandler(control, context),
       logger,
     });
-    const gauges = createGauges(log);
+    const gauges = createGauges(log, timer);
     await startMetricsListener(context, () => renderGauges(gauges));
     return new ControlProgram(context, log);
   }
@@ -207,9 +213,12 @@
   });
 }
 
-function createGauges(log: ReplicatedControlLog): readonly Gauge[] {
+function createGauges(
+  log: ReplicatedControlLog,
+  timer: TimerService,
+): readonly Gauge[] {
   return [
-    ...PROCESS_GAUGES,
+    ...createProcessGauges(timer),
     {
       name: 'apricotlock_control_leading',
       help: '1 on the VM that leads control',
--- a/packages/program/src/entry_program.ts
+++ b/packages/program/src/entry_program.ts
@@ -19,7 +19,7 @@
 import {startEntryQuota} from './entry_quota.js';
 import {ProgramContext} from './program_context.js';
 import {HttpResponse, HttpListener} from './http_listener.js';
-import {PROCESS_GAUGES, startMetricsListener} from './metrics_listener.js';
+import {createProcessGauges, startMetricsListener} from './metrics_listener.js';
 import {ProgramSettings} from './program_settings.js';
 import {RunningProgram} from './run_program.js';
 import {SessionMetrics} from './session_metrics.js';
@@ -39,7 +39,12 @@
 const SHUTDOWN_RESERVE_MILLISECONDS = 700;
 const IDLE_CHECK_INTERVAL_MILLISECONDS = 100;
 /** Short, so that an isolated VM soon detects that its view is outdated. */
-const VIEW_FETCH_INTERVAL_MILLISECONDS = 350;
+const VIEW_FETCH_INTERVAL_MILLISECONDS = 300;
+/**
+ * A view that was confirmed within this time needs no fetch. It leaves time for
+ * an answer before the view counts as outdated, which is at 900 ms.
+ */
+const CURRENT_VIEW_MILLISECONDS = 600;
 
 /** The protocols of the platform on which an entry VM runs. */
 export abstract class EntryPlatform {
@@ -86,6 +91,7 @@
       log: undefined,
       folder: undefined,
       fetchMilliseconds: VIEW_FETCH_INTERVAL_MILLISECONDS,
+      currentMilliseconds: CURRENT_VIEW_MILLISECONDS,
     });
     const {view} = control;
     const shared = {self, view, network, timer, logger};
@@ -185,7 +191,7 @@
 
   private gauges(): readonly Gauge[] {
     return [
-      ...PROCESS_GAUGES,
+      ...createProcessGauges(this.context.timer),
       {
         name: 'apricotlock_caller_sessions',
         help: 'Callers that are connected',
