Let organisations below their limit go on while their coordinator is replaced

When a coordinator was lost or its shard moved, each operation of its organisations was refused for 3 s to 6 s, also of those far below their limit. A VM now goes on at the rate of its last 5 s for at most 10 s, unless the organisation has been short of room in that time. The VMs together then run no more than before.

--- a/packages/quota/src/grant_requester.ts
+++ b/packages/quota/src/grant_requester.ts
@@ -145,6 +145,7 @@
       organisation.refusedSince = sentAt;
       return;
     }
+    organisation.recentUse.endOutage();
     // A later request may be in flight if this answer took long.
     if (organisation.inFlightSince === sentAt) {
       organisation.inFlightSince = undefined;
@@ -163,6 +164,7 @@
         if (organisation.inFlightSince !== sentAt) continue;
         this.options.counts.unanswered++;
         organisation.inFlightSince = undefined;
+        organisation.recentUse.beginOutage(sentAt);
         if (organisation.refusedSince !== sentAt) {
           organisation.reserve.onUnanswered(sentAt);
         }
--- a/packages/quota/src/organisation_demand.ts
+++ b/packages/quota/src/organisation_demand.ts
@@ -3,6 +3,7 @@
 import {DemandEstimate} from './demand_estimate.js';
 import {GrantItem} from './quota_messages.js';
 import {QuotaDecision} from './operation_quota.js';
+import {RecentUse} from './recent_use.js';
 import {Reserve} from './reserve.js';
 import {RetrySchedule} from './retry_schedule.js';
 
@@ -32,6 +33,7 @@
 export class OrganisationDemand {
   readonly allowance = Allowance.create();
   readonly reserve = Reserve.create();
+  readonly recentUse = RecentUse.create();
   readonly retries = RetrySchedule.create();
   readonly waiting: WaitingOperation[] = [];
   /** Requests that may still be answered. */
@@ -116,6 +118,7 @@
 
   /** Applies that the bucket has no room for some time. */
   pause(now: number, roomAfter: number, interval: number): void {
+    this.recentUse.recordShortage(now);
     const pause = Math.max(MINIMUM_PAUSE_MILLISECONDS, roomAfter);
     this.pausedUntil = now + Math.min(pause, MAXIMUM_PAUSE_MILLISECONDS);
     this.retries.update(now + pause, interval);
--- a/packages/quota/src/quota_client.ts
+++ b/packages/quota/src/quota_client.ts
@@ -61,7 +61,7 @@
       epoch: () => this.checkSuspension(),
       onAnswer: (organisation, answer, sentAt) =>
         this.applyAnswer(organisation, answer, sentAt),
-      onUnanswered: organisation => this.repeatIfNeeded(organisation),
+      onUnanswered: organisation => this.handleUnanswered(organisation),
     });
   }
 
@@ -82,6 +82,7 @@
     const organisation = this.find(name, quota, now);
     organisation.record(now);
     if (organisation.allowance.take(now)) {
+      organisation.recentUse.record(now);
       this.currentCounts.granted++;
       if (organisation.wantsPrefetch(now)) this.requester.request(organisation);
       return GRANTED_AT_ONCE;
@@ -89,7 +90,10 @@
     if (organisation.isPaused(now)) {
       return Promise.resolve(this.refuse(organisation));
     }
-    if (this.takeReserve(organisation, now)) {
+    if (
+      organisation.recentUse.take(now) ||
+      this.takeReserve(organisation, now)
+    ) {
       this.currentCounts.granted++;
       this.currentCounts.reserveUsed++;
       this.repeatIfNeeded(organisation);
@@ -138,6 +142,7 @@
     organisation.allowance.add(granted, sentAt);
     const {waiting} = organisation;
     while (waiting.length > 0 && organisation.allowance.take(now)) {
+      organisation.recentUse.record(now);
       this.currentCounts.granted++;
       waiting.shift()?.decide(GRANTED);
     }
@@ -150,12 +155,26 @@
     this.repeatIfNeeded(organisation);
   }
 
+  /** Lets waiting operations run at the recent rate, and requests again. */
+  private handleUnanswered(organisation: OrganisationDemand): void {
+    const {waiting, recentUse} = organisation;
+    const now = this.options.timer.now();
+    while (waiting.length > 0 && recentUse.take(now)) {
+      this.currentCounts.granted++;
+      this.currentCounts.reserveUsed++;
+      waiting.shift()?.decide(GRANTED);
+    }
+    this.repeatIfNeeded(organisation);
+  }
+
   private repeatIfNeeded(organisation: OrganisationDemand): void {
-    const {inFlightSince, waiting, reserve, lastUsedAt} = organisation;
+    const {inFlightSince, waiting, reserve, recentUse, lastUsedAt} =
+      organisation;
     if (inFlightSince !== undefined) return;
     const isRecent =
       this.options.timer.now() - lastUsedAt < REPEAT_PERIOD_MILLISECONDS;
-    if (waiting.length > 0 || (reserve.isInUse && isRecent)) {
+    const isUnanswered = reserve.isInUse || recentUse.isContinued;
+    if (waiting.length > 0 || (isUnanswered && isRecent)) {
       this.requester.request(organisation);
     }
   }
@@ -196,7 +215,10 @@
     const count = this.suspensions.count();
     if (count !== this.suspensionCount) {
       this.suspensionCount = count;
-      for (const {allowance} of this.organisations.values()) allowance.drop();
+      for (const {allowance, recentUse} of this.organisations.values()) {
+        allowance.drop();
+        recentUse.clear();
+      }
     }
     return count;
   }
--- a/packages/quota/test/quota_bound_test.ts
+++ b/packages/quota/test/quota_bound_test.ts
@@ -5,6 +5,11 @@
 
 const SEED = 41_183;
 const RUNS = 120;
+/**
+ * Multiples of the limit that callers ask for. Below the limit, VMs go on without
+ * a coordinator.
+ */
+const LOADS = [0.3, 0.6, 0.9, 1.1, 4];
 
 const quotas = fc.record({
   operationsPerSecond: fc.constantFrom(0.5, 3, 20, 150, 800),
@@ -91,17 +96,26 @@
       fc.asyncProperty(
         quotas,
         fc.integer({min: 2, max: 8}),
+        fc.constantFrom(...LOADS),
+        fc.constantFrom(...LOADS),
         fc.array(faults, {maxLength: 5}),
         fc.integer(),
-        async (quota, count, plan, seed) => {
+        async (quota, count, load, laterLoad, plan, seed) => {
           const random = randomFrom(seed);
           const cluster = new QuotaCluster(count, quota, random);
           for (const fault of plan) schedule(cluster, fault, random);
-          // The bucket fills before callers ask for four times the limit.
+          const offer = (factor: number) =>
+            cluster.vms.map(vm => {
+              const rate = (factor * quota.operationsPerSecond) / count;
+              return cluster.offer(vm, Math.max(2, rate), random);
+            });
+          // The bucket fills before callers ask for operations.
           await cluster.timer.advanceAsync(3_000);
-          const perVm = Math.max(2, (4 * quota.operationsPerSecond) / count);
-          for (const vm of cluster.vms) cluster.offer(vm, perVm, random);
-          await cluster.timer.advanceAsync(17_000);
+          const stops = offer(load);
+          await cluster.timer.advanceAsync(4_000);
+          for (const stop of stops) stop();
+          offer(laterLoad);
+          await cluster.timer.advanceAsync(13_000);
           expect(largestWindow(cluster.ranAt)).to.be.at.most(bound(quota));
         },
       ),
--- a/packages/quota/test/quota_client_test.ts
+++ b/packages/quota/test/quota_client_test.ts
@@ -131,6 +131,39 @@
     expect(vm.client.counts.reserveUsed).to.be.within(18, 20);
   });
 
+  // The takeover of a lost coordinator lasts seconds, in which every operation of
+  // an organisation below its limit would be refused.
+  it('goes on at its recent rate while nobody answers', async () => {
+    const [cluster, vm] = await startCluster();
+    let granted = 0;
+    let refused = 0;
+    const offer = async (milliseconds: number) => {
+      for (let passed = 0; passed < milliseconds; passed += 250) {
+        void vm.client.acquire(cluster.organisation).then(({kind}) => {
+          if (kind === 'granted') granted++;
+          else refused++;
+        });
+        await cluster.advance(250);
+      }
+    };
+    await offer(5_000);
+    expect({granted, refused}).to.deep.equal({granted: 20, refused: 0});
+    cluster.coordinator.timer.freeze();
+    await offer(5_000);
+    expect(granted).to.be.within(38, 40);
+    expect(vm.client.counts.reserveUsed).to.be.within(17, 20);
+  });
+
+  it('goes on only for an organisation that had room', async () => {
+    const [cluster, vm] = await startCluster();
+    const stop = cluster.offer(vm, 40, () => 0.6);
+    await cluster.advance(3_000);
+    cluster.coordinator.timer.freeze();
+    await cluster.advance(1_900);
+    stop();
+    expect(vm.client.counts.reserveUsed).to.equal(0);
+  });
+
   it('drops its allowance after a suspension', async () => {
     const [cluster, vm] = await startCluster();
     await acquire(cluster, vm);
