Ask for a group alone if a lease holder passes on no sample of it

A lease holder passes on at most 32 samples, in the order in which it first received them. Such a group is now asked for alone, and an answer contains the newest samples, which are those of the holder's own leases.

--- a/packages/dispatch/src/position_samples.ts
+++ b/packages/dispatch/src/position_samples.ts
@@ -44,11 +44,12 @@
   },
 );
 
-/** Packs samples for sending. */
+/** Packs the newest samples, those of the sender's own leases first. */
 export function packSamples(
   samples: readonly RelayedSample[],
 ): readonly PackedSample[] {
-  return samples
+  return [...samples]
+    .sort((left, right) => left.ageMilliseconds - right.ageMilliseconds)
     .slice(0, MAXIMUM_SAMPLES)
     .map(({database, term, position, ageMilliseconds}) => [
       database,
--- a/packages/dispatch/src/primary_position_tracker.ts
+++ b/packages/dispatch/src/primary_position_tracker.ts
@@ -215,7 +215,7 @@
     const {term} = group;
     const holder = machines.current.find(({name}) => name === group.holder);
     if (holder === undefined) return;
-    if (acceptsRelayed && (await this.requestSamples(holder))) return;
+    if (acceptsRelayed && (await this.requestSamples(holder, database))) return;
     const requestedAt = timer.now();
     const wallAt = this.directSamples.startRequest();
     const answer = await network.call(
@@ -234,10 +234,14 @@
   }
 
   /**
-   * Requests all samples that a lease holder has. Returns `false` if its process
-   * is of an earlier version.
+   * Requests all samples that a lease holder has. Returns `false` if the group
+   * has to be asked for alone, since the holder answered without a sample of it
+   * or its process is of an earlier version.
    */
-  private async requestSamples(holder: VirtualMachine): Promise<boolean> {
+  private async requestSamples(
+    holder: VirtualMachine,
+    database: string,
+  ): Promise<boolean> {
     const {network, timer} = this.options;
     const process = `${holder.name} ${holder.incarnation}`;
     if (this.withoutRelay.has(process)) return false;
@@ -249,11 +253,9 @@
       REQUEST_TIMEOUT_MILLISECONDS,
     );
     if (answer.isRight()) {
-      const {samples} = answer.unsafeCoerce();
-      for (const sample of unpackSamples(samples)) {
-        this.recordRelayed(sample, requestedAt);
-      }
-      return true;
+      const samples = unpackSamples(answer.unsafeCoerce().samples);
+      for (const sample of samples) this.recordRelayed(sample, requestedAt);
+      return samples.some(sample => sample.database === database);
     }
     const isRefused = (answer.extract() as PeerError).kind === 'refused';
     if (isRefused) this.withoutRelay.add(process);
--- a/packages/dispatch/test/primary_position_tracker_test.ts
+++ b/packages/dispatch/test/primary_position_tracker_test.ts
@@ -6,6 +6,7 @@
 import {Address, EMPTY_VIEW, VirtualMachine} from '@apricotlock/topology';
 import {WorkService} from '@apricotlock/work';
 import {PrimaryPositionTracker} from '../src/index.js';
+import {packSamples, unpackSamples} from '../src/position_samples.js';
 
 const GROUPS = 6;
 /** As many VMs as in a deployment, so that groups are sampled in turn. */
@@ -20,6 +21,8 @@
   readonly calls: string[] = [];
   /** The number of the newest record of every primary. */
   number = 1;
+  /** VMs whose answers contain no sample, not even of their own group. */
+  readonly withoutSamples = new Set<number>();
   /** VMs that run a version which passes on no samples. */
   readonly old = new Set<number>();
   private readonly handlers = new Map<string, Handler>();
@@ -79,6 +82,10 @@
         if (handler === undefined || isOld) {
           return Left<PeerError>({kind: 'refused', reason: 'unknown call'});
         }
+        const isRelay = call.name.startsWith('dispatch');
+        if (isRelay && this.withoutSamples.has(to.port)) {
+          return Right({samples: []});
+        }
         return handler({});
       },
     } as unknown as PeerNetwork;
@@ -173,4 +180,32 @@
       expect(sample?.position, database).to.deep.equal({term: 1, number: 1});
     }
   });
+
+  // Guards against a primary that counts as silent because its holder has more
+  // groups than one answer takes.
+  it('asks for a group alone if the answer has no sample of it', async () => {
+    for (let vm = 0; vm < GROUPS; vm++) cluster.withoutSamples.add(vm);
+    const reader = cluster.start(50);
+    let longest = 0;
+    for (let round = 0; round < 80; round++) {
+      await cluster.read([reader], TICK_MILLISECONDS);
+      longest = Math.max(longest, reader.silentMilliseconds('group-0'));
+    }
+    expect(longest).to.be.at.most(900);
+  });
+
+  // Guards against a holder whose own groups are crowded out of its answers.
+  it('packs the newest samples', () => {
+    const samples = Array.from({length: 40}, (_, number) => ({
+      database: `group-${number}`,
+      term: 1,
+      position: {term: 1, number: 1},
+      ageMilliseconds: 40 - number,
+    }));
+    const names = unpackSamples(packSamples(samples)).map(
+      ({database}) => database,
+    );
+    expect(names).to.include('group-39');
+    expect(names).not.to.include('group-0');
+  });
 });
