Refresh a view only from a leader that no election can have replaced

A refresh took the view of a leader that a quorum had followed within the default election minimum of 350 ms. Control VMs elect a new leader after 250 ms of silence, so a leader that had lost its quorum answered with a view that lacked acknowledged changes for up to 100 ms. The limit is now the one constant that also sets the election minimum of control VMs.

--- a/packages/control/src/consensus_timings.ts
+++ b/packages/control/src/consensus_timings.ts
@@ -25,6 +25,12 @@
   readonly repairIntervalMilliseconds: number;
 }
 
+/**
+ * The shortest `electionMinimumMilliseconds` of any deployment. A leader that a
+ * quorum followed within this time cannot have been replaced by an election.
+ */
+export const SHORTEST_ELECTION_MILLISECONDS = 250;
+
 /** Default timings, for network latencies of a few milliseconds between VMs. */
 export const CONSENSUS_TIMINGS: ConsensusTimings = {
   heartbeatIntervalMilliseconds: 100,
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -6,7 +6,11 @@
  */
 export {applyCommand, type AppliedCommand} from './apply_command.js';
 export {type InitialVoter} from './bootstrap.js';
-export {type ConsensusTimings, CONSENSUS_TIMINGS} from './consensus_timings.js';
+export {
+  type ConsensusTimings,
+  CONSENSUS_TIMINGS,
+  SHORTEST_ELECTION_MILLISECONDS,
+} from './consensus_timings.js';
 export {ControlClient, type ControlClientOptions} from './control_client.js';
 export {
   type ChangeOrigin,
--- a/packages/control/src/view_refresher.ts
+++ b/packages/control/src/view_refresher.ts
@@ -1,7 +1,7 @@
 import {Observable, TIMED_OUT, withTimeout} from '@apricotlock/flow';
 import {TimerService} from '@apricotlock/timer';
 import {VirtualMachine} from '@apricotlock/topology';
-import {CONSENSUS_TIMINGS} from './consensus_timings.js';
+import {SHORTEST_ELECTION_MILLISECONDS} from './consensus_timings.js';
 import {FetchedView} from './control_messages.js';
 
 /** Requests may come from callers, who must not make many fetches from it. */
@@ -109,7 +109,6 @@
   other: VirtualMachine | undefined,
 ): boolean {
   return (
-    root === other?.name &&
-    ageMilliseconds < CONSENSUS_TIMINGS.electionMinimumMilliseconds
+    root === other?.name && ageMilliseconds < SHORTEST_ELECTION_MILLISECONDS
   );
 }
--- a/packages/control/test/view_refresher_test.ts
+++ b/packages/control/test/view_refresher_test.ts
@@ -90,6 +90,17 @@
     expect(distributor.view.current.index).to.equal(3);
   });
 
+  // Guards against the view of a leader that has been replaced: control VMs elect
+  // another one 250 ms after their last contact with it.
+  it('does not rely on a leader without a recent contact with a quorum', async () => {
+    leader.ageMilliseconds = 300;
+    follower.root = 'vm-2';
+    follower.ageMilliseconds = 10;
+    follower.view = {...EMPTY_VIEW, index: 2};
+    await distributor.refresh(500);
+    expect(distributor.view.current.index).to.equal(2);
+  });
+
   it('ends when its time is over although no control VM answers', async () => {
     leader.silent = true;
     follower.silent = true;
--- a/packages/program/src/control_program.ts
+++ b/packages/program/src/control_program.ts
@@ -14,6 +14,7 @@
   InitialVoter,
   RandomSource,
   ReplicatedControlLog,
+  SHORTEST_ELECTION_MILLISECONDS,
 } from '@apricotlock/control';
 import {Gauge, renderGauge} from '@apricotlock/metrics';
 import {MemberConnector} from '@apricotlock/statement';
@@ -37,7 +38,7 @@
  * Minimum and maximum election timeout. They are short, as primary leases must
  * outlast an election.
  */
-const ELECTION_MINIMUM_MILLISECONDS = 250;
+const ELECTION_MINIMUM_MILLISECONDS = SHORTEST_ELECTION_MILLISECONDS;
 const ELECTION_MAXIMUM_MILLISECONDS = 450;
 /** Time for calls in progress to end before this VM leaves the membership. */
 const LEAVE_DELAY_MILLISECONDS = 300;
