Do not vouch for the state of a control leader that hands over

A successor that was asked to take over gets votes despite a recent contact with the old leader, so it may acknowledge changes while the old leader still answers that its view was the newest a few milliseconds ago, and a refresh accepts that. A leader that is stopping now reports the age of its state as unknown.

--- a/packages/control/src/replicated_control_log.ts
+++ b/packages/control/src/replicated_control_log.ts
@@ -74,6 +74,7 @@
   private readonly bootstrap: Bootstrap;
   private readonly repair: VoterRepair;
   private appliedIndex: number;
+  private stopping = false;
   /** The newest committed configuration; a newer one may be in the log. */
   private committedConfiguration: ControlConfiguration;
 
@@ -229,9 +230,11 @@
   }
 
   override get stateAgeMilliseconds(): number {
-    if (this.consensus.leadership !== undefined && !this.leading.current) {
-      return Infinity;
-    }
+    const {leadership} = this.consensus;
+    // A successor that was asked to take over may lead already, since voters
+    // then grant their votes despite a recent contact with this leader.
+    const isUncertain = !this.leading.current || this.stopping;
+    if (leadership !== undefined && isUncertain) return Infinity;
     return this.options.timer.now() - this.consensus.newestKnownAt;
   }
 
@@ -239,6 +242,7 @@
   async stop(): Promise<void> {
     this.bootstrap.stop();
     this.repair.stop();
+    this.stopping = true;
     if (await this.handOver()) await this.waitUntilNotLeading();
     this.consensus.stop();
     await this.log.close();
--- a/packages/control/test/replicated_control_log_test.ts
+++ b/packages/control/test/replicated_control_log_test.ts
@@ -96,6 +96,23 @@
     });
   });
 
+  // Guards against a view of the old leader that lacks what its successor has
+  // already acknowledged: a hand-over does not wait for an election timeout.
+  describe('a leader that hands over', () => {
+    it('does not claim to know the newest state', async () => {
+      cluster = await ControlCluster.start(3);
+      const leader = cluster.log(await cluster.waitForLeader());
+      const before = leader.stateAgeMilliseconds;
+      const stopped = leader.stop();
+      const ledOn = leader.leading.current;
+      const during = leader.stateAgeMilliseconds;
+      await stopped;
+      expect(before).to.be.lessThan(100);
+      expect(ledOn).to.equal(true);
+      expect(during).to.equal(Infinity);
+    });
+  });
+
   describe('a restart of all VMs after hundreds of changes', () => {
     it('restores the current state and the answers to past changes', async () => {
       cluster = await ControlCluster.start(3);
