--- a/packages/dispatch/src/direct_samples.ts
+++ b/packages/dispatch/src/direct_samples.ts
@@ -44,10 +44,12 @@
     const now = this.timer.now();
     const wallNow = this.timer.wallClock();
     return [...this.samples].flatMap(
-      ([database, {term, position, requestedAt, wallAt}]) => {
+      ([database, {term, position, requestedAt, receivedAt, wallAt}]) => {
         const ageMilliseconds = Math.max(now - requestedAt, wallNow - wallAt);
+        const receiptAgeMilliseconds = now - (receivedAt ?? requestedAt);
+        const ages = {ageMilliseconds, receiptAgeMilliseconds};
         return ageMilliseconds <= MAXIMUM_AGE_MILLISECONDS
-          ? [{database, term, position, ageMilliseconds}]
+          ? [{database, term, position, ...ages}]
           : [];
       },
     );
--- a/packages/dispatch/src/position_samples.ts
+++ b/packages/dispatch/src/position_samples.ts
@@ -14,6 +14,8 @@
    * is covered by the position.
    */
   readonly ageMilliseconds: number;
+  /** The primary had reached the position this long before the answer. */
+  readonly receiptAgeMilliseconds: number;
 }
 
 /** Fields in this order, to save bytes: the message is frequent. */
@@ -23,6 +25,7 @@
   positionTerm: number,
   positionNumber: number,
   ageMilliseconds: number,
+  receiptAgeMilliseconds: number,
 ];
 
 /**
@@ -51,13 +54,14 @@
   return [...samples]
     .sort((left, right) => left.ageMilliseconds - right.ageMilliseconds)
     .slice(0, MAXIMUM_SAMPLES)
-    .map(({database, term, position, ageMilliseconds}) => [
+    .map(({database, term, position, ...ages}) => [
       database,
       term,
       position.term,
       position.number,
       // Rounded up, since a sample must not seem newer than it is.
-      Math.ceil(ageMilliseconds),
+      Math.ceil(ages.ageMilliseconds),
+      Math.floor(ages.receiptAgeMilliseconds),
     ]);
 }
 
@@ -65,14 +69,13 @@
 export function unpackSamples(
   packed: readonly PackedSample[],
 ): readonly RelayedSample[] {
-  return packed.map(
-    ([database, term, positionTerm, number, ageMilliseconds]) => ({
-      database,
-      term,
-      position: {term: positionTerm, number},
-      ageMilliseconds,
-    }),
-  );
+  return packed.map(([database, term, positionTerm, number, ...ages]) => ({
+    database,
+    term,
+    position: {term: positionTerm, number},
+    ageMilliseconds: ages[0],
+    receiptAgeMilliseconds: ages[1],
+  }));
 }
 
 function isPackedSample(candidate: unknown): boolean {
@@ -80,7 +83,7 @@
   const [database, ...numbers] = candidate as readonly unknown[];
   return (
     typeof database === 'string' &&
-    numbers.length === 4 &&
+    numbers.length === 5 &&
     numbers.every(each => Number.isSafeInteger(each) && (each as number) >= 0)
   );
 }
--- a/packages/dispatch/src/primary_position_tracker.ts
+++ b/packages/dispatch/src/primary_position_tracker.ts
@@ -16,6 +16,7 @@
   RelayedSample,
   unpackSamples,
 } from './position_samples.js';
+import {ReportTimes} from './primary_timeline.js';
 
 const REQUEST_TIMEOUT_MILLISECONDS = 500;
 const TICK_INTERVAL_MILLISECONDS = 100;
@@ -254,7 +255,8 @@
     );
     if (answer.isRight()) {
       const samples = unpackSamples(answer.unsafeCoerce().samples);
-      for (const sample of samples) this.recordRelayed(sample, requestedAt);
+      const times = {requestedAt, receivedAt: timer.now()};
+      for (const sample of samples) this.recordRelayed(sample, times);
       return samples.some(sample => sample.database === database);
     }
     const isRefused = (answer.extract() as PeerError).kind === 'refused';
@@ -264,13 +266,14 @@
 
   /** Records a sample that is of the term in which the group is known here. */
   private recordRelayed(
-    {database, term, position, ageMilliseconds}: RelayedSample,
-    answerRequestedAt: number,
+    {database, term, position, ...ages}: RelayedSample,
+    answer: ReportTimes,
   ): void {
     if (findGroup(this.options.view.current, database)?.term !== term) return;
-    const requestedAt = answerRequestedAt - ageMilliseconds;
+    const requestedAt = answer.requestedAt - ages.ageMilliseconds;
+    const receivedAt = answer.receivedAt - ages.receiptAgeMilliseconds;
     const newestAt = this.history.newest(database)?.requestedAt ?? -Infinity;
     if (requestedAt <= newestAt) return;
-    this.history.record(database, {term, requestedAt, position});
+    this.history.record(database, {term, requestedAt, receivedAt, position});
   }
 }
--- a/packages/dispatch/test/primary_position_tracker_test.ts
+++ b/packages/dispatch/test/primary_position_tracker_test.ts
@@ -21,6 +21,8 @@
   readonly calls: string[] = [];
   /** The number of the newest record of every primary. */
   number = 1;
+  /** How long each request takes to reach the VM that answers it. */
+  delayMilliseconds = 0;
   /** VMs whose answers contain no sample, not even of their own group. */
   readonly withoutSamples = new Set<number>();
   /** VMs that run a version which passes on no samples. */
@@ -77,6 +79,8 @@
       },
       call: async (to: Address, call: PeerCall<unknown, unknown>) => {
         this.calls.push(`${vm} ${call.name}`);
+        const {delayMilliseconds: delay} = this;
+        if (delay > 0) await this.timer.sleep(delay);
         const handler = this.handlers.get(`${to.port} ${call.name}`);
         const isOld = this.old.has(to.port) && call.name.startsWith('dispatch');
         if (handler === undefined || isOld) {
@@ -194,6 +198,28 @@
     expect(longest).to.be.at.most(900);
   });
 
+  // Guards against a bound on the lag of a replica that exceeds its lag, since a
+  // position counts as reached before it was written.
+  it('takes a position as reached no earlier than it was written', async () => {
+    cluster.delayMilliseconds = 200;
+    const reader = cluster.start(50);
+    await cluster.read([...holders, reader], 2_000);
+    const writtenAt = new Map([[1, -Infinity]]);
+    for (let round = 0; round < 40; round++) {
+      cluster.number += 1;
+      writtenAt.set(cluster.number, cluster.timer.now());
+      await cluster.read([...holders, reader], TICK_MILLISECONDS);
+      for (let group = 0; group < GROUPS; group++) {
+        const sample = reader.newestSample(`group-${group}`);
+        if (sample === undefined) continue;
+        const {position, requestedAt, receivedAt = requestedAt} = sample;
+        expect(receivedAt).to.be.at.least(
+          writtenAt.get(position.number) as number,
+        );
+      }
+    }
+  });
+
   // Guards against a holder whose own groups are crowded out of its answers.
   it('packs the newest samples', () => {
     const samples = Array.from({length: 40}, (_, number) => ({
@@ -201,6 +227,7 @@
       term: 1,
       position: {term: 1, number: 1},
       ageMilliseconds: 40 - number,
+      receiptAgeMilliseconds: 0,
     }));
     const names = unpackSamples(packSamples(samples)).map(
       ({database}) => database,
