Write log lines of errors without waiting for others

Lines wait up to 100 ms for others since they are written together, and a process that is killed or that ends for lack of memory flushes nothing, so the error that preceded a crash was lost. An error, and the lines before it, are written at once.

--- a/packages/logging/src/line_sink.ts
+++ b/packages/logging/src/line_sink.ts
@@ -34,7 +34,8 @@
 
   override write(level: Level, message: string, fields: LogFields): void {
     const time = new Date().toISOString();
-    this.output.writeLine(JSON.stringify({time, level, message, ...fields}));
+    const text = JSON.stringify({time, level, message, ...fields});
+    this.output.writeLine(text, level === 'error');
   }
 }
 
@@ -47,7 +48,8 @@
   /** Creates a sink that writes to `output`. */
   static create(output: LogOutput): TextSink {
     const reporter = {
-      log: (line: LogObject) => output.writeLine(renderText(line)),
+      log: (line: LogObject) =>
+        output.writeLine(renderText(line), line.type === 'error'),
     };
     // The logger has already checked the level and limited the rate.
     const options = {level: Infinity, throttle: 0, reporters: [reporter]};
--- a/packages/logging/src/log_output.ts
+++ b/packages/logging/src/log_output.ts
@@ -9,8 +9,11 @@
 
 /** A destination of log lines. */
 export abstract class LogOutput {
-  /** Accepts a line for writing, without blocking. */
-  abstract writeLine(text: string): void;
+  /**
+   * Accepts a line for writing, without blocking. An urgent line does not wait
+   * for others, since the process may be about to end without a flush.
+   */
+  abstract writeLine(text: string, isUrgent?: boolean): void;
 
   /** Writes pending lines synchronously, for use before the process ends. */
   abstract flush(): void;
@@ -38,7 +41,7 @@
     return new StandardOutput();
   }
 
-  override writeLine(text: string): void {
+  override writeLine(text: string, isUrgent = false): void {
     if (this.pendingBytes + text.length > MAXIMUM_PENDING_BYTES) {
       this.droppedLines += 1;
       return;
@@ -46,7 +49,8 @@
     this.pendingLines.push(`${text}\n`);
     this.pendingBytes += text.length;
     if (this.writing) return;
-    if (this.pendingBytes >= IMMEDIATE_WRITE_BYTES) this.writeNext();
+    const isDue = isUrgent || this.pendingBytes >= IMMEDIATE_WRITE_BYTES;
+    if (isDue) this.writeNext();
     else this.delay ??= this.startDelay();
   }
 
--- a/packages/logging/test/standard_output_test.ts
+++ b/packages/logging/test/standard_output_test.ts
@@ -5,10 +5,12 @@
 
 const INDEX = fileURLToPath(new URL('../src/index.js', import.meta.url));
 const WAIT_MILLISECONDS = 400;
+/** Less than the time for which lines of other levels wait. */
+const CRASH_MILLISECONDS = 30;
 
 /** Runs a module that has the exports of the package in scope. */
 async function run(code: string): Promise<readonly string[]> {
-  const source = `import {StandardOutput} from ${JSON.stringify(INDEX)};${code}`;
+  const source = `import {Logger, StandardOutput} from ${JSON.stringify(INDEX)};${code}`;
   const {stdout} = await promisify(execFile)(process.execPath, [
     '--input-type=module',
     '--eval',
@@ -42,6 +44,22 @@
     expect(lines).to.deep.equal(['first', 'second']);
   });
 
+  // Guards against the loss of what preceded a crash, such as one for lack of
+  // memory, which runs no exit handler.
+  it('writes an error without waiting for other lines', async () => {
+    const lines = await run(`
+      const logger = Logger.create('json', 3);
+      logger.info('first');
+      logger.error('second');
+      setTimeout(() => process.kill(process.pid, 'SIGKILL'), ${CRASH_MILLISECONDS});`).catch(
+      (failure: {stdout: string}) => failure.stdout.trim().split('\n'),
+    );
+    const messages = lines.map(
+      line => (JSON.parse(line || '{}') as {message?: string}).message,
+    );
+    expect(messages).to.deep.equal(['first', 'second']);
+  });
+
   // Guards against unbounded memory when lines come faster than they are taken.
   it('reports the lines that it dropped', async () => {
     const lines = await run(`
