--- a/packages/dispatch/src/primary_position_tracker.ts
+++ b/packages/dispatch/src/primary_position_tracker.ts
@@ -16,6 +16,7 @@
   RelayedSample,
   unpackSamples,
 } from './position_samples.js';
+import {ReportTimes} from './primary_timeline.js';
 
 const REQUEST_TIMEOUT_MILLISECONDS = 500;
 const TICK_INTERVAL_MILLISECONDS = 100;
@@ -215,7 +216,7 @@
     const {term} = group;
     const holder = machines.current.find(({name}) => name === group.holder);
     if (holder === undefined) return;
-    if (acceptsRelayed && (await this.requestSamples(holder))) return;
+    if (acceptsRelayed && (await this.requestSamples(holder, database))) return;
     const requestedAt = timer.now();
     const wallAt = this.directSamples.startRequest();
     const answer = await network.call(
@@ -234,10 +235,14 @@
   }
 
   /**
-   * Requests all samples that a lease holder has. Returns `false` if its process
-   * is of an earlier version.
+   * Requests all samples that a lease holder has. Returns `false` if the group
+   * has to be asked for alone, since the holder answered without a sample of it
+   * or its process is of an earlier version.
    */
-  private async requestSamples(holder: VirtualMachine): Promise<boolean> {
+  private async requestSamples(
+    holder: VirtualMachine,
+    database: string,
+  ): Promise<boolean> {
     const {network, timer} = this.options;
     const process = `${holder.name} ${holder.incarnation}`;
     if (this.withoutRelay.has(process)) return false;
@@ -249,11 +254,10 @@
       REQUEST_TIMEOUT_MILLISECONDS,
     );
     if (answer.isRight()) {
-      const {samples} = answer.unsafeCoerce();
-      for (const sample of unpackSamples(samples)) {
-        this.recordRelayed(sample, requestedAt);
-      }
-      return true;
+      const samples = unpackSamples(answer.unsafeCoerce().samples);
+      const times = {requestedAt, receivedAt: timer.now()};
+      for (const sample of samples) this.recordRelayed(sample, times);
+      return samples.some(sample => sample.database === database);
     }
     const isRefused = (answer.extract() as PeerError).kind === 'refused';
     if (isRefused) this.withoutRelay.add(process);
@@ -262,13 +266,14 @@
 
   /** Records a sample that is of the term in which the group is known here. */
   private recordRelayed(
-    {database, term, position, ageMilliseconds}: RelayedSample,
-    answerRequestedAt: number,
+    {database, term, position, ...ages}: RelayedSample,
+    answer: ReportTimes,
   ): void {
     if (findGroup(this.options.view.current, database)?.term !== term) return;
-    const requestedAt = answerRequestedAt - ageMilliseconds;
+    const requestedAt = answer.requestedAt - ages.ageMilliseconds;
+    const receivedAt = answer.receivedAt - ages.receiptAgeMilliseconds;
     const newestAt = this.history.newest(database)?.requestedAt ?? -Infinity;
     if (requestedAt <= newestAt) return;
-    this.history.record(database, {term, requestedAt, position});
+    this.history.record(database, {term, requestedAt, receivedAt, position});
   }
 }
