Release statements of transactions from memory after they ran

Each statement of an open transaction added a reaction to a promise of the module that never settles, which kept the queued work and its queue for as long as the process ran. Such a statement now waits for no abandonment. A test finds the queue collected after the statement; without the change it is not.

--- a/packages/work/src/work_queue.ts
+++ b/packages/work/src/work_queue.ts
@@ -14,7 +14,6 @@
 const MINIMUM_RETRY_MILLISECONDS = 10;
 /** A higher priority than that of any new work. */
 const OPEN_TRANSACTION_PRIORITY = -1;
-const NEVER = new Promise<never>(() => undefined);
 
 /** The organisation for which work is done, if there is one. */
 export interface QueueRequester {
@@ -164,11 +163,7 @@
       lateAt,
       needsConnection: false,
     };
-    const admission = await this.waitForAdmission(
-      work,
-      waitMilliseconds,
-      NEVER,
-    );
+    const admission = await this.waitForAdmission(work, waitMilliseconds);
     if (admission.isRight() && request?.organisation !== undefined) {
       this.waiting.chargeTransaction(comparedWork(request.priority, request));
     }
@@ -206,7 +201,7 @@
   private async waitForAdmission(
     description: Omit<QueuedWork<Connection>, 'admission' | 'since'>,
     waitMilliseconds: number,
-    abandoned: Promise<unknown>,
+    abandoned?: Promise<unknown>,
   ): Promise<Either<QueueRefusal, Connection | undefined>> {
     const work: QueuedWork<Connection> = {
       ...description,
@@ -216,7 +211,7 @@
     this.waiting.add(work);
     const withdrawWork = () => this.withdraw(work);
     const cancelTimer = this.options.timer.once(waitMilliseconds, withdrawWork);
-    void abandoned.then(withdrawWork);
+    void abandoned?.then(withdrawWork);
     this.dispatch();
     const admission = await work.admission.promise;
     cancelTimer();
