Lose operations that are given back after their grant has expired

An operation that is held through an outage and not run was put back into whatever allowance the VM had then. An operation now returns only to a grant that was requested before it was taken.

Two malformed answers of a coordinator are handled, too: a grant of a fraction of an operation made the next operation fail with an exception, and an answer with too few elements left a request in flight for good, so that the VM refused the organisation from then on.

--- a/packages/dispatch/src/operation_admission.ts
+++ b/packages/dispatch/src/operation_admission.ts
@@ -41,8 +41,9 @@
       refusedByQuota: true,
     };
   }
+  const grantedAt = timer.now();
   const remainingMilliseconds =
-    terms.statementMilliseconds - (timer.now() - receivedAt);
+    terms.statementMilliseconds - (grantedAt - receivedAt);
   const outcome: RouteOutcome =
     remainingMilliseconds < MINIMUM_REMAINING_MILLISECONDS
       ? {
@@ -51,6 +52,6 @@
           retryAfterMilliseconds: 0,
         }
       : await run();
-  if (outcome.kind === 'notRun') quota?.giveBack(organisation);
+  if (outcome.kind === 'notRun') quota?.giveBack(organisation, grantedAt);
   return {outcome, refusedByQuota: false};
 }
--- a/packages/quota/src/allowance.ts
+++ b/packages/quota/src/allowance.ts
@@ -2,6 +2,7 @@
 
 interface Lot {
   readonly granted: number;
+  readonly requestedAt: number;
   remaining: number;
   readonly expiresAt: number;
 }
@@ -34,7 +35,7 @@
   add(granted: number, requestedAt: number): void {
     if (granted === 0) return;
     const expiresAt = requestedAt + GRANT_VALIDITY_MILLISECONDS;
-    const lot = {granted, remaining: granted, expiresAt};
+    const lot = {granted, requestedAt, remaining: granted, expiresAt};
     this.count += granted;
     this.lots = [...this.lots, lot].sort((a, b) => a.expiresAt - b.expiresAt);
   }
@@ -49,13 +50,16 @@
   }
 
   /**
-   * Takes back an operation that was used but did not run. Returns `false` if
-   * every lot is complete or has expired: the operation is then lost.
+   * Takes back an operation that was taken at `takenAt` but did not run. Returns
+   * `false` if every lot of that time is complete or has expired: the operation is
+   * then lost. In a later lot, the operations of a long outage would add up, and
+   * run all at once after it.
    */
-  putBack(now: number): boolean {
+  putBack(takenAt: number, now: number): boolean {
     this.expire(now);
     const index = this.lots.findIndex(
-      ({granted, remaining}) => remaining < granted,
+      ({granted, requestedAt, remaining}) =>
+        requestedAt <= takenAt && remaining < granted,
     );
     if (index < 0) return false;
     this.change(index, 1);
--- a/packages/quota/src/grant_requester.ts
+++ b/packages/quota/src/grant_requester.ts
@@ -121,7 +121,9 @@
     const answers = result.toMaybe().extract()?.answers;
     // Whatever was granted before a suspension may have expired.
     if (answers === undefined || epoch() !== sentEpoch) return;
-    if (answers.every(({length}) => length > 0)) cancelRepeat();
+    const isAnswered = (_: unknown, index: number) =>
+      (answers[index] ?? []).length > 0;
+    if (organisations.every(isAnswered)) cancelRepeat();
     organisations.forEach((organisation, index) => {
       const answer = answers[index];
       if (answer !== undefined) this.accept(organisation, answer, sentAt);
--- a/packages/quota/src/operation_quota.ts
+++ b/packages/quota/src/operation_quota.ts
@@ -14,6 +14,9 @@
   /** Counts an operation that is about to run, if the quota has room for it. */
   abstract acquire(organisation: Organisation): Promise<QuotaDecision>;
 
-  /** Takes back the count of an operation that has not reached any member. */
-  abstract giveBack(organisation: Organisation): void;
+  /**
+   * Takes back the count of an operation that has not reached any member, with
+   * the time at which it was granted.
+   */
+  abstract giveBack(organisation: Organisation, grantedAt: number): void;
 }
--- a/packages/quota/src/quota_client.ts
+++ b/packages/quota/src/quota_client.ts
@@ -98,10 +98,10 @@
     return this.wait(organisation);
   }
 
-  override giveBack({name, quota}: Organisation): void {
+  override giveBack({name, quota}: Organisation, grantedAt: number): void {
     if (quota === undefined) return;
     const organisation = this.organisations.get(name);
-    organisation?.allowance.putBack(this.options.timer.now());
+    organisation?.allowance.putBack(grantedAt, this.options.timer.now());
   }
 
   private wait(organisation: OrganisationDemand): Promise<QuotaDecision> {
--- a/packages/quota/src/quota_messages.ts
+++ b/packages/quota/src/quota_messages.ts
@@ -98,7 +98,11 @@
 function isAnswer(candidate: unknown): candidate is GrantAnswer {
   if (!Array.isArray(candidate)) return false;
   const {length} = candidate;
-  return (length < 2 || length === 3) && candidate.every(isAmount);
+  return (
+    (length < 2 || length === 3) &&
+    candidate.every(isAmount) &&
+    (length === 0 || Number.isSafeInteger(candidate[0]))
+  );
 }
 
 function isName(candidate: unknown): candidate is string {
--- a/packages/quota/test/quota_client_test.ts
+++ b/packages/quota/test/quota_client_test.ts
@@ -1,7 +1,8 @@
 import {expect} from 'chai';
+import {Either} from 'purify-ts';
 import {GrantRequest} from '../src/index.js';
 import {QuotaDecision} from '../src/operation_quota.js';
-import {QuotaCluster, QuotaVm} from './quota_cluster.js';
+import {largestWindow, QuotaCluster, QuotaVm} from './quota_cluster.js';
 
 const QUOTA = {operationsPerSecond: 20, burst: 10};
 
@@ -118,7 +119,7 @@
     const [cluster, vm] = await startCluster();
     await acquire(cluster, vm);
     await acquire(cluster, vm);
-    vm.client.giveBack(cluster.organisation);
+    vm.client.giveBack(cluster.organisation, cluster.timer.now());
     vm.timer.freeze();
     await cluster.advance(3_000);
     vm.timer.thaw(true);
@@ -130,11 +131,55 @@
     const [cluster, vm] = await startCluster();
     await acquire(cluster, vm);
     const {messages} = vm.client.counts;
-    vm.client.giveBack(cluster.organisation);
+    vm.client.giveBack(cluster.organisation, cluster.timer.now());
     const {decision, milliseconds} = await acquire(cluster, vm);
     expect([decision?.kind, milliseconds]).to.deep.equal(['granted', 0]);
     expect(vm.client.counts.messages).to.equal(messages);
   });
+
+  // Callers try again what was held for 2 s during an outage and not run. What is
+  // given back would otherwise grow by the rate with each round, and all that is
+  // held runs at once after the outage.
+  it('does not collect operations that are given back after an outage', async () => {
+    const [cluster, vm] = await startCluster();
+    const grantedAt: number[] = [];
+    const {client, timer} = vm;
+    const stop = timer.every(10, async () => {
+      const {kind} = await client.acquire(cluster.organisation);
+      if (kind === 'refused') return;
+      const at = timer.now();
+      grantedAt.push(at);
+      timer.once(2_000, () => client.giveBack(cluster.organisation, at));
+    });
+    await cluster.advance(20_000);
+    stop();
+    expect(largestWindow(grantedAt)).to.be.at.most(141);
+  });
+
+  // An answer without an element would leave the request in flight for good.
+  it('asks again after an answer that lacks its organisation', async () => {
+    const [cluster, vm] = await startCluster();
+    const {coordinator} = cluster.coordinator;
+    const grant = coordinator.grant.bind(coordinator);
+    coordinator.grant = () => Either.of({answers: []});
+    const first = await acquire(cluster, vm);
+    expect(first.decision?.kind).to.equal('refused');
+    coordinator.grant = grant;
+    await cluster.advance(2_000);
+    const {decision} = await acquire(cluster, vm);
+    expect(decision?.kind).to.equal('granted');
+  });
+
+  // Half an operation would be taken as one, and the next one not be found.
+  it('ignores an answer that grants a part of an operation', async () => {
+    const [cluster, vm] = await startCluster();
+    const {coordinator} = cluster.coordinator;
+    coordinator.grant = () => Either.of({answers: [[0.5]]});
+    for (let count = 0; count < 3; count++) {
+      const {decision} = await acquire(cluster, vm);
+      expect(decision?.kind).to.equal('refused');
+    }
+  });
 });
 
 describe('a quota coordinator', () => {
