Check statements from other VMs before they take a slot

The check of a work request accepted values that are no list, a text without its fields and numbers that are not finite. The exception that followed in running such a statement left its slot and connection in use for good; a negative priority of an organisation made its work cost nothing in fair queueing. The first and later statements are now checked for all that running them reads.

--- a/packages/dispatch/test/work_request_test.ts
+++ b/packages/dispatch/test/work_request_test.ts
@@ -59,4 +59,28 @@
       expect(check.isLeft()).to.equal(true);
     }
   });
+
+  // An exception while a statement is run would leave its slot and connection in
+  // use, and a priority of -1 would make a statement cost nothing.
+  it('is refused with what no statement can have', () => {
+    const request = toWorkRequest(statementOf(ACME), CHOICE, 80);
+    const {first} = request;
+    for (const change of [
+      {organisationPriority: -1},
+      {priority: NaN},
+      {waitMilliseconds: NaN},
+      {first: {...first, values: {}}},
+      {first: {...first, values: [7]}},
+      {first: {...first, text: null}},
+      {first: {...first, text: {kind: 'prepared'}}},
+    ]) {
+      const check = RUN_WORK.checkOpening({...request, ...change});
+      expect(check.isLeft(), JSON.stringify(change)).to.equal(true);
+    }
+    const checkMessage = RUN_WORK.clientMessageCheck;
+    expect(checkMessage({...first, values: 'a'})).to.equal(undefined);
+    for (const message of [first, {kind: 'release'}]) {
+      expect(checkMessage(message)).to.equal(message);
+    }
+  });
 });
--- a/packages/work/src/work_messages.ts
+++ b/packages/work/src/work_messages.ts
@@ -97,10 +97,7 @@
 >(
   'work.run',
   candidate => (isWorkRequest(candidate) ? candidate : undefined),
-  candidate =>
-    hasFields(candidate, {kind: 'string'})
-      ? (candidate as WorkClientMessage)
-      : undefined,
+  candidate => (isClientMessage(candidate) ? candidate : undefined),
   candidate =>
     hasFields(candidate, {kind: 'string'})
       ? (candidate as WorkServerMessage)
@@ -151,19 +148,60 @@
     first: 'object',
   });
   if (!outer) return false;
-  const {organisation, organisationPriority} = candidate as Record<
-    string,
-    unknown
-  >;
+  const {organisation, organisationPriority, ...request} =
+    candidate as WorkRequest;
   if (!['undefined', 'string'].includes(typeof organisation)) return false;
-  if (!['undefined', 'number'].includes(typeof organisationPriority)) {
+  // A priority below 0 would have no cost, or a negative one, in fair queueing.
+  if (organisationPriority !== undefined && !isAmount(organisationPriority)) {
     return false;
   }
-  return hasFields((candidate as WorkRequest).first, {
+  return (
+    isAmount(request.priority) &&
+    isAmount(request.waitMilliseconds) &&
+    Number.isFinite(request.objectiveMilliseconds) &&
+    isStatement(request.first)
+  );
+}
+
+function isClientMessage(candidate: unknown): candidate is WorkClientMessage {
+  if (!hasFields(candidate, {kind: 'string'})) return false;
+  const {kind} = candidate as WorkClientMessage;
+  return kind === 'run' ? isStatement(candidate) : true;
+}
+
+/**
+ * Returns whether a value has all that running a statement reads: an exception
+ * would leave its slot and its connection in use for good.
+ */
+function isStatement(candidate: unknown): candidate is WorkStatement {
+  const outer = hasFields(candidate, {
     requestId: 'string',
     text: 'object',
     opens: 'string',
     values: 'object',
     timeoutMilliseconds: 'number',
   });
+  if (!outer) return false;
+  const {text, values, timeoutMilliseconds} = candidate as WorkStatement;
+  const isText =
+    hasFields(text, {kind: 'string', text: 'string'}) ||
+    hasFields(text, {access: 'string', shape: 'string', parameters: 'string'});
+  return (
+    isText &&
+    Number.isFinite(timeoutMilliseconds) &&
+    Array.isArray(values) &&
+    values.every(isValue)
+  );
+}
+
+function isValue(candidate: unknown): boolean {
+  return (
+    Array.isArray(candidate) &&
+    typeof candidate[0] === 'string' &&
+    typeof candidate[1] === 'string'
+  );
+}
+
+function isAmount(value: number): boolean {
+  return Number.isFinite(value) && value >= 0;
 }
