End operations in the name of an organisation that lost the caller's key

An open transaction or a held statement went on without limit for an organisation whose key was withdrawn, if the entry requires no key or the key passed to another organisation: only callers that were no longer served at all were ended. They now have the same second from when the VM learned of it. Both cases were answered by the member in the new tests before the change.

--- a/packages/dispatch/src/authenticator.ts
+++ b/packages/dispatch/src/authenticator.ts
@@ -1,8 +1,14 @@
 import {Observable} from '@apricotlock/flow';
 import {TimerService} from '@apricotlock/timer';
-import {Catalogue, ClusterView, findEntry} from '@apricotlock/topology';
+import {
+  Catalogue,
+  ClusterView,
+  findEntry,
+  Organisation,
+} from '@apricotlock/topology';
 import {
   CallerIdentity,
+  identifiesCallers,
   identifyCaller,
   organisationsByDigest,
 } from './caller_identity.js';
@@ -47,7 +53,10 @@
 /** Identifies the callers of one VM by the newest view. */
 export class Authenticator {
   private catalogue: Catalogue;
-  /** When this VM learned that keys were revoked; old ones are dropped. */
+  /**
+   * When this VM learned that keys were revoked, or passed to another
+   * organisation; old ones are dropped.
+   */
   private revokedAt: ReadonlyMap<string, number> = new Map();
 
   /**
@@ -97,11 +106,23 @@
   }
 
   /**
-   * Returns whether an operation that has started may send another statement to a
-   * member.
+   * Returns whether an operation that was started for an organisation, or for
+   * none, may send another statement to a member.
    */
-  mayContinue(credential: PresentedCredential): boolean {
-    if (this.identify(credential).kind !== 'unauthenticated') return true;
+  mayContinue(
+    credential: PresentedCredential,
+    organisation: string | undefined,
+  ): boolean {
+    const identity = this.identify(credential);
+    if (identity.kind !== 'unauthenticated') {
+      if (organisation === undefined) return true;
+      if (!identifiesCallers(this.catalogue)) return true;
+      // Without a valid key, an entry that requires none serves the caller, but
+      // no longer in the name of the organisation.
+      const current =
+        identity.kind === 'organisation' ? identity.organisation.name : '';
+      if (current === organisation) return true;
+    }
     const revokedAt = this.revokedAt.get(credential.digest ?? '') ?? -Infinity;
     const elapsed = this.options.timer.now() - revokedAt;
     return elapsed < TRANSACTION_GRACE_MILLISECONDS;
@@ -122,12 +143,14 @@
     if (before.organisations === catalogue.organisations) return;
     const now = this.options.timer.now();
     const current = organisationsByDigest(catalogue);
+    const isRevoked = ([digest, {name}]: readonly [string, Organisation]) =>
+      current.get(digest)?.name !== name;
     const recent = [...this.revokedAt].filter(
       ([, at]) => now - at < TRANSACTION_GRACE_MILLISECONDS,
     );
-    const revoked = [...organisationsByDigest(before).keys()]
-      .filter(digest => !current.has(digest))
-      .map(digest => [digest, now] as const);
+    const revoked = [...organisationsByDigest(before)]
+      .filter(isRevoked)
+      .map(([digest]) => [digest, now] as const);
     this.revokedAt = new Map([...recent, ...revoked]);
   }
 }
--- a/packages/dispatch/src/caller_identity.ts
+++ b/packages/dispatch/src/caller_identity.ts
@@ -54,6 +54,7 @@
   return byDigest;
 }
 
-function identifiesCallers({organisations}: Catalogue): boolean {
+/** Returns whether callers belong to organisations. */
+export function identifiesCallers({organisations}: Catalogue): boolean {
   return organisations !== undefined && organisations.length > 0;
 }
--- a/packages/dispatch/src/session_caller.ts
+++ b/packages/dispatch/src/session_caller.ts
@@ -68,6 +68,7 @@
 
   /** Returns whether, by the current view, its operation may go on. */
   isPermitted(): boolean {
-    return this.authenticator.mayContinue(this.credential);
+    const {credential, identified} = this;
+    return this.authenticator.mayContinue(credential, identified?.name);
   }
 }
--- a/packages/dispatch/test/session_identity_test.ts
+++ b/packages/dispatch/test/session_identity_test.ts
@@ -176,6 +176,39 @@
       expect(link.closed).to.equal(true);
     });
 
+    // The entry serves the caller without a key, but no longer in the name of the
+    // organisation, for which its connection to the member was opened.
+    for (const [change, organisations] of [
+      ['at an entry that needs no key', REVOKED],
+      [
+        'if another organisation has the key',
+        [organisation('acme'), organisation('zeta', 'key-z', 'key-a')],
+      ],
+    ] as const) {
+      it(`may continue no longer ${change}`, async () => {
+        const bench = new SessionBench([ACME, ZETA]);
+        const link = await bench.start('key-a', OPEN);
+        await bench.ask(link, BEGIN);
+        await bench.ask(link);
+        bench.view.set(viewOf(2, organisations));
+        await bench.pass(900);
+        expect(await bench.ask(link)).to.equal('member');
+        await bench.pass(100);
+        expect(await bench.ask(link)).to.equal('rolledBack');
+        expect(await bench.ask(link)).to.equal('member');
+      });
+    }
+
+    it('may continue a transaction that was begun for no organisation', async () => {
+      const bench = new SessionBench();
+      const link = await bench.start('key-a');
+      await bench.ask(link, BEGIN);
+      await bench.ask(link);
+      bench.view.set(viewOf(2, [ACME]));
+      await bench.pass(2_000);
+      expect(await bench.ask(link)).to.equal('member');
+    });
+
     // The second counts from when this VM learned of the revocation, which a
     // later change of the catalogue must not extend.
     it('gets no further time by a later change', async () => {
