Close idle connections whose reset the member refuses

The check of idle connections took any answer to the reset for its success, and the context of the connection for empty. A later session could have found the values of an earlier one. Only a confirmed reset keeps a connection now.

--- a/packages/work/src/connection_pool.ts
+++ b/packages/work/src/connection_pool.ts
@@ -175,8 +175,8 @@
   }
 
   /**
-   * Sends a reset on every idle connection and closes those that do not answer
-   * in time. They count as checked out until then, so that no work uses them.
+   * Sends a reset on every idle connection and closes those that do not confirm
+   * it in time. They count as checked out until then, so that no work uses them.
    */
   async checkIdle(): Promise<void> {
     const {idle} = this;
--- a/packages/work/src/work_connection.ts
+++ b/packages/work/src/work_connection.ts
@@ -1,4 +1,5 @@
 import {MemberConnection, SessionValues} from '@apricotlock/statement';
+import {lastAnswer} from './caller_command.js';
 import {PooledConnection} from './connection_choice.js';
 import {ConnectionContext, ContextTransition} from './connection_context.js';
 import {WorkText} from './work_messages.js';
@@ -58,13 +59,16 @@
 
   /**
    * Resets the connection to an empty context. Resolves to whether the member
-   * answered.
+   * has confirmed it.
    */
   async checkAlive(timeoutMilliseconds: number): Promise<boolean> {
     const reset = [{kind: 'reset'}] as const;
     const answers = await this.member.run(reset, timeoutMilliseconds);
     this.context = ConnectionContext.EMPTY;
-    return answers.isRight();
+    return answers
+      .map(lastAnswer)
+      .map(({end, state}) => end.kind === 'complete' && state === 'idle')
+      .orDefault(false);
   }
 
   /** Records the current context of the connection. */
--- a/packages/work/test/connection_pool_test.ts
+++ b/packages/work/test/connection_pool_test.ts
@@ -37,7 +37,9 @@
 
 class Fixture {
   readonly timer = ManualTimerService.create();
-  readonly connector = new HeldConnector(async () => complete());
+  /** What the member answers to all commands. */
+  answer = complete();
+  readonly connector = new HeldConnector(async () => this.answer);
   replaced = 0;
   readonly pool = ConnectionPool.create({
     target: {database: 'ledger', name: 'm1', host: 'h', port: 1},
@@ -110,6 +112,20 @@
     });
   });
 
+  // The next session would find the values of an earlier one, which the pool
+  // takes for reset.
+  it('closes an idle connection whose reset the member refuses', async () => {
+    const fixture = new Fixture({byOrganisation: true});
+    const kept = await fixture.use('a');
+    await fixture.pool.checkIdle();
+    expect(kept.member.usable).to.equal(true);
+    const error = {kind: 'other', code: 'INTERNAL', text: ''} as const;
+    fixture.answer = {...complete(), end: {kind: 'error', error}};
+    await fixture.pool.checkIdle();
+    expect(kept.member.usable).to.equal(false);
+    expect(fixture.pool.count).to.equal(0);
+  });
+
   describe('with organisations', () => {
     it('opens no connection ahead of work', () => {
       const fixture = new Fixture({byOrganisation: true});
