Exchange an idle connection at a member that accepts no more

A pool below its own maximum only tried again every 500 ms when the member answered that it has too many connections, and kept its warm connections of other organisations. Idle transactions are not ended for it, as before.

--- a/packages/work/src/connection_pool.ts
+++ b/packages/work/src/connection_pool.ts
@@ -84,6 +84,8 @@
   private limits = NO_CONNECTIONS;
   private closed = false;
   private pausedUntil = 0;
+  /** Whether the member refused the last connection because it has too many. */
+  private isMemberFull = false;
   private cancelRecheck: Unsubscribe = () => undefined;
   private readonly stopIdleChecks: Unsubscribe;
 
@@ -253,7 +255,7 @@
       demands.some(hasOrganisation) ||
       idle.some(hasOrganisation);
     if (servesOrganisations) {
-      return demands.length === 0 ? WAIT : chooseOpening(this.facts());
+      return demands.length === 0 ? WAIT : this.chooseForOrganisation();
     }
     const requested = demands[0]?.waiting ?? 0;
     const ready = idle.length + opening.length;
@@ -261,6 +263,20 @@
     return this.isFull || isEnough ? WAIT : OPEN_FOR_NONE;
   }
 
+  /**
+   * While the member is full, this VM exchanges one of its idle connections if it
+   * can. Warm ones are never closed as unused, so that an organisation without a
+   * connection would otherwise wait for as long as other VMs use the rest.
+   */
+  private chooseForOrganisation(): OpeningChoice<WorkConnection> {
+    const facts = this.facts();
+    if (this.isMemberFull) {
+      const choice = chooseOpening({...facts, maximum: this.count});
+      if (choice.kind === 'open') return choice;
+    }
+    return chooseOpening(facts);
+  }
+
   private facts(): PoolFacts<WorkConnection> {
     const {idle, checkedOut, opening, demands, meanMilliseconds} = this;
     const {timer, slots} = this.options;
@@ -304,6 +320,7 @@
         const now = timer.now();
         const connection = WorkConnection.create(member, organisation, now);
         void member.ended.then(() => this.removeEnded(connection));
+        this.isMemberFull = false;
         this.options.onOpened();
         this.addIdle(connection);
       },
@@ -317,8 +334,8 @@
   ): void {
     if (this.closed) return;
     const {timer} = this.options;
-    const isMemberFull = error.kind === 'tooManyConnections';
-    const pause = isMemberFull
+    this.isMemberFull = error.kind === 'tooManyConnections';
+    const pause = this.isMemberFull
       ? TOO_MANY_CONNECTIONS_RETRY_MILLISECONDS
       : CONNECT_RETRY_MILLISECONDS;
     this.pausedUntil = timer.now() + pause;
--- a/packages/work/test/connection_pool_test.ts
+++ b/packages/work/test/connection_pool_test.ts
@@ -168,6 +168,26 @@
       expect(fixture.pool.count).to.equal(3);
     });
 
+    // Other VMs have the rest of the connections that the member accepts.
+    it('exchanges an idle connection at a member that accepts no more', async () => {
+      const fixture = new Fixture({byOrganisation: true, maximum: 9});
+      const {connector, pool, timer} = fixture;
+      const first = await fixture.use('a');
+      const second = await fixture.use('b');
+      connector.failure = {kind: 'tooManyConnections', reason: 'full'};
+      fixture.request('c', 1);
+      await connector.open();
+      connector.failure = undefined;
+      await timer.advanceAsync(600);
+      expect([first.member.usable, second.member.usable]).to.deep.equal([
+        false,
+        true,
+      ]);
+      await connector.open();
+      expect(pool.checkOut('c')?.organisation).to.equal('c');
+      expect([pool.count, fixture.replaced]).to.deep.equal([2, 1]);
+    });
+
     it('opens another connection if its own one is not returned in time', async () => {
       const fixture = new Fixture({byOrganisation: true});
       await fixture.use('a');
