Refuse a statement at once when its key is revoked while it is held

Such a statement was sent to no member but tried on until its time was over: a read with a time limit of 800 ms was refused after 671 ms. It is now refused after the attempt that finds the key revoked.

--- a/packages/dispatch/src/statement_router.ts
+++ b/packages/dispatch/src/statement_router.ts
@@ -120,6 +120,8 @@
     last: RetryableFailure,
   ): boolean {
     const {observer} = this.options;
+    // No member gets a statement of a revoked key.
+    if (statement.mayRun?.() === false) return true;
     if (this.isHopeless(statement, last)) {
       observer.onRouting('refusedEarly');
       return true;
--- a/packages/dispatch/test/statement_router_test.ts
+++ b/packages/dispatch/test/statement_router_test.ts
@@ -1,3 +1,4 @@
+import {setImmediate} from 'node:timers/promises';
 import {expect} from 'chai';
 import {ServiceTerms} from '@apricotlock/topology';
 import {WorkServerMessage} from '@apricotlock/work';
@@ -78,6 +79,17 @@
     expect(group.requests).to.have.length(1);
   });
 
+  // It would otherwise be refused only when its time is over.
+  it('refuses a statement that is held when its key is revoked at once', async () => {
+    createGroup([]);
+    let outcome: RouteOutcome | undefined;
+    void group.start({mayRun: () => false}).then(result => (outcome = result));
+    // No time passes on the timer.
+    await setImmediate();
+    expect(outcome?.kind).to.equal('notRun');
+    expect(group.requests).to.have.length(0);
+  });
+
   it('asks overloaded members seldom, however many statements arrive', async () => {
     createGroup([], FULL);
     const arrivals = 100;
