Check messages about work for all that a session reads

A message of another VM needed only a kind. An answer or a refusal without its content ended the session of the caller with an exception; it now ends the conversation, as any other malformed message does, and the session answers its caller.

--- a/packages/dispatch/test/work_request_test.ts
+++ b/packages/dispatch/test/work_request_test.ts
@@ -33,6 +33,40 @@
   };
 }
 
+// The exception on what is missing would end the session of a caller.
+describe('the check of messages about work', () => {
+  const answer = {
+    rows: [],
+    end: {kind: 'complete', signature: 's'},
+    state: 'idle',
+    position: undefined,
+  };
+  const messages: ReadonlyArray<Readonly<Record<string, unknown>>> = [
+    {kind: 'answer', answer, expectedWaitMilliseconds: 0},
+    {
+      kind: 'refused',
+      refusal: {reason: 'overloaded', retryAfterMilliseconds: 9},
+    },
+    {kind: 'lost', mayHaveRun: true, timedOut: false, reason: 'ended'},
+  ];
+
+  it('accepts each kind', () => {
+    for (const message of messages) {
+      expect(RUN_WORK.serverMessageCheck(message)).to.equal(message);
+    }
+  });
+
+  it('refuses a message that lacks something', () => {
+    const lacking: unknown[] = messages.map(({kind}) => ({kind}));
+    for (const changes of [{end: {kind: 'error'}}, {end: null}, {rows: 7}]) {
+      lacking.push({...messages[0], answer: {...answer, ...changes}});
+    }
+    for (const message of [...lacking, {kind: 'other'}, null, 7]) {
+      expect(RUN_WORK.serverMessageCheck(message)).to.equal(undefined);
+    }
+  });
+});
+
 describe('toWorkRequest', () => {
   // The VM that works on the member needs the name for its connections; digests
   // of keys are of no use to it.
--- a/packages/work/src/work_messages.ts
+++ b/packages/work/src/work_messages.ts
@@ -98,10 +98,7 @@
   'work.run',
   candidate => (isWorkRequest(candidate) ? candidate : undefined),
   candidate => (isClientMessage(candidate) ? candidate : undefined),
-  candidate =>
-    hasFields(candidate, {kind: 'string'})
-      ? (candidate as WorkServerMessage)
-      : undefined,
+  candidate => (isServerMessage(candidate) ? candidate : undefined),
 );
 
 /** Checks whether a VM answers. */
@@ -169,6 +166,32 @@
   return kind === 'run' ? isStatement(candidate) : true;
 }
 
+/** An exception on what a message lacks would end the caller's session. */
+function isServerMessage(candidate: unknown): candidate is WorkServerMessage {
+  const {kind} = (candidate ?? {}) as Partial<WorkServerMessage>;
+  switch (kind) {
+    case 'answer':
+      return isAnswerMessage(candidate);
+    case 'refused': {
+      const fields = {reason: 'string', retryAfterMilliseconds: 'number'};
+      return hasFields((candidate as {refusal?: unknown}).refusal, fields);
+    }
+    case 'lost':
+      return hasFields(candidate, {mayHaveRun: 'boolean', reason: 'string'});
+    default:
+      return false;
+  }
+}
+
+function isAnswerMessage(candidate: unknown): boolean {
+  if (!hasFields(candidate, {expectedWaitMilliseconds: 'number'})) return false;
+  const {answer} = candidate as {answer: unknown};
+  if (!hasFields(answer, {state: 'string'})) return false;
+  const {rows, end} = answer as StatementAnswer;
+  if (!Array.isArray(rows) || !hasFields(end, {kind: 'string'})) return false;
+  return end.kind !== 'error' || hasFields(end.error, {kind: 'string'});
+}
+
 /**
  * Returns whether a value has all that running a statement reads: an exception
  * would leave its slot and its connection in use for good.
