End the transaction of a session that ends with an exception

The session's connection to its caller was closed, but the work on the member was not ended, so that its connection and the locks of the transaction stayed in use until the link between the VMs ended.

--- a/packages/dispatch/src/statement_session.ts
+++ b/packages/dispatch/src/statement_session.ts
@@ -118,8 +118,12 @@
       return link.reject(refusal);
     }
     link.accept();
-    await this.serveRequests();
-    this.endTransaction();
+    try {
+      await this.serveRequests();
+    } finally {
+      // The transaction would otherwise keep its connection to the member.
+      this.endTransaction();
+    }
     link.close();
   }
 
--- a/packages/dispatch/test/session_identity_test.ts
+++ b/packages/dispatch/test/session_identity_test.ts
@@ -224,6 +224,21 @@
     });
   });
 
+  // The VM that works on the member would keep its connection for as long as the
+  // channel of the work is open.
+  it('has its transaction ended if its session ends with an exception', async () => {
+    const bench = new SessionBench([ACME]);
+    const link = await bench.start('key-a');
+    await bench.ask(link, BEGIN);
+    await bench.ask(link);
+    link.answer = () => {
+      throw new Error('broken');
+    };
+    await bench.ask(link);
+    expect(bench.crashes).to.have.length(1);
+    expect(bench.router.endedTransactions).to.equal(1);
+  });
+
   it('appears in the log by the name of the organisation, never by key', async () => {
     const lines: string[] = [];
     const output = {
--- a/packages/dispatch/test/support/session_bench.ts
+++ b/packages/dispatch/test/support/session_bench.ts
@@ -217,6 +217,8 @@
   readonly freshness: FakeFreshness;
   readonly router = new FakeRouter();
   readonly quota = new FakeQuota();
+  /** The exceptions with which sessions ended. */
+  readonly crashes: unknown[] = [];
   readonly observer = new RecordingObserver();
   private readonly authenticator: Authenticator;
 
@@ -242,7 +244,7 @@
       ...{link, view, timer, observer, authenticator, logger, quota},
       router,
     });
-    void session.run();
+    void session.run().catch(failure => this.crashes.push(failure));
     await this.pass(20);
     return link;
   }
