--- a/packages/work/src/work_messages.ts
+++ b/packages/work/src/work_messages.ts
@@ -97,14 +97,8 @@
 >(
   'work.run',
   candidate => (isWorkRequest(candidate) ? candidate : undefined),
-  candidate =>
-    hasFields(candidate, {kind: 'string'})
-      ? (candidate as WorkClientMessage)
-      : undefined,
-  candidate =>
-    hasFields(candidate, {kind: 'string'})
-      ? (candidate as WorkServerMessage)
-      : undefined,
+  candidate => (isClientMessage(candidate) ? candidate : undefined),
+  candidate => (isServerMessage(candidate) ? candidate : undefined),
 );
 
 /** Checks whether a VM answers. */
@@ -151,19 +145,86 @@
     first: 'object',
   });
   if (!outer) return false;
-  const {organisation, organisationPriority} = candidate as Record<
-    string,
-    unknown
-  >;
+  const {organisation, organisationPriority, ...request} =
+    candidate as WorkRequest;
   if (!['undefined', 'string'].includes(typeof organisation)) return false;
-  if (!['undefined', 'number'].includes(typeof organisationPriority)) {
+  // A priority below 0 would have no cost, or a negative one, in fair queueing.
+  if (organisationPriority !== undefined && !isAmount(organisationPriority)) {
     return false;
   }
-  return hasFields((candidate as WorkRequest).first, {
+  return (
+    isAmount(request.priority) &&
+    isAmount(request.waitMilliseconds) &&
+    Number.isFinite(request.objectiveMilliseconds) &&
+    isStatement(request.first)
+  );
+}
+
+function isClientMessage(candidate: unknown): candidate is WorkClientMessage {
+  if (!hasFields(candidate, {kind: 'string'})) return false;
+  const {kind} = candidate as WorkClientMessage;
+  return kind === 'run' ? isStatement(candidate) : true;
+}
+
+/** An exception on what a message lacks would end the caller's session. */
+function isServerMessage(candidate: unknown): candidate is WorkServerMessage {
+  const {kind} = (candidate ?? {}) as Partial<WorkServerMessage>;
+  switch (kind) {
+    case 'answer':
+      return isAnswerMessage(candidate);
+    case 'refused': {
+      const fields = {reason: 'string', retryAfterMilliseconds: 'number'};
+      return hasFields((candidate as {refusal?: unknown}).refusal, fields);
+    }
+    case 'lost':
+      return hasFields(candidate, {mayHaveRun: 'boolean', reason: 'string'});
+    default:
+      return false;
+  }
+}
+
+function isAnswerMessage(candidate: unknown): boolean {
+  if (!hasFields(candidate, {expectedWaitMilliseconds: 'number'})) return false;
+  const {answer} = candidate as {answer: unknown};
+  if (!hasFields(answer, {state: 'string'})) return false;
+  const {rows, end} = answer as StatementAnswer;
+  if (!Array.isArray(rows) || !hasFields(end, {kind: 'string'})) return false;
+  return end.kind !== 'error' || hasFields(end.error, {kind: 'string'});
+}
+
+/**
+ * Returns whether a value has all that running a statement reads: an exception
+ * would leave its slot and its connection in use for good.
+ */
+function isStatement(candidate: unknown): candidate is WorkStatement {
+  const outer = hasFields(candidate, {
     requestId: 'string',
     text: 'object',
     opens: 'string',
     values: 'object',
     timeoutMilliseconds: 'number',
   });
+  if (!outer) return false;
+  const {text, values, timeoutMilliseconds} = candidate as WorkStatement;
+  const isText =
+    hasFields(text, {kind: 'string', text: 'string'}) ||
+    hasFields(text, {access: 'string', shape: 'string', parameters: 'string'});
+  return (
+    isText &&
+    Number.isFinite(timeoutMilliseconds) &&
+    Array.isArray(values) &&
+    values.every(isValue)
+  );
+}
+
+function isValue(candidate: unknown): boolean {
+  return (
+    Array.isArray(candidate) &&
+    typeof candidate[0] === 'string' &&
+    typeof candidate[1] === 'string'
+  );
+}
+
+function isAmount(value: number): boolean {
+  return Number.isFinite(value) && value >= 0;
 }
