Name the time of a misdirected quota request for what it is

`refusedSince` held the time of a request whose receiver was not the coordinator, which reads like a refusal for lack of room. It is `misdirectedAt` now. `Allowance.putBack` returned a value that no caller used; it returns none. No behaviour changes; the 24 tests of the package pass.

--- a/packages/quota/src/allowance.ts
+++ b/packages/quota/src/allowance.ts
@@ -50,20 +50,17 @@
   }
 
   /**
-   * Takes back an operation that was taken at `takenAt` but did not run. Returns
-   * `false` if every lot of that time is complete or has expired: the operation is
-   * then lost. In a later lot, the operations of a long outage would add up, and
-   * run all at once after it.
+   * Puts back an operation that was taken at `takenAt` but did not run. It is
+   * discarded if every lot requested by then is complete or has expired: added to
+   * a later lot, the operations of a long outage would run all at once after it.
    */
-  putBack(takenAt: number, now: number): boolean {
+  putBack(takenAt: number, now: number): void {
     this.expire(now);
     const index = this.lots.findIndex(
       ({granted, requestedAt, remaining}) =>
         requestedAt <= takenAt && remaining < granted,
     );
-    if (index < 0) return false;
-    this.change(index, 1);
-    return true;
+    if (index >= 0) this.change(index, 1);
   }
 
   /** Removes everything, for instance after a suspension of this VM. */
--- a/packages/quota/src/grant_requester.ts
+++ b/packages/quota/src/grant_requester.ts
@@ -142,9 +142,10 @@
   ): void {
     // Another VM may still grant, so that the reserve must not be used.
     organisation.reserve.reset();
-    // The request is sent again later; its answer may then be a different one.
+    // The receiver does not coordinate the organisation. The request stays in
+    // flight until it is repeated, perhaps to another VM.
     if (answer.length === 0) {
-      organisation.refusedSince = sentAt;
+      organisation.misdirectedAt = sentAt;
       return;
     }
     organisation.recentUse.endOutage();
@@ -167,7 +168,7 @@
         this.options.counts.unanswered++;
         organisation.inFlightSince = undefined;
         organisation.recentUse.beginOutage(sentAt);
-        if (organisation.refusedSince !== sentAt) {
+        if (organisation.misdirectedAt !== sentAt) {
           organisation.reserve.onUnanswered(sentAt);
         }
         this.options.onUnanswered(organisation);
--- a/packages/quota/src/organisation_demand.ts
+++ b/packages/quota/src/organisation_demand.ts
@@ -40,10 +40,10 @@
   outstanding = 0;
   /** The sequence number of the last request. */
   sequence = 0;
-  /** When the request was sent that has not been answered or given up. */
+  /** When the unanswered request was sent, until it may be sent again. */
   inFlightSince: number | undefined;
-  /** When the last request was sent whose receiver was not the coordinator. */
-  refusedSince: number | undefined;
+  /** When the last request was sent to a VM that is not the coordinator. */
+  misdirectedAt: number | undefined;
   lastUsedAt = 0;
   private readonly demand: DemandEstimate;
   private pausedUntil = -Infinity;
