--- a/packages/quota/src/quota_client.ts
+++ b/packages/quota/src/quota_client.ts
@@ -1,4 +1,5 @@
 import {Observable} from '@apricotlock/flow';
+import {PeerNetwork} from '@apricotlock/peer';
 import {TimerService} from '@apricotlock/timer';
 import {Organisation, Quota, VirtualMachine} from '@apricotlock/topology';
 import {GrantRequester} from './grant_requester.js';
@@ -10,13 +11,12 @@
 import {GrantAnswer} from './quota_messages.js';
 import {shardOf} from './quota_shards.js';
 import {SuspensionDetector} from './suspension_detector.js';
-import {PeerNetwork} from '@apricotlock/peer';
 
 /** The longest time that an operation waits for an answer. */
 const WAIT_MILLISECONDS = 150;
 /** Membership names another coordinator after 1.3 s to 2.8 s. */
 const NO_COORDINATOR_RETRY_MILLISECONDS = 1_000;
-/** A coordinator that does not answer is asked for this long after an operation. */
+/** For this long after an operation, unanswered requests are repeated. */
 const REPEAT_PERIOD_MILLISECONDS = 1_000;
 const MILLISECONDS_PER_SECOND = 1_000;
 /** With more organisations than this, idle ones are dropped. */
@@ -173,7 +173,7 @@
     if (inFlightSince !== undefined) return;
     const isRecent =
       this.options.timer.now() - lastUsedAt < REPEAT_PERIOD_MILLISECONDS;
-    const isUnanswered = reserve.isInUse || recentUse.isContinued;
+    const isUnanswered = reserve.isInUse || recentUse.isInOutage;
     if (waiting.length > 0 || (isUnanswered && isRecent)) {
       this.requester.request(organisation);
     }
@@ -210,7 +210,7 @@
     return {kind: 'refused', retryAfterMilliseconds};
   }
 
-  /** Drops all allowances after a suspension; returns how many there were. */
+  /** Drops all allowances after a suspension; returns the suspensions so far. */
   private checkSuspension(): number {
     const count = this.suspensions.count();
     if (count !== this.suspensionCount) {
--- a/packages/quota/src/quota_coordinator.ts
+++ b/packages/quota/src/quota_coordinator.ts
@@ -114,8 +114,9 @@
   }
 
   /**
-   * Returns whether this VM is connected to control, and has been for some time
-   * if it was cut off with other VMs. It then counts as a new coordinator.
+   * Updates and returns whether this VM may grant: it is connected to control,
+   * and has been for {@link REJOIN_MILLISECONDS} if it also lost entry VMs while
+   * it was cut off. In that case it restarts as a new coordinator.
    */
   checkConnection(): boolean {
     const now = this.options.timer.now();
@@ -193,16 +194,24 @@
     this.refreshShare(now);
     const {gained, lost} = this.ownership.update(machines, now);
     const isSettling = monotonicNow - this.startedAt < SETTLE_MILLISECONDS;
-    const taken =
+    const toTakeOver =
       added.length > 0 && isSettling
-        ? this.ownership.restartWhere(
-            now,
-            shard =>
-              gained.includes(shard) || this.takeover.asksAnyOf(added, shard),
-          )
+        ? this.restartShardsOf(added, gained, now)
         : gained;
-    this.dropBuckets(new Set([...lost, ...taken]));
-    this.startTakeover(taken, now);
+    this.dropBuckets(new Set([...lost, ...toTakeOver]));
+    this.startTakeover(toTakeOver, now);
+  }
+
+  /** Restarts the gained shards and those for which added VMs may have granted. */
+  private restartShardsOf(
+    added: readonly VirtualMachine[],
+    gained: readonly number[],
+    now: number,
+  ): readonly number[] {
+    return this.ownership.restartWhere(
+      now,
+      shard => gained.includes(shard) || this.takeover.asksAnyOf(added, shard),
+    );
   }
 
   private dropBuckets(shards: ReadonlySet<number>): void {
--- a/packages/quota/src/quota_counts.ts
+++ b/packages/quota/src/quota_counts.ts
@@ -4,13 +4,13 @@
   readonly granted: number;
   /** Operations that were refused. */
   readonly refused: number;
-  /** Granted operations that came from the reserve. */
+  /** Those granted without a coordinator: by the reserve or at the recent rate. */
   readonly reserveUsed: number;
   /** Requests for one organisation each; a message may carry several. */
   readonly requests: number;
   /** Messages to coordinators on other VMs. */
   readonly messages: number;
-  /** Requests that were not answered in time or were refused. */
+  /** Requests that no coordinator answered in time. */
   readonly unanswered: number;
 }
 
--- a/packages/quota/src/quota_messages.ts
+++ b/packages/quota/src/quota_messages.ts
@@ -32,8 +32,9 @@
 
 /**
  * The answer for one organisation: empty if the VM does not coordinate it, the
- * granted operations, or, if there was no room for those needed, also the milliseconds
- * until there is room and between two further operations of the requesting VM.
+ * granted operations, or, if there was no room for those needed, also the
+ * milliseconds until there is room and those between two further operations of
+ * the requesting VM.
  */
 export type GrantAnswer =
   | readonly []
--- a/packages/quota/src/recent_use.ts
+++ b/packages/quota/src/recent_use.ts
@@ -1,4 +1,4 @@
-/** The use of this period is continued. */
+/** The rate is the mean of this period before an outage. */
 const PERIOD_SECONDS = 5;
 const MILLISECONDS_PER_SECOND = 1_000;
 /** A coordinator that died is replaced within 6 s, with 3 s to take over. */
@@ -19,10 +19,10 @@
  * organisation that is far below its limit would be refused for seconds.
  */
 export class RecentUse {
-  /** Operations by second of the clock, as far as they are in the period. */
+  /** The operations of each second of the period, by second of the clock. */
   private readonly counts = new Map<number, number>();
-  private shortAt = -Infinity;
-  private lastAt = -Infinity;
+  private lastShortageAt = -Infinity;
+  private lastGrantAt = -Infinity;
   private outageSince: number | undefined;
   private ratePerMillisecond = 0;
   private credit = 0;
@@ -35,8 +35,8 @@
     return new RecentUse();
   }
 
-  /** Whether the organisation has no coordinator that answers. */
-  get isContinued(): boolean {
+  /** Whether a request went unanswered and none has been answered since. */
+  get isInOutage(): boolean {
     return this.outageSince !== undefined;
   }
 
@@ -44,13 +44,13 @@
   record(now: number): void {
     const second = Math.floor(now / MILLISECONDS_PER_SECOND);
     this.counts.set(second, (this.counts.get(second) ?? 0) + 1);
-    this.lastAt = now;
+    this.lastGrantAt = now;
     if (this.counts.size > PERIOD_SECONDS + 1) this.forgetBefore(second);
   }
 
-  /** Records that the organisation had no room. */
+  /** Records that a coordinator had no room for the organisation. */
   recordShortage(now: number): void {
-    this.shortAt = now;
+    this.lastShortageAt = now;
   }
 
   /** Records that no coordinator answered a request. */
@@ -60,7 +60,7 @@
     this.ratePerMillisecond =
       this.countUntil(now) / (PERIOD_SECONDS * MILLISECONDS_PER_SECOND);
     this.credit = 0;
-    this.creditedAt = Math.max(this.lastAt, now - MILLISECONDS_PER_SECOND);
+    this.creditedAt = Math.max(this.lastGrantAt, now - MILLISECONDS_PER_SECOND);
   }
 
   /** Records that a coordinator answered. */
@@ -79,7 +79,7 @@
     const since = this.outageSince;
     if (since === undefined || this.ratePerMillisecond === 0) return false;
     const wasShort =
-      this.shortAt > since - PERIOD_SECONDS * MILLISECONDS_PER_SECOND;
+      this.lastShortageAt > since - PERIOD_SECONDS * MILLISECONDS_PER_SECOND;
     if (wasShort || now - since > MAXIMUM_OUTAGE_MILLISECONDS) return false;
     const limit = Math.max(
       MINIMUM_CREDIT,
--- a/packages/quota/src/shard_takeover.ts
+++ b/packages/quota/src/shard_takeover.ts
@@ -13,12 +13,16 @@
  */
 export const HANDOVER_MILLISECONDS = 1_000;
 /**
- * A VM that kept a shard was not silent before, as one that membership declares
- * dead is. It is waited for until it has noticed a partition itself.
+ * The same limit after a VM has kept a shard. Unlike a VM that membership has
+ * declared dead, it answered a moment ago. If a partition has cut it off since, it
+ * grants until it notices that its view is old.
  */
 const KEPT_HANDOVER_MILLISECONDS = 3_000;
 const REPEAT_MILLISECONDS = 250;
-/** The VMs asked are the first of the ranking: one, and two more lost with it. */
+/**
+ * The number of VMs asked, from the first of a shard's ranking on: the former
+ * coordinator may not be the first if up to two others were lost with it.
+ */
 const ASKED_MACHINES = 3;
 
 /** Dependencies of {@link ShardTakeover}. */
@@ -44,8 +48,8 @@
  * therefore asks the other candidates before it grants.
  */
 export class ShardTakeover {
-  /** Shards that were left to another VM since the current round began. */
-  private readonly yielded = new Set<number>();
+  /** Shards that this VM has left to claimants since its current round began. */
+  private readonly ceded = new Set<number>();
 
   private constructor(private readonly options: ShardTakeoverOptions) {
     options.network.handle(CLAIM_SHARDS, async claim =>
@@ -68,11 +72,11 @@
   async take({shards, since}: Round): Promise<void> {
     const {timer, ownership} = this.options;
     let remaining = shards;
-    let patience = HANDOVER_MILLISECONDS;
+    let timeout = HANDOVER_MILLISECONDS;
     while (remaining.length > 0) {
-      for (const shard of remaining) this.yielded.delete(shard);
-      const claimed = await this.claim(remaining, timer.now() + patience);
-      const kept = new Set([...claimed, ...this.yielded]);
+      for (const shard of remaining) this.ceded.delete(shard);
+      const claimed = await this.claim(remaining, timer.now() + timeout);
+      const kept = new Set([...claimed, ...this.ceded]);
       remaining = remaining.filter(
         shard => ownership.ownedSince(shard) === since,
       );
@@ -80,7 +84,7 @@
         if (!kept.has(shard)) ownership.activate(shard, since);
       }
       remaining = remaining.filter(shard => kept.has(shard));
-      patience = KEPT_HANDOVER_MILLISECONDS;
+      timeout = KEPT_HANDOVER_MILLISECONDS;
       if (remaining.length > 0) await timer.sleep(REPEAT_MILLISECONDS);
     }
   }
@@ -159,7 +163,7 @@
         (ownership.ownedSince(shard) !== undefined && self < from),
     );
     for (const shard of shards) {
-      if (!kept.includes(shard)) this.yielded.add(shard);
+      if (!kept.includes(shard)) this.ceded.add(shard);
     }
     return kept;
   }
