--- a/packages/appointment/src/primary_supervisor.ts
+++ b/packages/appointment/src/primary_supervisor.ts
@@ -19,7 +19,9 @@
 const TICK_INTERVAL_MILLISECONDS = 50;
 /** A longer pause between two ticks means that this VM was held up. */
 const HELD_UP_MILLISECONDS = 3 * TICK_INTERVAL_MILLISECONDS;
-/** How long a VM that could not reach its primary is avoided as lease holder. */
+/**
+ * How long a VM that could not reach its primary is avoided as lease holder.
+ */
 const AVOID_HOLDER_MILLISECONDS = 5_000;
 /** Period within which reports of different VMs are counted together. */
 const REPORT_WINDOW_MILLISECONDS = 4_000;
--- a/packages/appointment/src/removed_log_check.ts
+++ b/packages/appointment/src/removed_log_check.ts
@@ -20,11 +20,11 @@
 }
 
 /**
- * Finds out when the logs of removed members no longer matter. A commit counts as
- * acknowledged once the primary and one replica hold it. If that replica leaves,
- * the primary may be the only member with the commit, so that no other member
- * may be promoted without it. Once a present replica has received all that the
- * primary held after the removal, this is recorded in the control log.
+ * Finds out when the logs of removed members no longer matter. A commit counts
+ * as acknowledged once the primary and one replica hold it. If that replica
+ * leaves, the primary may be the only member with the commit, so that no other
+ * member may be promoted without it. Once a present replica has received all
+ * that the primary held after the removal, this is recorded in the control log.
  */
 export class RemovedLogCheck {
   private readonly running = new Set<string>();
--- a/packages/appointment/src/replication_state.ts
+++ b/packages/appointment/src/replication_state.ts
@@ -47,8 +47,8 @@
 
 /**
  * Returns the member with the longest log. Among equals, an active member is
- * preferred to a draining one, and then the first name in alphabetical order, so
- * that every failover makes the same choice.
+ * preferred to a draining one, and then the first name in alphabetical order,
+ * so that every failover makes the same choice.
  */
 export function longestLog(
   reported: readonly MemberWithReport[],
--- a/packages/apricotctl/src/catalogue_edit.ts
+++ b/packages/apricotctl/src/catalogue_edit.ts
@@ -76,8 +76,8 @@
 }
 
 /**
- * Returns the differences between the organisations of the catalogue and those of
- * a file. Keys in the file are compared, and shown, as their digests. A file
+ * Returns the differences between the organisations of the catalogue and those
+ * of a file. Keys in the file are compared, and shown, as their digests. A file
  * without organisations changes none.
  */
 export function organisationChanges(
--- a/packages/control/src/catalogue_change.ts
+++ b/packages/control/src/catalogue_change.ts
@@ -66,9 +66,9 @@
 }
 
 /**
- * Returns the items sorted by name, so that catalogues with the same content are
- * equal. Unchanged items remain the same objects, so that a delta between views
- * can compare by identity.
+ * Returns the items sorted by name, so that catalogues with the same content
+ * are equal. Unchanged items remain the same objects, so that a delta between
+ * views can compare by identity.
  */
 function reuseUnchanged<Item extends {readonly name: string}>(
   items: readonly Item[],
--- a/packages/control/src/consensus_messages.ts
+++ b/packages/control/src/consensus_messages.ts
@@ -45,8 +45,8 @@
   entries: z.array(logEntrySchema).max(MAXIMUM_ENTRIES),
   commitIndex: count,
   /**
-   * The newest answer of the receiver after whose receipt a quorum has confirmed
-   * the leader. Processes of earlier versions send none.
+   * The newest answer of the receiver after whose receipt a quorum has
+   * confirmed the leader. Processes of earlier versions send none.
    */
   confirmedAnswer: count.optional(),
 });
--- a/packages/control/src/control_client.ts
+++ b/packages/control/src/control_client.ts
@@ -112,16 +112,16 @@
   }
 
   /**
-   * Whether what the view does not name may be taken as absent: it was confirmed
-   * as the newest one a short time ago.
+   * Whether what the view does not name may be taken as absent: it was
+   * confirmed as the newest one a short time ago.
    */
   get isViewCurrent(): boolean {
     return this.viewAgeMilliseconds <= CURRENT_VIEW_MAXIMUM_AGE_MILLISECONDS;
   }
 
   /**
-   * Resolves once a view is active that has all changes acknowledged before this
-   * call, or the time is over.
+   * Resolves once a view is active that has all changes acknowledged before
+   * this call, or the time is over.
    */
   refreshView(timeoutMilliseconds: number): Promise<void> {
     return this.distributor.refresh(timeoutMilliseconds);
--- a/packages/control/src/control_command.ts
+++ b/packages/control/src/control_command.ts
@@ -93,8 +93,8 @@
       readonly at: number;
     }
   /**
-   * Records that the logs of removed members are on a present replica, as far as
-   * the primary of the term held them.
+   * Records that the logs of removed members are on a present replica, as far
+   * as the primary of the term held them.
    */
   | {
       readonly kind: 'confirmRemovedLogs';
--- a/packages/control/src/member_change.ts
+++ b/packages/control/src/member_change.ts
@@ -87,8 +87,8 @@
 }
 
 /**
- * Returns the member that a report describes. The log of a member that leaves is
- * unconfirmed at first: a commit may be on it and on the primary only.
+ * Returns the member that a report describes. The log of a member that leaves
+ * is unconfirmed at first: a commit may be on it and on the primary only.
  */
 function toMember(report: MemberReport, known: Member | undefined): Member {
   const member: Member = {...report, apiAddress: report.address};
@@ -98,7 +98,9 @@
   return hasUnconfirmedLog === true ? {...member, hasUnconfirmedLog} : member;
 }
 
-/** Returns whether a member received the log of a removed one at its address. */
+/**
+ * Returns whether a member received the log of a removed one at its address.
+ */
 function isReplacedBy(removed: Member, member: Member): boolean {
   return (
     removed.state === 'removed' &&
--- a/packages/control/src/packed_update.ts
+++ b/packages/control/src/packed_update.ts
@@ -4,15 +4,17 @@
 import {ViewUpdate} from './view_update.js';
 
 /**
- * An update with many entries, compressed. It is packed once and forwarded as it
- * is, since each packing of thousands of entries holds up a small VM.
+ * An update with many entries, compressed. It is packed once and forwarded as
+ * it is, since each packing of thousands of entries holds up a small VM.
  */
 export interface PackedUpdate {
   readonly kind: 'packed';
   readonly bytes: Uint8Array;
 }
 
-/** Updates with fewer entries and organisations are cheaper to send as they are. */
+/**
+ * Updates with fewer entries and organisations are cheaper to send as they are.
+ */
 const MINIMUM_PACKED_ENTRIES = 32;
 /** Protects against a message that expands without bound. */
 const MAXIMUM_UNPACKED_BYTES = 64 << 20;
--- a/packages/control/src/view_delta.ts
+++ b/packages/control/src/view_delta.ts
@@ -17,8 +17,8 @@
   /** Names of deleted entries. */
   readonly removedEntries: readonly string[];
   /**
-   * New and changed organisations; absent if there are none, and in a delta of an
-   * earlier version.
+   * New and changed organisations; absent if there are none, and in a delta of
+   * an earlier version.
    */
   readonly organisations?: readonly Organisation[] | undefined;
   /** Names of deleted organisations; absent as above. */
--- a/packages/control/src/view_distributor.ts
+++ b/packages/control/src/view_distributor.ts
@@ -141,8 +141,8 @@
   }
 
   /**
-   * Resolves once a view is active that has all changes acknowledged before this
-   * call, or the time is over.
+   * Resolves once a view is active that has all changes acknowledged before
+   * this call, or the time is over.
    */
   refresh(timeoutMilliseconds: number): Promise<void> {
     return this.refresher.refresh(timeoutMilliseconds);
--- a/packages/control/src/view_refresher.ts
+++ b/packages/control/src/view_refresher.ts
@@ -27,12 +27,14 @@
 }
 
 /**
- * Fetches the newest view on request, for a decision that must not be made on an
- * older one. Requests of the same time share one fetch.
+ * Fetches the newest view on request, for a decision that must not be made on
+ * an older one. Requests of the same time share one fetch.
  */
 export class ViewRefresher {
   private lastRun: Promise<void> = Promise.resolve();
-  /** The run that has not begun yet, which serves all requests until it does. */
+  /**
+   * The run that has not begun yet, which serves all requests until it does.
+   */
   private waitingRun: Promise<void> | undefined;
   private lastBegunAt = -Infinity;
 
@@ -44,8 +46,8 @@
   }
 
   /**
-   * Resolves once a view is active that has all changes acknowledged before this
-   * call, or the time is over.
+   * Resolves once a view is active that has all changes acknowledged before
+   * this call, or the time is over.
    */
   async refresh(timeoutMilliseconds: number): Promise<void> {
     // A run that has begun may have missed a change that was made since.
@@ -83,7 +85,9 @@
     }
   }
 
-  /** Returns the leader on every other attempt, else the other voters in turn. */
+  /**
+   * Returns the leader on every other attempt, else the other voters in turn.
+   */
   private targetOf(
     attempt: number,
     leader: string | undefined,
@@ -101,8 +105,8 @@
 }
 
 /**
- * Returns whether a view is that of a leader which a quorum cannot have replaced
- * yet, so that it has all acknowledged changes.
+ * Returns whether a view is that of a leader which a quorum cannot have
+ * replaced yet, so that it has all acknowledged changes.
  */
 function isFromLeader(
   {root, ageMilliseconds}: FetchedView,
--- a/packages/control/test/view_refresher_test.ts
+++ b/packages/control/test/view_refresher_test.ts
@@ -90,8 +90,8 @@
     expect(distributor.view.current.index).to.equal(3);
   });
 
-  // Guards against the view of a leader that has been replaced: control VMs elect
-  // another one 250 ms after their last contact with it.
+  // Guards against the view of a leader that has been replaced: control VMs
+  // elect another one 250 ms after their last contact with it.
   it('does not rely on a leader without a recent contact with a quorum', async () => {
     leader.ageMilliseconds = 300;
     follower.root = 'vm-2';
--- a/packages/operator/src/operator_client.ts
+++ b/packages/operator/src/operator_client.ts
@@ -67,8 +67,8 @@
   /**
    * Replaces the catalogue if its version is still `baseVersion`, and fails
    * with a conflict otherwise. With `wait`, the answer names the VMs that have
-   * not confirmed the change. Organisations are sent with their keys in clear text,
-   * or with digests; without any list of them, they remain as they are.
+   * not confirmed the change. Organisations are sent with their keys in clear
+   * text, or with digests; without any list of them, they remain as they are.
    */
   putCatalogue(
     changeId: string,
--- a/packages/quota/src/allowance.ts
+++ b/packages/quota/src/allowance.ts
@@ -51,8 +51,9 @@
 
   /**
    * Puts back an operation that was taken at `takenAt` but did not run. It is
-   * discarded if every lot requested by then is complete or has expired: added to
-   * a later lot, the operations of a long outage would run all at once after it.
+   * discarded if every lot requested by then is complete or has expired: added
+   * to a later lot, the operations of a long outage would run all at once after
+   * it.
    */
   putBack(takenAt: number, now: number): void {
     this.expire(now);
--- a/packages/quota/src/demand_estimate.ts
+++ b/packages/quota/src/demand_estimate.ts
@@ -1,10 +1,11 @@
 const TIME_CONSTANT_MILLISECONDS = 500;
 
 /**
- * Estimates the recent demand of an organisation at this VM, as an exponentially
- * weighted average over about 500 ms.
+ * Estimates the recent demand of an organisation at this VM, as an
+ * exponentially weighted average over about 500 ms.
  *
- * Load: one call of `record` for each operation of an organisation with a quota.
+ * Load: one call of `record` for each operation of an organisation with a
+ * quota.
  */
 export class DemandEstimate {
   private weight = 0;
--- a/packages/quota/src/fill_share.ts
+++ b/packages/quota/src/fill_share.ts
@@ -8,8 +8,9 @@
  */
 const REMEMBERED_MILLISECONDS = 60_000;
 /**
- * A VM that was lost counts as seen only this long after it is seen again. Until
- * then the other side of a healed partition may still fill, without knowing it.
+ * A VM that was lost counts as seen only this long after it is seen again.
+ * Until then the other side of a healed partition may still fill, without
+ * knowing it.
  */
 const RETURN_MILLISECONDS = 1_000;
 
--- a/packages/quota/src/holdings.ts
+++ b/packages/quota/src/holdings.ts
@@ -55,7 +55,8 @@
   /**
    * Replaces what a VM holds by its report. Returns the unused operations that
    * may be put back into the bucket, which are never more than the holding
-   * shrinks by. A report that does not know of an earlier grant changes nothing.
+   * shrinks by. A report that does not know of an earlier grant changes
+   * nothing.
    */
   report(report: HoldingReport, now: number): number {
     const {machine, sequence, isRetry, held, returned} = report;
--- a/packages/quota/src/organisation_bucket.ts
+++ b/packages/quota/src/organisation_bucket.ts
@@ -30,7 +30,8 @@
 
   /**
    * Creates the bucket of a coordinator that has filled buckets for the given
-   * time; the time is negative if it may have a predecessor that has not stopped.
+   * time; the time is negative if it may have a predecessor that has not
+   * stopped.
    */
   static create(
     quota: Quota,
@@ -110,7 +111,9 @@
   return operationsPerSecond * share;
 }
 
-/** Limits a time; it is not a number if nothing is missing and the rate is 0. */
+/**
+ * Limits a time; it is not a number if nothing is missing and the rate is 0.
+ */
 function limitRoom(milliseconds: number): number {
   if (Number.isNaN(milliseconds)) return MAXIMUM_ROOM_MILLISECONDS;
   return Math.min(milliseconds, MAXIMUM_ROOM_MILLISECONDS);
--- a/packages/quota/src/quota_client.ts
+++ b/packages/quota/src/quota_client.ts
@@ -210,7 +210,9 @@
     return {kind: 'refused', retryAfterMilliseconds};
   }
 
-  /** Drops all allowances after a suspension; returns the suspensions so far. */
+  /**
+   * Drops all allowances after a suspension; returns the suspensions so far.
+   */
   private checkSuspension(): number {
     const count = this.suspensions.count();
     if (count !== this.suspensionCount) {
--- a/packages/quota/src/quota_coordinator.ts
+++ b/packages/quota/src/quota_coordinator.ts
@@ -16,21 +16,21 @@
 /** Beyond this age of its view, a coordinator grants nothing. */
 const MAXIMUM_VIEW_AGE_MILLISECONDS = 2_000;
 /**
- * A VM that was cut off from control and from other entry VMs grants nothing for
- * this long after its view is new again. Membership joins the sides of a
+ * A VM that was cut off from control and from other entry VMs grants nothing
+ * for this long after its view is new again. Membership joins the sides of a
  * partition within 2.7 s after its end, and until then each side has its own
  * coordinators.
  */
 const REJOIN_MILLISECONDS = 3_000;
 const TICK_MILLISECONDS = 200;
 /**
- * After a longer pause this VM counts as a new coordinator, since the others may
- * have declared it dead: they do so after 1.3 s at the earliest.
+ * After a longer pause this VM counts as a new coordinator, since the others
+ * may have declared it dead: they do so after 1.3 s at the earliest.
  */
 const RESTART_PAUSE_MILLISECONDS = 1_000;
 /**
- * For this long after the start the list of VMs may lack the predecessor, so that
- * a shard is taken over again when a VM joins that may be it.
+ * For this long after the start the list of VMs may lack the predecessor, so
+ * that a shard is taken over again when a VM joins that may be it.
  */
 const SETTLE_MILLISECONDS = 10_000;
 const PRUNE_INTERVAL_MILLISECONDS = 30_000;
@@ -65,7 +65,9 @@
   private suspensionCount: number;
   private readAt: number;
   private prunedAt: number;
-  /** When this VM was last seen to be cut off from control, until it rejoins. */
+  /**
+   * When this VM was last seen to be cut off from control, until it rejoins.
+   */
   private cutOffAt: number | undefined;
   private cutOffFromMachines = false;
   private wasConnected = false;
@@ -115,8 +117,8 @@
 
   /**
    * Updates and returns whether this VM may grant: it is connected to control,
-   * and has been for {@link REJOIN_MILLISECONDS} if it also lost entry VMs while
-   * it was cut off. In that case it restarts as a new coordinator.
+   * and has been for {@link REJOIN_MILLISECONDS} if it also lost entry VMs
+   * while it was cut off. In that case it restarts as a new coordinator.
    */
   checkConnection(): boolean {
     const now = this.options.timer.now();
@@ -202,7 +204,9 @@
     this.startTakeover(toTakeOver, now);
   }
 
-  /** Restarts the gained shards and those for which added VMs may have granted. */
+  /**
+   * Restarts the gained shards and those for which added VMs may have granted.
+   */
   private restartShardsOf(
     added: readonly VirtualMachine[],
     gained: readonly number[],
--- a/packages/quota/src/quota_counts.ts
+++ b/packages/quota/src/quota_counts.ts
@@ -4,7 +4,9 @@
   readonly granted: number;
   /** Operations that were refused. */
   readonly refused: number;
-  /** Those granted without a coordinator: by the reserve or at the recent rate. */
+  /**
+   * Those granted without a coordinator: by the reserve or at the recent rate.
+   */
   readonly reserveUsed: number;
   /** Requests for one organisation each; a message may carry several. */
   readonly requests: number;
--- a/packages/quota/src/quota_messages.ts
+++ b/packages/quota/src/quota_messages.ts
@@ -20,7 +20,9 @@
   /** Granted operations that expired unused. */
   returned: number,
   sequence: number,
-  /** 1 if an earlier request is unanswered and may still be answered, else 0. */
+  /**
+   * 1 if an earlier request is unanswered and may still be answered, else 0.
+   */
   isRetry: number,
 ];
 
--- a/packages/quota/src/recent_machines.ts
+++ b/packages/quota/src/recent_machines.ts
@@ -4,8 +4,8 @@
 /**
  * The VMs that requested operations of one organisation recently. A VM that is
  * short of operations can expect one in as many as there are such VMs. Counting
- * only those that are short stated times that were too early, because an overload
- * reaches some VMs later than others.
+ * only those that are short stated times that were too early, because an
+ * overload reaches some VMs later than others.
  *
  * Load: one call of `record` for each organisation in a grant request.
  */
--- a/packages/quota/src/recent_use.ts
+++ b/packages/quota/src/recent_use.ts
@@ -4,16 +4,16 @@
 /** A coordinator that died is replaced within 6 s, with 3 s to take over. */
 const MAXIMUM_OUTAGE_MILLISECONDS = 10_000;
 /**
- * The credit of an organisation with few operations. More would let many VMs run
- * it at once when its demand jumps, and each lost message begins an outage.
+ * The credit of an organisation with few operations. More would let many VMs
+ * run it at once when its demand jumps, and each lost message begins an outage.
  */
 const MINIMUM_CREDIT = 1;
 
 /**
  * The operations of an organisation that ran on this VM lately. While nobody
- * coordinates the organisation, this VM goes on at that rate, if the organisation
- * has not been short of room since: the VMs together then run no more than
- * before, which was below the limit.
+ * coordinates the organisation, this VM goes on at that rate, if the
+ * organisation has not been short of room since: the VMs together then run no
+ * more than before, which was below the limit.
  *
  * Load: the loss or the change of a coordinator, when each operation of an
  * organisation that is far below its limit would be refused for seconds.
--- a/packages/quota/src/reserve.ts
+++ b/packages/quota/src/reserve.ts
@@ -3,9 +3,9 @@
 /**
  * The reserve begins to fill only after this time without an answer. A
  * coordinator that control does not reach stops granting when its view is 2 s
- * old, and the reserve is used only by a VM whose own view is newer. Without the
- * delay, a data centre that is cut off would use reserves beside a coordinator
- * that has not noticed it and still fills at the full rate.
+ * old, and the reserve is used only by a VM whose own view is newer. Without
+ * the delay, a data centre that is cut off would use reserves beside a
+ * coordinator that has not noticed it and still fills at the full rate.
  */
 export const RESERVE_DELAY_MILLISECONDS = 2_000;
 
--- a/packages/quota/src/shard_takeover.ts
+++ b/packages/quota/src/shard_takeover.ts
@@ -14,8 +14,8 @@
 export const HANDOVER_MILLISECONDS = 1_000;
 /**
  * The same limit after a VM has kept a shard. Unlike a VM that membership has
- * declared dead, it answered a moment ago. If a partition has cut it off since, it
- * grants until it notices that its view is old.
+ * declared dead, it answered a moment ago. If a partition has cut it off since,
+ * it grants until it notices that its view is old.
  */
 const KEPT_HANDOVER_MILLISECONDS = 3_000;
 const REPEAT_MILLISECONDS = 250;
@@ -48,7 +48,9 @@
  * therefore asks the other candidates before it grants.
  */
 export class ShardTakeover {
-  /** Shards that this VM has left to claimants since its current round began. */
+  /**
+   * Shards that this VM has left to claimants since its current round began.
+   */
   private readonly ceded = new Set<number>();
 
   private constructor(private readonly options: ShardTakeoverOptions) {
@@ -62,7 +64,9 @@
     return new ShardTakeover(options);
   }
 
-  /** Returns whether one of the VMs is asked before this VM grants for a shard. */
+  /**
+   * Returns whether one of the VMs is asked before this VM grants for a shard.
+   */
   asksAnyOf(machines: readonly VirtualMachine[], shard: number): boolean {
     const asked = this.askedFor(shard);
     return machines.some(({name}) => asked.some(each => each.name === name));
--- a/packages/quota/test/quota_bound_test.ts
+++ b/packages/quota/test/quota_bound_test.ts
@@ -6,8 +6,8 @@
 const SEED = 41_183;
 const RUNS = 120;
 /**
- * Multiples of the limit that callers ask for. Below the limit, VMs go on without
- * a coordinator.
+ * Multiples of the limit that callers ask for. Below the limit, VMs go on
+ * without a coordinator.
  */
 const LOADS = [0.3, 0.6, 0.9, 1.1, 4];
 
@@ -36,8 +36,9 @@
 }
 
 /**
- * Schedules a fault. The other VMs remove one that does not answer after 1.3 s to
- * 2 s, which differs between them, and add it again 2 s to 2.7 s after its return.
+ * Schedules a fault. The other VMs remove one that does not answer after 1.3 s
+ * to 2 s, which differs between them, and add it again 2 s to 2.7 s after its
+ * return.
  */
 function schedule(
   cluster: QuotaCluster,
--- a/packages/quota/test/quota_client_test.ts
+++ b/packages/quota/test/quota_client_test.ts
@@ -132,8 +132,8 @@
     expect(vm.client.counts.reserveUsed).to.be.within(18, 20);
   });
 
-  // The takeover of a lost coordinator lasts seconds, in which every operation of
-  // an organisation below its limit would be refused.
+  // The takeover of a lost coordinator lasts seconds, in which every operation
+  // of an organisation below its limit would be refused.
   it('goes on at its recent rate while nobody answers', async () => {
     const [cluster, vm] = await startCluster();
     let granted = 0;
@@ -187,9 +187,9 @@
     expect(vm.client.counts.messages).to.equal(messages);
   });
 
-  // Callers try again what was held for 2 s during an outage and not run. What is
-  // given back would otherwise grow by the rate with each round, and all that is
-  // held runs at once after the outage.
+  // Callers try again what was held for 2 s during an outage and not run. What
+  // is given back would otherwise grow by the rate with each round, and all
+  // that is held runs at once after the outage.
   it('does not collect operations that are given back after an outage', async () => {
     const [cluster, vm] = await startCluster();
     const grantedAt: number[] = [];
--- a/packages/topology/src/catalogue_validation_error.ts
+++ b/packages/topology/src/catalogue_validation_error.ts
@@ -7,7 +7,9 @@
   readonly message: string;
 }
 
-/** Converts the issues that zod found in the part of a catalogue called `root`. */
+/**
+ * Converts the issues that zod found in the part of a catalogue called `root`.
+ */
 export function toValidationErrors(
   root: string,
   issues: readonly z.core.$ZodIssue[],
--- a/packages/topology/src/organisation.ts
+++ b/packages/topology/src/organisation.ts
@@ -32,7 +32,9 @@
   readonly quota?: Quota | undefined;
 }
 
-/** The schema of an organisation in the catalogue; unknown fields are errors. */
+/**
+ * The schema of an organisation in the catalogue; unknown fields are errors.
+ */
 export const organisationSchema = z.strictObject({
   name: z.string().regex(NAME_PATTERN),
   keyDigests: z.array(z.string().regex(DIGEST_PATTERN)).max(MAXIMUM_KEYS),
--- a/packages/topology/src/organisation_edit.ts
+++ b/packages/topology/src/organisation_edit.ts
@@ -34,9 +34,9 @@
   });
 
 /**
- * Validates the organisations of a catalogue that an operator sends. Returns them
- * with digests in place of keys, or all validation errors together; no error
- * repeats a value, since that may be a key.
+ * Validates the organisations of a catalogue that an operator sends. Returns
+ * them with digests in place of keys, or all validation errors together; no
+ * error repeats a value, since that may be a key.
  */
 export function validateOrganisations(
   candidate: unknown,
--- a/packages/work/src/connection_choice.ts
+++ b/packages/work/src/connection_choice.ts
@@ -7,8 +7,8 @@
 const MAXIMUM_CONCURRENT_OPENS_EACH = 1;
 /**
  * After this wait, an organisation without a connection gets one that another
- * organisation would use for its next statement. An opening costs about 12 ms of
- * a slot, so that organisations which take turns spend about a tenth on it.
+ * organisation would use for its next statement. An opening costs about 12 ms
+ * of a slot, so that organisations which take turns spend about a tenth on it.
  */
 const TURN_MILLISECONDS = 100;
 
@@ -24,7 +24,9 @@
 
 /** The state of a connection that matters to the choice. */
 export interface PooledConnection {
-  /** The only organisation that may use it; `undefined` for work without one. */
+  /**
+   * The only organisation that may use it; `undefined` for work without one.
+   */
   readonly organisation: string | undefined;
   /** When the current work began on it; meaningless while it is idle. */
   readonly checkedOutAt: number;
@@ -98,12 +100,13 @@
 }
 
 /**
- * Chooses the next connection to open for the first organisation that needs one.
- * An organisation needs one if more of its work waits than it has connections
- * that are idle, being opened, or expected to be returned within the mean
- * duration of a statement: such a connection serves the work as soon as a new
- * one, without the slot time that an opening costs. An organisation does not
- * need more connections outside transactions than the member has slots.
+ * Chooses the next connection to open for the first organisation that needs
+ * one. An organisation needs one if more of its work waits than it has
+ * connections that are idle, being opened, or expected to be returned within
+ * the mean duration of a statement: such a connection serves the work as soon
+ * as a new one, without the slot time that an opening costs. An organisation
+ * does not need more connections outside transactions than the member has
+ * slots.
  */
 export function chooseOpening<Connection extends PooledConnection>(
   facts: PoolFacts<Connection>,
@@ -166,9 +169,9 @@
 }
 
 /**
- * Returns the idle connections that may be closed for other organisations, least
- * recently used first. A connection that waiting work of its own organisation
- * will use is not among them.
+ * Returns the idle connections that may be closed for other organisations,
+ * least recently used first. A connection that waiting work of its own
+ * organisation will use is not among them.
  */
 function replaceableConnections<Connection extends PooledConnection>(
   {idle, demands}: PoolFacts<Connection>,
--- a/packages/work/src/connection_limits.ts
+++ b/packages/work/src/connection_limits.ts
@@ -22,8 +22,8 @@
   /** The number of connections that are kept open while there is no work. */
   readonly warm: number;
   /**
-   * Whether callers belong to organisations. Then no connection is opened before
-   * work of its organisation needs it.
+   * Whether callers belong to organisations. Then no connection is opened
+   * before work of its organisation needs it.
    */
   readonly byOrganisation: boolean;
 }
--- a/packages/work/src/connection_pool.ts
+++ b/packages/work/src/connection_pool.ts
@@ -60,7 +60,9 @@
   ) => void;
   /** Called when a connection was opened. */
   readonly onOpened: () => void;
-  /** Called when a connection is closed to open one for another organisation. */
+  /**
+   * Called when a connection is closed to open one for another organisation.
+   */
   readonly onReplaced: (connection: WorkConnection) => void;
   /**
    * Called when an organisation needs a connection and none can be opened or
@@ -70,9 +72,9 @@
 }
 
 /**
- * The connections of this VM to one member, up to a maximum number. A connection
- * that was opened for an organisation serves only work of that organisation, and
- * one that was opened for none serves only work without one.
+ * The connections of this VM to one member, up to a maximum number. A
+ * connection that was opened for an organisation serves only work of that
+ * organisation, and one that was opened for none serves only work without one.
  */
 export class ConnectionPool {
   private idle: readonly WorkConnection[] = [];
@@ -178,7 +180,8 @@
 
   /**
    * Sends a reset on every idle connection and closes those that do not confirm
-   * it in time. They count as checked out until then, so that no work uses them.
+   * it in time. They count as checked out until then, so that no work uses
+   * them.
    */
   async checkIdle(): Promise<void> {
     const {idle} = this;
@@ -264,9 +267,10 @@
   }
 
   /**
-   * While the member is full, this VM exchanges one of its idle connections if it
-   * can. Warm ones are never closed as unused, so that an organisation without a
-   * connection would otherwise wait for as long as other VMs use the rest.
+   * While the member is full, this VM exchanges one of its idle connections if
+   * it can. Warm ones are never closed as unused, so that an organisation
+   * without a connection would otherwise wait for as long as other VMs use the
+   * rest.
    */
   private chooseForOrganisation(): OpeningChoice<WorkConnection> {
     const facts = this.facts();
--- a/packages/work/src/fair_shares.ts
+++ b/packages/work/src/fair_shares.ts
@@ -5,18 +5,20 @@
 interface ShareClass {
   /** The largest start tag of started work. */
   virtualTime: number;
-  /** The start tag of an organisation's next work; at least the virtual time. */
+  /**
+   * The start tag of an organisation's next work; at least the virtual time.
+   */
   readonly nextTags: Map<string | undefined, number>;
   pruneAt: number;
 }
 
 /**
- * Start-time fair queueing over organisations: work starts in the order of start
- * tags, and each start raises the next tag of its organisation by a cost, which
- * is inversely proportional to the organisation's weight. An organisation that
- * had no work continues at the virtual time: it has no claim to what it did not
- * use. Work of different classes, which are served one after the other, is
- * counted apart; otherwise work of one class would raise the virtual time of
+ * Start-time fair queueing over organisations: work starts in the order of
+ * start tags, and each start raises the next tag of its organisation by a cost,
+ * which is inversely proportional to the organisation's weight. An organisation
+ * that had no work continues at the virtual time: it has no claim to what it
+ * did not use. Work of different classes, which are served one after the other,
+ * is counted apart; otherwise work of one class would raise the virtual time of
  * another, and an organisation with a backlog there would seem to be owed work.
  */
 export class FairShares {
--- a/packages/work/src/idle_transactions.ts
+++ b/packages/work/src/idle_transactions.ts
@@ -1,7 +1,9 @@
 /** A transaction that was idle for less than this is not ended. */
 const MINIMUM_IDLE_MILLISECONDS = 500;
 
-/** The transaction to end, or when to choose again if nothing changes before. */
+/**
+ * The transaction to end, or when to choose again if nothing changes before.
+ */
 export type EndingChoice<Transaction> =
   | {readonly kind: 'end'; readonly transaction: Transaction}
   | {readonly kind: 'wait'; readonly until: number | undefined};
@@ -35,9 +37,9 @@
   }
 
   /**
-   * Chooses the transaction to end when new work waits for a connection: the one
-   * that has been idle longest, if more than half of the connections are held by
-   * idle transactions.
+   * Chooses the transaction to end when new work waits for a connection: the
+   * one that has been idle longest, if more than half of the connections are
+   * held by idle transactions.
    */
   chooseEnding(
     connectionCount: number,
--- a/packages/work/src/member_worker.ts
+++ b/packages/work/src/member_worker.ts
@@ -304,8 +304,8 @@
   }
 
   /**
-   * Ends an idle transaction if these hold most connections while new work waits
-   * for one. Returns when to call it again if the work still waits then.
+   * Ends an idle transaction if these hold most connections while new work
+   * waits for one. Returns when to call it again if the work still waits then.
    */
   private endIdleTransaction(): number | undefined {
     // The connection of the last one may be enough.
--- a/packages/work/src/statement_runner.ts
+++ b/packages/work/src/statement_runner.ts
@@ -107,7 +107,8 @@
   /**
    * Handles a statement without an answer from a reachable member. A repeatable
    * read is aborted by closing its connection. Any other statement continues,
-   * because a write may be waiting for replicas, and a commit stall is reported.
+   * because a write may be waiting for replicas, and a commit stall is
+   * reported.
    */
   private handleSilence(
     connection: WorkConnection,
--- a/packages/work/src/work_ahead.ts
+++ b/packages/work/src/work_ahead.ts
@@ -33,10 +33,10 @@
 type ClassBacklogs = Map<string | undefined, ClassBacklog>;
 
 /**
- * Returns how much queued work would precede new work, if this is on time and if
- * it is late. Of the work of another organisation in the same class, as much is
- * counted as its fair share lets start before the organisation of the new work
- * has started its own.
+ * Returns how much queued work would precede new work, if this is on time and
+ * if it is late. Of the work of another organisation in the same class, as much
+ * is counted as its fair share lets start before the organisation of the new
+ * work has started its own.
  */
 export function countAhead(
   queued: Iterable<ComparedQueuedWork>,
--- a/packages/work/src/work_backlogs.ts
+++ b/packages/work/src/work_backlogs.ts
@@ -176,9 +176,9 @@
   }
 
   /**
-   * Returns how long an organisation's own work takes that precedes new work, at
-   * the rate at which its work has been started during its present backlog; 0 if
-   * this is too recent.
+   * Returns how long an organisation's own work takes that precedes new work,
+   * at the rate at which its work has been started during its present backlog;
+   * 0 if this is too recent.
    */
   ownWait(
     organisation: string | undefined,
--- a/packages/work/src/work_queue.ts
+++ b/packages/work/src/work_queue.ts
@@ -70,8 +70,8 @@
  * its objective precedes work that is already late, so that a backlog does not
  * delay all later work beyond its objective; then organisations share the slots
  * by start-time fair queueing, and the oldest work comes first. Work whose
- * expected wait exceeds its limit is refused immediately instead of after a long
- * wait.
+ * expected wait exceeds its limit is refused immediately instead of after a
+ * long wait.
  *
  * The queue performs no I/O. Its owner reports available connections and
  * finished statements.
@@ -94,8 +94,8 @@
   }
 
   /**
-   * Returns the expected wait of new work of an organisation, if its priority is
-   * the lowest of all that wait, in milliseconds.
+   * Returns the expected wait of new work of an organisation, if its priority
+   * is the lowest of all that wait, in milliseconds.
    */
   expectedWaitOf(request: QueueRequester = {}): number {
     const {size, hasOrganisations} = this.waiting;
@@ -270,7 +270,9 @@
     return isLate ? this.expectedWait(ifLate, work.organisation) : waitIfOnTime;
   }
 
-  /** Work that starts now would be late if its answer is due before this time. */
+  /**
+   * Work that starts now would be late if its answer is due before this time.
+   */
   private get lateBefore(): number {
     return this.options.timer.now() + this.meanMilliseconds;
   }
--- a/packages/work/test/organisation_load.ts
+++ b/packages/work/test/organisation_load.ts
@@ -32,7 +32,9 @@
   run(arrival: Arrival): Promise<Outcome>;
 }
 
-/** A member whose slots serve statements and openings, first come first served. */
+/**
+ * A member whose slots serve statements and openings, first come first served.
+ */
 export class SlottedMember extends MemberConnector {
   readonly timer = ManualTimerService.create();
   readonly connections: FakeMemberConnection[] = [];
@@ -203,7 +205,9 @@
   return outcomes;
 }
 
-/** Returns the arrivals of an organisation at a mean rate, with a fixed seed. */
+/**
+ * Returns the arrivals of an organisation at a mean rate, with a fixed seed.
+ */
 export function arrivalsOf(
   organisation: string,
   ratePerSecond: number,
--- a/packages/work/test/organisation_load_test.ts
+++ b/packages/work/test/organisation_load_test.ts
@@ -88,8 +88,8 @@
     report(250, 'overload', waitsOf(outcomes), member);
   });
 
-  // Guards against an organisation over its share that delays the others, or has
-  // their statements refused.
+  // Guards against an organisation over its share that delays the others, or
+  // has their statements refused.
   it('leave to an organisation at 7 times its rate only what others do not use', async () => {
     const rates = zipfRates(100, 1.2, 120);
     const largest = 'org0';
--- a/packages/work/test/work_queue_memory_test.ts
+++ b/packages/work/test/work_queue_memory_test.ts
@@ -19,8 +19,8 @@
 }
 
 describe('a queued statement of a transaction', () => {
-  // The reactions of a promise that never settles are kept for as long as it is,
-  // so that each statement of a transaction would use memory for good.
+  // The reactions of a promise that never settles are kept for as long as it
+  // is, so that each statement of a transaction would use memory for good.
   it('is not retained after it has run', async () => {
     setFlagsFromString('--expose-gc');
     const collectGarbage = runInNewContext('gc') as () => void;
