Count connections by state under plain names

`Tally`, `tallyConnections` and `endingSoon` are `ConnectionCounts`, `countConnections` and `expectedBack`. Says what a share class is, as that of open transactions is a negative number.

--- a/packages/work/src/connection_choice.ts
+++ b/packages/work/src/connection_choice.ts
@@ -4,7 +4,7 @@
  * The maximum number that are opened at the same time for one organisation, so
  * that the backlog of one does not delay the first connection of another.
  */
-const MAXIMUM_CONCURRENT_OPENS_EACH = 1;
+const MAXIMUM_ORGANISATION_OPENS = 1;
 /**
  * After this wait, an organisation without a connection gets one that another
  * organisation would use for its next statement. An opening costs about 12 ms
@@ -68,23 +68,27 @@
     };
 
 /** The connections of one organisation, by state. */
-interface Tally {
+interface ConnectionCounts {
   total: number;
   idle: number;
   opening: number;
-  statements: number;
-  /** Those whose statement probably ends within the mean duration. */
-  endingSoon: number;
-  /** When the first of these will have exceeded the mean duration. */
+  /** Those that run a statement outside of a transaction. */
+  running: number;
+  /**
+   * Those of the running ones that are expected back soon: their statement has
+   * run for less than the mean duration.
+   */
+  expectedBack: number;
+  /** When the first of these will have run for the mean duration. */
   overdueAt: number;
 }
 
-const NO_CONNECTIONS: Tally = {
+const NO_CONNECTIONS: ConnectionCounts = {
   total: 0,
   idle: 0,
   opening: 0,
-  statements: 0,
-  endingSoon: 0,
+  running: 0,
+  expectedBack: 0,
   overdueAt: Infinity,
 };
 
@@ -115,23 +119,23 @@
   if (facts.opening.length >= MAXIMUM_CONCURRENT_OPENS) {
     return {kind: 'wait', until, isBlocked: false};
   }
-  const tallies = tallyConnections(facts);
-  const isFull = countOf(tallies) >= facts.maximum;
+  const counts = countConnections(facts);
+  const isFull = totalOf(counts) >= facts.maximum;
   let isBlocked = false;
   let replaceable: readonly Connection[] | undefined;
   for (const {organisation, waiting} of facts.demands) {
-    const tally = tallies.get(organisation) ?? NO_CONNECTIONS;
-    const {idle, opening, statements, endingSoon, overdueAt} = tally;
-    if (opening >= MAXIMUM_CONCURRENT_OPENS_EACH) continue;
+    const own = counts.get(organisation) ?? NO_CONNECTIONS;
+    const {idle, opening, running, expectedBack, overdueAt} = own;
+    if (opening >= MAXIMUM_ORGANISATION_OPENS) continue;
     if (waiting <= idle + opening) continue;
-    if (idle + opening + statements >= facts.slots) continue;
-    if (waiting <= idle + opening + endingSoon) {
+    if (idle + opening + running >= facts.slots) continue;
+    if (waiting <= idle + opening + expectedBack) {
       until = Math.min(until ?? Infinity, overdueAt);
       continue;
     }
     if (!isFull) return {kind: 'open', organisation, replaced: undefined};
     isBlocked = true;
-    replaceable ??= replaceableConnections(facts, tallies);
+    replaceable ??= replaceableConnections(facts, counts);
     if (replaceable.length === 0) break;
     const replaced = replaceable.find(
       each => each.organisation !== organisation,
@@ -152,16 +156,16 @@
   {organisation}: Connection,
 ): boolean {
   if (facts.opening.length > 0) return false;
-  const tallies = tallyConnections(facts);
-  if (countOf(tallies) + 1 < facts.maximum) return false;
+  const counts = countConnections(facts);
+  if (totalOf(counts) + 1 < facts.maximum) return false;
   for (const demand of facts.demands) {
     if (demand.organisation === organisation) return false;
-    const tally = tallies.get(demand.organisation) ?? NO_CONNECTIONS;
-    const hasNone = tally.idle + tally.opening + tally.statements === 0;
+    const other = counts.get(demand.organisation) ?? NO_CONNECTIONS;
+    const hasNone = other.idle + other.opening + other.running === 0;
     if (hasNone && facts.now - demand.since >= TURN_MILLISECONDS) {
       return (
         facts.demands.some(each => each.organisation === organisation) &&
-        replaceableConnections(facts, tallies).length === 0
+        replaceableConnections(facts, counts).length === 0
       );
     }
   }
@@ -175,57 +179,63 @@
  */
 function replaceableConnections<Connection extends PooledConnection>(
   {idle, demands}: PoolFacts<Connection>,
-  tallies: ReadonlyMap<string | undefined, Tally>,
+  counts: ReadonlyMap<string | undefined, ConnectionCounts>,
 ): readonly Connection[] {
   const waiting = new Map(
     demands.map(each => [each.organisation, each.waiting]),
   );
   return idle.filter(({organisation}) => {
-    const idleCount = tallies.get(organisation)?.idle ?? 0;
+    const idleCount = counts.get(organisation)?.idle ?? 0;
     return idleCount > (waiting.get(organisation) ?? 0);
   });
 }
 
-function countOf(tallies: ReadonlyMap<string | undefined, Tally>): number {
-  let count = 0;
-  for (const {total} of tallies.values()) count += total;
-  return count;
+function totalOf(
+  counts: ReadonlyMap<string | undefined, ConnectionCounts>,
+): number {
+  let sum = 0;
+  for (const {total} of counts.values()) sum += total;
+  return sum;
 }
 
-function tallyConnections({
+/** Returns the counts of each organisation that has connections. */
+function countConnections({
   idle,
   checkedOut,
   opening,
   meanMilliseconds,
   now,
-}: PoolFacts<PooledConnection>): ReadonlyMap<string | undefined, Tally> {
-  const tallies = new Map<string | undefined, Tally>();
-  const tallyOf = (organisation: string | undefined) => {
-    const known = tallies.get(organisation);
+}: PoolFacts<PooledConnection>): ReadonlyMap<
+  string | undefined,
+  ConnectionCounts
+> {
+  const counts = new Map<string | undefined, ConnectionCounts>();
+  const countsOf = (organisation: string | undefined) => {
+    const known = counts.get(organisation);
     if (known !== undefined) return known;
     const created = {...NO_CONNECTIONS};
-    tallies.set(organisation, created);
+    counts.set(organisation, created);
     return created;
   };
   for (const {organisation} of idle) {
-    const tally = tallyOf(organisation);
-    tally.total += 1;
-    tally.idle += 1;
+    const own = countsOf(organisation);
+    own.total += 1;
+    own.idle += 1;
   }
   for (const organisation of opening) {
-    const tally = tallyOf(organisation);
-    tally.total += 1;
-    tally.opening += 1;
+    const own = countsOf(organisation);
+    own.total += 1;
+    own.opening += 1;
   }
   for (const connection of checkedOut) {
-    const tally = tallyOf(connection.organisation);
-    tally.total += 1;
+    const own = countsOf(connection.organisation);
+    own.total += 1;
     if (connection.isInTransaction) continue;
-    tally.statements += 1;
+    own.running += 1;
     const overdueAt = connection.checkedOutAt + meanMilliseconds;
     if (overdueAt <= now) continue;
-    tally.endingSoon += 1;
-    tally.overdueAt = Math.min(tally.overdueAt, overdueAt);
+    own.expectedBack += 1;
+    own.overdueAt = Math.min(own.overdueAt, overdueAt);
   }
-  return tallies;
+  return counts;
 }
--- a/packages/work/src/fair_shares.ts
+++ b/packages/work/src/fair_shares.ts
@@ -78,7 +78,12 @@
   }
 }
 
-/** Returns the class of work that competes for fair shares. */
+/**
+ * Returns a number for the class of work that competes for fair shares: one
+ * class for each priority and, apart from it, for late work of that priority.
+ * The number says nothing about the order, and is negative for open
+ * transactions.
+ */
 export function shareClassOf(priority: number, isLate: boolean): number {
   return 2 * priority + Number(isLate);
 }
--- a/packages/work/src/work_backlogs.ts
+++ b/packages/work/src/work_backlogs.ts
@@ -42,6 +42,7 @@
   -readonly [Key in keyof Backlog<Work>]: Backlog<Work>[Key];
 } & {
   size: number;
+  /** The number of the last ranking that visited it. */
   lastRanking: number;
   /** How much work has started since the backlog exists. */
   starts: number;
@@ -51,7 +52,7 @@
   lateShare: number;
 };
 
-/** The key of statements of transactions, whose order has no organisations. */
+/** The key of statements of open transactions, which form one backlog. */
 const TRANSACTIONS = Symbol('transactions');
 
 /**
--- a/packages/work/src/work_queue.ts
+++ b/packages/work/src/work_queue.ts
@@ -12,7 +12,7 @@
 const MEAN_WEIGHT = 0.1;
 /** The shortest wait that a refusal reports. */
 const MINIMUM_RETRY_MILLISECONDS = 10;
-/** A higher priority than that of any new work. */
+/** Precedes all priorities of new work, which are 0 and larger numbers. */
 const OPEN_TRANSACTION_PRIORITY = -1;
 
 /** The organisation for which work is done, if there is one. */
