Split the loop that runs a transaction into its steps

`MemberWorker.runWork` waited for statements, ended idle transactions and acquired slots in one function of 45 lines. Waiting for the next statement and admitting it are functions of their own now, with what the work consists of in one `ActiveWork`. No behaviour changes; the tests of packages/work pass.

--- a/packages/work/src/idle_transactions.ts
+++ b/packages/work/src/idle_transactions.ts
@@ -46,8 +46,8 @@
     now: number,
   ): EndingChoice<Transaction> {
     const [longest] = this.idleSince;
-    const holdMost = this.idleSince.size * 2 > connectionCount;
-    if (longest === undefined || !holdMost) {
+    const holdsMost = this.idleSince.size * 2 > connectionCount;
+    if (longest === undefined || !holdsMost) {
       return {kind: 'wait', until: undefined};
     }
     const [transaction, since] = longest;
--- a/packages/work/src/member_worker.ts
+++ b/packages/work/src/member_worker.ts
@@ -56,6 +56,14 @@
 /** Whether a transaction is still open after a statement. */
 type WorkProgress = 'continue' | 'finished';
 
+/** Work that has been admitted and has a connection. */
+interface ActiveWork {
+  readonly connection: WorkConnection;
+  readonly request: WorkRequest;
+  readonly channel: WorkServerChannel;
+  readonly inbox: WorkInbox;
+}
+
 /** A transaction that waits for the next statement of its session. */
 interface IdleTransaction {
   readonly connection: WorkConnection;
@@ -186,7 +194,7 @@
       this.connections.checkIn(connection);
       return this.refuse(channel, laterObstacle);
     }
-    await this.runWork(connection, request, channel, inbox);
+    await this.runWork({connection, request, channel, inbox});
   }
 
   /**
@@ -217,58 +225,75 @@
     return primaryTerm > 0 || acceptsNewWork() ? undefined : 'draining';
   }
 
-  private async runWork(
-    connection: WorkConnection,
-    request: WorkRequest,
-    channel: WorkServerChannel,
-    inbox: WorkInbox,
-  ): Promise<void> {
+  private async runWork(work: ActiveWork): Promise<void> {
+    const {connection, request} = work;
     this.options.onBegun(request);
     connection.isInTransaction = request.first.opens !== 'none';
     let statement: WorkStatement = request.first;
     for (;;) {
-      const progress = await this.runStatement(
-        connection,
-        request,
-        statement,
-        channel,
-      );
+      const progress = await this.runStatement(work, statement);
       if (progress === 'finished') return;
-      const since = this.options.timer.now();
-      const idle = {connection, requestId: statement.requestId, since};
-      this.idleTransactions.add(idle, since);
-      const nextStatement = await inbox.receiveStatement();
-      const isOpen = this.idleTransactions.remove(idle);
-      if (!isOpen && nextStatement !== undefined) {
-        const reason = 'the idle transaction was ended for waiting work';
-        this.sendLost(channel, {mayHaveRun: false, timedOut: false, reason});
-      }
-      if (!isOpen) return;
-      if (nextStatement === undefined) return this.rollBack(connection);
-      const slot = await this.queue.acquireTransactionSlot(
-        nextStatement.timeoutMilliseconds,
-        request,
-      );
-      if (slot.isLeft()) {
-        const reason = 'no slot became free within the statement timeout';
-        this.sendLost(channel, {mayHaveRun: false, timedOut: true, reason});
-        return this.connections.discard(connection);
-      }
-      if (!this.options.mayUse(request.primaryTerm)) {
-        this.queue.releaseSlot(0);
-        const reason = 'this VM no longer holds the primary lease';
-        this.sendLost(channel, {mayHaveRun: false, timedOut: false, reason});
-        return this.connections.discard(connection);
-      }
-      statement = nextStatement;
+      const next = await this.receiveNext(work, statement.requestId);
+      if (next === undefined || !(await this.admitNext(work, next))) return;
+      statement = next;
+    }
+  }
+
+  /**
+   * Resolves to the next statement of a transaction, which is idle until then;
+   * to `undefined` once the transaction has ended without one.
+   */
+  private async receiveNext(
+    {connection, channel, inbox}: ActiveWork,
+    requestId: string,
+  ): Promise<WorkStatement | undefined> {
+    const since = this.options.timer.now();
+    const idle = {connection, requestId, since};
+    this.idleTransactions.add(idle, since);
+    const next = await inbox.receiveStatement();
+    const isOpen = this.idleTransactions.remove(idle);
+    if (isOpen) {
+      if (next === undefined) await this.rollBack(connection);
+      return next;
+    }
+    if (next !== undefined) {
+      const reason = 'the idle transaction was ended for waiting work';
+      this.sendLost(channel, {mayHaveRun: false, timedOut: false, reason});
+    }
+    return undefined;
+  }
+
+  /**
+   * Waits for a slot for the next statement of a transaction. Resolves to
+   * `false`, with the transaction lost, if the statement may not run.
+   */
+  private async admitNext(
+    {connection, request, channel}: ActiveWork,
+    next: WorkStatement,
+  ): Promise<boolean> {
+    const slot = await this.queue.acquireTransactionSlot(
+      next.timeoutMilliseconds,
+      request,
+    );
+    if (slot.isLeft()) {
+      const reason = 'no slot became free within the statement timeout';
+      this.sendLost(channel, {mayHaveRun: false, timedOut: true, reason});
+      this.connections.discard(connection);
+      return false;
     }
+    if (!this.options.mayUse(request.primaryTerm)) {
+      this.queue.releaseSlot(0);
+      const reason = 'this VM no longer holds the primary lease';
+      this.sendLost(channel, {mayHaveRun: false, timedOut: false, reason});
+      this.connections.discard(connection);
+      return false;
+    }
+    return true;
   }
 
   private async runStatement(
-    connection: WorkConnection,
-    request: WorkRequest,
+    {connection, request, channel}: ActiveWork,
     statement: WorkStatement,
-    channel: WorkServerChannel,
   ): Promise<WorkProgress> {
     const {timer} = this.options;
     const startedAt = timer.now();
@@ -308,7 +333,7 @@
    * waits for one. Returns when to call it again if the work still waits then.
    */
   private endIdleTransaction(): number | undefined {
-    // The connection of the last one may be enough.
+    // The connection of the transaction that is being ended may be enough.
     if (this.isEndingTransaction) return undefined;
     const {timer, logger, target, observer} = this.options;
     const {count} = this.connections;
