Name the queue's test member unlike the fake of connections

`FakeMember` stood beside `FakeMemberConnection` of another file; it is `QueuedMember`. A comment now says which failure a test of quotas guards against. No check changes.

--- a/packages/quota/test/quota_bound_test.ts
+++ b/packages/quota/test/quota_bound_test.ts
@@ -124,7 +124,8 @@
     );
   });
 
-  // Each VM went on with some operations of its own, whatever its share.
+  // Guards against VMs that each begin an outage with operations of their own,
+  // which add up to more than the bound.
   it('stay within the bound if demand jumps as a coordinator is cut off', async () => {
     for (const seed of [1, 2, 3]) {
       const random = randomFrom(seed);
--- a/packages/work/test/queued_member.ts
+++ b/packages/work/test/queued_member.ts
@@ -4,7 +4,7 @@
 const NEVER = new Promise<never>(() => undefined);
 
 /** A member with slots and connections, as seen by the queue. */
-export class FakeMember {
+export class QueuedMember {
   readonly timer = ManualTimerService.create();
   readonly started: string[] = [];
   free: number;
--- a/packages/work/test/work_queue_organisations_test.ts
+++ b/packages/work/test/work_queue_organisations_test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {QueueRequester} from '../src/index.js';
-import {FakeMember, settle} from './queued_member.js';
+import {QueuedMember, settle} from './queued_member.js';
 
 const HIGH = 1;
 const LOW = 2;
@@ -11,7 +11,7 @@
   const B = {organisation: 'b'};
 
   async function startOrder(
-    member: FakeMember,
+    member: QueuedMember,
     count: number,
   ): Promise<string> {
     const before = member.started.length;
@@ -20,7 +20,7 @@
   }
 
   function submitMany(
-    member: FakeMember,
+    member: QueuedMember,
     count: number,
     requester: QueueRequester,
     priority = LOW,
@@ -32,7 +32,7 @@
   }
 
   it('shares slots equally, whatever the length of a backlog', async () => {
-    const member = new FakeMember(1, 100);
+    const member = new QueuedMember(1, 100);
     submitMany(member, 20, A);
     submitMany(member, 3, B);
     await settle();
@@ -40,7 +40,7 @@
   });
 
   it('shares slots by the weights of organisations', async () => {
-    const member = new FakeMember(1, 100);
+    const member = new QueuedMember(1, 100);
     submitMany(member, 20, {...A, organisationPriority: 1});
     submitMany(member, 20, {...B, organisationPriority: 0});
     await settle();
@@ -49,7 +49,7 @@
   });
 
   it('gives no claim to a share that was not used', async () => {
-    const member = new FakeMember(1, 100);
+    const member = new QueuedMember(1, 100);
     submitMany(member, 20, A);
     await startOrder(member, 10);
     submitMany(member, 10, B);
@@ -57,7 +57,7 @@
   });
 
   it('puts the priority of work before shares', async () => {
-    const member = new FakeMember(1, 100);
+    const member = new QueuedMember(1, 100);
     submitMany(member, 5, B);
     submitMany(member, 5, A, HIGH);
     await settle();
@@ -65,7 +65,7 @@
   });
 
   it('counts the statements of transactions towards the share', async () => {
-    const member = new FakeMember(1, 100);
+    const member = new QueuedMember(1, 100);
     submitMany(member, 6, A);
     submitMany(member, 6, B);
     const owner = {
@@ -83,7 +83,7 @@
   });
 
   it('skips work whose organisation has no free connection', async () => {
-    const member = new FakeMember(2, 1);
+    const member = new QueuedMember(2, 1);
     submitMany(member, 2, A);
     submitMany(member, 2, B);
     await settle();
@@ -91,7 +91,7 @@
   });
 
   it('refuses no work of an organisation because of a backlog of another', async () => {
-    const member = new FakeMember(1, 100);
+    const member = new QueuedMember(1, 100);
     submitMany(member, 50, A);
     const refused = member.submit('a', LOW, 100, 100, A);
     const admitted = member.submit('b', LOW, 100, 100, B);
--- a/packages/work/test/work_queue_test.ts
+++ b/packages/work/test/work_queue_test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {Either} from 'purify-ts';
 import {QueueRefusal} from '../src/index.js';
-import {FakeMember, settle} from './queued_member.js';
+import {QueuedMember, settle} from './queued_member.js';
 
 const HIGH = 1;
 const LOW = 2;
@@ -13,7 +13,7 @@
 describe('WorkQueue', () => {
   describe('with more work than slots', () => {
     it('starts work by priority, then by age', async () => {
-      const member = new FakeMember(1, 4);
+      const member = new QueuedMember(1, 4);
       void member.submit('running', LOW, 1_000);
       void member.submit('low', LOW, 1_000);
       void member.submit('high', HIGH, 1_000);
@@ -29,7 +29,7 @@
     });
 
     it('serves an open transaction before new work', async () => {
-      const member = new FakeMember(1, 4);
+      const member = new QueuedMember(1, 4);
       void member.submit('running', HIGH, 1_000);
       void member.submit('new', HIGH, 1_000);
       const transactionSlot = member.queue.acquireTransactionSlot(1_000);
@@ -39,7 +39,7 @@
     });
 
     it('refuses work at once that would wait too long, with an estimate', async () => {
-      const member = new FakeMember(2, 20);
+      const member = new QueuedMember(2, 20);
       const outcomes = Array.from({length: 30}, (_, index) =>
         member.submit(`work ${index}`, LOW, 60),
       );
@@ -60,7 +60,7 @@
     });
 
     it('ignores work of lower priority in the expected wait', async () => {
-      const member = new FakeMember(1, 20);
+      const member = new QueuedMember(1, 20);
       for (let count = 0; count < 8; count++) {
         void member.submit(`low ${count}`, LOW, 100);
       }
@@ -70,7 +70,7 @@
     });
 
     it('never starts work whose wait limit has passed', async () => {
-      const member = new FakeMember(1, 4);
+      const member = new QueuedMember(1, 4);
       void member.submit('running', LOW, 1_000);
       const waiting = member.submit('late', LOW, 50);
       await member.timer.advanceAsync(60);
@@ -80,7 +80,7 @@
     });
 
     it('adapts its expected wait to the duration of statements', async () => {
-      const member = new FakeMember(1, 4);
+      const member = new QueuedMember(1, 4);
       for (let count = 0; count < 60; count++) {
         void member.submit('slow', LOW, 10_000);
         await settle();
@@ -99,7 +99,7 @@
     const NEWCOMERS = 20;
 
     it('answers new work in time despite the backlog', async () => {
-      const member = new FakeMember(2, 200);
+      const member = new QueuedMember(2, 200);
       for (let index = 0; index < BACKLOG; index++) {
         void member.submit(`backlog ${index}`, LOW, 1_000, 0);
       }
@@ -123,7 +123,7 @@
     });
 
     it('serves late work after work that can meet its objective', async () => {
-      const member = new FakeMember(1, 10);
+      const member = new QueuedMember(1, 10);
       void member.submit('running', LOW, 1_000);
       void member.submit('overtaken', LOW, 1_000, 50);
       await member.timer.advanceAsync(60);
@@ -136,7 +136,7 @@
 
   // Guards against a change of order for deployments without organisations.
   it('orders work without organisations by priority, lateness and age', async () => {
-    const member = new FakeMember(1, 1_000);
+    const member = new QueuedMember(1, 1_000);
     void member.submit('running', LOW, 1_000_000);
     let state = 1;
     const random = (limit: number) => {
@@ -176,7 +176,7 @@
 
   describe('without a free connection', () => {
     it('requests connections and starts work when one is free', async () => {
-      const member = new FakeMember(2, 0);
+      const member = new QueuedMember(2, 0);
       void member.submit('one', LOW, 1_000);
       void member.submit('two', LOW, 1_000);
       await settle();
@@ -188,7 +188,7 @@
     });
 
     it('refuses queued work if no connection can be expected', async () => {
-      const member = new FakeMember(2, 0);
+      const member = new QueuedMember(2, 0);
       const waiting = member.submit('one', LOW, 1_000);
       member.queue.refuseQueuedWork();
       expect((await waiting).isLeft()).to.equal(true);
