--- a/packages/appointment/src/removed_log_check.ts
+++ b/packages/appointment/src/removed_log_check.ts
@@ -6,7 +6,10 @@
 import {MemberAdminClient} from './member_admin_client.js';
 import {longestLog} from './replication_state.js';
 
-/** A member may receive commits until its process ends, soon after it left. */
+/**
+ * The wait before logs are compared: a member that has left may receive commits
+ * until its process ends.
+ */
 const PROCESS_END_MILLISECONDS = 300;
 /** Pause between two attempts; each opens a connection to every member. */
 const RETRY_MILLISECONDS = 400;
--- a/packages/control/src/consensus.ts
+++ b/packages/control/src/consensus.ts
@@ -62,8 +62,8 @@
   private activeLeadership: Leadership | undefined;
   /** When a leader's message last arrived, or this VM last granted a vote. */
   private electionTimerResetAt = -Infinity;
-  /** Latest time at which the log here is known to have been the newest. */
-  private knownNewestAt = -Infinity;
+  /** The value of `newestKnownAt` while this VM does not lead. */
+  private newestKnownAsFollowerAt = -Infinity;
   private readonly sentAnswers: SentAnswers;
   private readonly election: Election;
   private stopped = false;
@@ -117,7 +117,9 @@
    * that were committed; `-Infinity` if unknown.
    */
   get newestKnownAt(): number {
-    return this.activeLeadership?.quorumContactAt ?? this.knownNewestAt;
+    return (
+      this.activeLeadership?.quorumContactAt ?? this.newestKnownAsFollowerAt
+    );
   }
 
   /** Starts an election at once, with a trial vote first. */
@@ -202,7 +204,10 @@
   private recordNewest({confirmedAnswer}: AppendRequest): void {
     if (confirmedAnswer === undefined) return;
     const sentAt = this.sentAnswers.find(confirmedAnswer) ?? -Infinity;
-    this.knownNewestAt = Math.max(this.knownNewestAt, sentAt);
+    this.newestKnownAsFollowerAt = Math.max(
+      this.newestKnownAsFollowerAt,
+      sentAt,
+    );
   }
 
   private async handleInstallSnapshot(
