--- a/packages/work/src/work_observer.ts
+++ b/packages/work/src/work_observer.ts
@@ -10,7 +10,7 @@
 
 /** Receives events of the work on members, for metrics. */
 export interface WorkObserver {
-  /** Called when a connection to a member was opened or taken from its use. */
+  /** Called with each event of a connection to a member. */
   onConnectionEvent(event: ConnectionEvent): void;
 
   /** Called when this VM has refused work. */
--- a/spec/check_model.sh
+++ b/spec/check_model.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
-# Checks the models of a database group, of the control voters, of removed members
-# and of quotas exhaustively within the bounds below, and checks that an error is
-# found in each broken variant. Prints the errors, states and seconds of each run.
+# Checks the models of a database group, of the control voters, of removed
+# members and of quotas exhaustively within the bounds below, and checks that an
+# error is found in each broken variant. Prints the errors, states and seconds of
+# each run.
 set -euo pipefail
 models="$(cd "$(dirname "$0")" && pwd)"
 model="$models/group.pml"
--- a/spec/quota.pml
+++ b/spec/quota.pml
@@ -47,7 +47,7 @@
 byte freezes = 0;
 
 byte inFlight = 0;               /* granted, on the way to the callers' VM */
-byte inFlightAge = 0;            /* ticks since the oldest of them was requested */
+byte inFlightAge = 0;            /* ticks since the oldest was requested */
 byte held = 0;                   /* the allowance of the callers' VM */
 byte heldAge = 0;
 bool vmFrozen = false;
