--- a/packages/appointment/src/removed_log_check.ts
+++ b/packages/appointment/src/removed_log_check.ts
@@ -6,7 +6,10 @@
 import {MemberAdminClient} from './member_admin_client.js';
 import {longestLog} from './replication_state.js';
 
-/** A member may receive commits until its process ends, soon after it left. */
+/**
+ * The wait before logs are compared: a member that has left may receive commits
+ * until its process ends.
+ */
 const PROCESS_END_MILLISECONDS = 300;
 /** Pause between two attempts; each opens a connection to every member. */
 const RETRY_MILLISECONDS = 400;
@@ -20,11 +23,11 @@
 }
 
 /**
- * Finds out when the logs of removed members no longer matter. A commit counts as
- * acknowledged once the primary and one replica hold it. If that replica leaves,
- * the primary may be the only member with the commit, so that no other member
- * may be promoted without it. Once a present replica has received all that the
- * primary held after the removal, this is recorded in the control log.
+ * Finds out when the logs of removed members no longer matter. A commit counts
+ * as acknowledged once the primary and one replica hold it. If that replica
+ * leaves, the primary may be the only member with the commit, so that no other
+ * member may be promoted without it. Once a present replica has received all
+ * that the primary held after the removal, this is recorded in the control log.
  */
 export class RemovedLogCheck {
   private readonly running = new Set<string>();
--- a/packages/quota/src/quota_messages.ts
+++ b/packages/quota/src/quota_messages.ts
@@ -20,7 +20,9 @@
   /** Granted operations that expired unused. */
   returned: number,
   sequence: number,
-  /** 1 if an earlier request is unanswered and may still be answered, else 0. */
+  /**
+   * 1 if an earlier request is unanswered and may still be answered, else 0.
+   */
   isRetry: number,
 ];
 
@@ -32,8 +34,9 @@
 
 /**
  * The answer for one organisation: empty if the VM does not coordinate it, the
- * granted operations, or, if there was no room for those needed, also the milliseconds
- * until there is room and between two further operations of the requesting VM.
+ * granted operations, or, if there was no room for those needed, also the
+ * milliseconds until there is room and those between two further operations of
+ * the requesting VM.
  */
 export type GrantAnswer =
   | readonly []
