Use one name for the check of a caller's key

The check was mayContinue for an operation and mayRun for a statement. It is isPermitted in both; the variant that first refreshes a stale view says so.

--- a/packages/dispatch/src/authenticator.ts
+++ b/packages/dispatch/src/authenticator.ts
@@ -109,7 +109,7 @@
    * Returns whether an operation that was started for an organisation, or for
    * none, may send another statement to a member.
    */
-  mayContinue(
+  isPermitted(
     credential: PresentedCredential,
     organisation: string | undefined,
   ): boolean {
--- a/packages/dispatch/src/member_attempts.ts
+++ b/packages/dispatch/src/member_attempts.ts
@@ -70,7 +70,7 @@
     choice: Choice,
   ): Promise<Attempt> {
     const {dispatcher, timer} = this.options;
-    if (statement.mayRun?.() === false) {
+    if (statement.isPermitted?.() === false) {
       return retryable('the key of the caller is no longer valid');
     }
     const remainingObjective = objectiveTimeLeft(statement, timer.now());
--- a/packages/dispatch/src/routed_statement.ts
+++ b/packages/dispatch/src/routed_statement.ts
@@ -36,7 +36,7 @@
    * Returns whether the caller's key still permits the statement; asked before
    * each attempt, as a statement may be held for long during a failover.
    */
-  readonly mayRun?: (() => boolean) | undefined;
+  readonly isPermitted?: (() => boolean) | undefined;
 }
 
 /** The last write of a session, with the time of its acknowledgement. */
--- a/packages/dispatch/src/session_caller.ts
+++ b/packages/dispatch/src/session_caller.ts
@@ -60,15 +60,18 @@
     };
   }
 
-  /** Resolves to whether its open transaction may run another statement. */
-  async mayContinue(): Promise<boolean> {
+  /** Like {@link isPermitted}, after a stale view has been refreshed. */
+  async isPermittedAfterRefresh(): Promise<boolean> {
     await this.authenticator.refreshStaleView(this.credential);
     return this.isPermitted();
   }
 
-  /** Returns whether, by the current view, its operation may go on. */
+  /**
+   * Returns whether, by the current view, the operation that was started last may
+   * send another statement to a member.
+   */
   isPermitted(): boolean {
     const {credential, identified} = this;
-    return this.authenticator.mayContinue(credential, identified?.name);
+    return this.authenticator.isPermitted(credential, identified?.name);
   }
 }
--- a/packages/dispatch/src/statement_router.ts
+++ b/packages/dispatch/src/statement_router.ts
@@ -121,7 +121,7 @@
   ): boolean {
     const {observer} = this.options;
     // No member gets a statement of a revoked key.
-    if (statement.mayRun?.() === false) return true;
+    if (statement.isPermitted?.() === false) return true;
     if (this.isHopeless(statement, last)) {
       observer.onRouting('refusedEarly');
       return true;
--- a/packages/dispatch/src/statement_session.ts
+++ b/packages/dispatch/src/statement_session.ts
@@ -223,7 +223,7 @@
       if (refusal !== undefined) this.transaction = NO_TRANSACTION;
       return refusal;
     }
-    if (await caller.mayContinue()) return undefined;
+    if (await caller.isPermittedAfterRefresh()) return undefined;
     this.endTransaction();
     this.transaction = NO_TRANSACTION;
     const reason = 'the key of the transaction is no longer valid';
@@ -329,7 +329,7 @@
         receivedAt,
         ownWrite: this.ownWrite,
         organisation,
-        mayRun: () => this.caller.isPermitted(),
+        isPermitted: () => this.caller.isPermitted(),
       });
     const operation = {organisation, terms, receivedAt};
     const {outcome, refusedByQuota} = await runWithinQuota(
--- a/packages/dispatch/test/statement_router_test.ts
+++ b/packages/dispatch/test/statement_router_test.ts
@@ -71,7 +71,7 @@
   it('sends a statement to no member once its key is revoked', async () => {
     createGroup([]);
     let revoked = false;
-    const outcome = group.start({mayRun: () => !revoked});
+    const outcome = group.start({isPermitted: () => !revoked});
     while (group.requests.length === 0) await group.timer.advanceAsync(10);
     revoked = true;
     await group.timer.advanceAsync(1_000);
@@ -83,7 +83,9 @@
   it('refuses a statement that is held when its key is revoked at once', async () => {
     createGroup([]);
     let outcome: RouteOutcome | undefined;
-    void group.start({mayRun: () => false}).then(result => (outcome = result));
+    void group
+      .start({isPermitted: () => false})
+      .then(result => (outcome = result));
     // No time passes on the timer.
     await setImmediate();
     expect(outcome?.kind).to.equal('notRun');
