Split the long functions of attempts on members

MemberAttempts.run, its outlier evidence, ReadRound.run and ReadRouter.tryMembers each did several things.

--- a/packages/dispatch/src/member_attempts.ts
+++ b/packages/dispatch/src/member_attempts.ts
@@ -33,6 +33,7 @@
 /** An attempt that was sent to the VM that works on the member. */
 interface SentAttempt {
   readonly request: WorkRequest;
+  readonly urgency: Urgency;
   readonly handle: WorkHandle;
   /** When it was sent, on the timer's clock. */
   readonly sentAt: number;
@@ -83,25 +84,42 @@
     if (work === undefined) return retryable('no VM can reach the member');
     const sentAt = timer.now();
     const handle = WorkHandle.of(work, dispatcher, timer);
+    const sent = {request, urgency, handle, sentAt};
+    return this.complete(statement, group, choice, sent);
+  }
+
+  /** Awaits the result of a sent attempt and learns from it. */
+  private async complete(
+    statement: RoutedStatement,
+    group: DatabaseGroup,
+    choice: Choice,
+    sent: SentAttempt,
+  ): Promise<Attempt> {
+    const {handle, sentAt} = sent;
     const {timeoutMilliseconds, repeatable} = choice;
     const result = await handle.awaitResult(timeoutMilliseconds, repeatable);
     this.log(statement, choice, result, handle);
     if (choice.primaryTerm === 0) {
-      const latency = timer.now() - sentAt;
+      const latency = this.options.timer.now() - sentAt;
       this.learnOutliers(statement, group, choice.member, result, latency);
     }
     if (result.kind === 'answered') {
-      const sent = {request, handle, sentAt};
       return this.handleAnswer(group, choice, result, sent);
     }
     handle.end();
     if (result.kind === 'refused') {
-      return this.handleRefusal(request, result, handle, urgency);
+      return this.handleRefusal(result, sent);
     }
-    const {mayHaveRun, timedOut, reason} = result;
+    return this.handleLoss(choice, result);
+  }
+
+  private handleLoss(
+    {member, repeatable}: Choice,
+    {mayHaveRun, timedOut, reason}: Extract<WorkResult, {kind: 'lost'}>,
+  ): Attempt {
     // A timeout may be due to a lost VM, which says nothing about the member.
-    if (!timedOut) this.estimates.recordFailure(choice.member);
-    if (!mayHaveRun || choice.repeatable) {
+    if (!timedOut) this.estimates.recordFailure(member);
+    if (!mayHaveRun || repeatable) {
       return {...retryable(reason, mayHaveRun), retryCause: 'failed'};
     }
     return {kind: 'unknown', timedOut, reason};
@@ -183,22 +201,13 @@
     result: WorkResult,
     latencyMilliseconds: number,
   ): void {
-    const {outliers} = this;
-    let ejection: Ejection | undefined;
-    if (result.kind === 'answered') {
-      const {answer, expectedWaitMilliseconds} = result;
-      if (isMemberFailure(answer.end)) {
-        ejection = outliers.recordFailure(group, member);
-      } else if (answer.end.kind === 'complete') {
-        const latency =
-          expectedWaitMilliseconds > 0 ? undefined : latencyMilliseconds;
-        ejection = outliers.recordSuccess(group, member, entry.name, latency);
-      }
-    } else if (result.kind === 'lost' && !result.timedOut) {
-      if (result.linkLost !== true) {
-        ejection = outliers.recordFailure(group, member);
-      }
-    }
+    const ejection = this.recordReadResult(
+      group,
+      member,
+      entry.name,
+      result,
+      latencyMilliseconds,
+    );
     if (ejection === undefined) return;
     const {observer, logger} = this.options;
     observer.onRouting('ejected');
@@ -212,6 +221,30 @@
     });
   }
 
+  private recordReadResult(
+    group: DatabaseGroup,
+    member: string,
+    kind: string,
+    result: WorkResult,
+    latencyMilliseconds: number,
+  ): Ejection | undefined {
+    const {outliers} = this;
+    if (result.kind === 'answered') {
+      const {answer, expectedWaitMilliseconds} = result;
+      if (isMemberFailure(answer.end)) {
+        return outliers.recordFailure(group, member);
+      }
+      if (answer.end.kind !== 'complete') return undefined;
+      const latency =
+        expectedWaitMilliseconds > 0 ? undefined : latencyMilliseconds;
+      return outliers.recordSuccess(group, member, kind, latency);
+    }
+    if (result.kind !== 'lost' || result.timedOut) return undefined;
+    // A lost link to another VM says nothing about the member.
+    if (result.linkLost === true) return undefined;
+    return outliers.recordFailure(group, member);
+  }
+
   /** Learns a member's lag from its position, or the position of the primary. */
   private learnLag(
     {database, primary}: DatabaseGroup,
@@ -229,11 +262,10 @@
   }
 
   private handleRefusal(
-    {member, organisation}: WorkRequest,
     {refusal}: Extract<WorkResult, {kind: 'refused'}>,
-    {machine}: WorkHandle,
-    urgency: Urgency,
+    {request, urgency, handle}: SentAttempt,
   ): Attempt {
+    const {member, organisation} = request;
     const {reason, retryAfterMilliseconds} = refusal;
     if (reason === 'overloaded') {
       this.announcedWaits.recordRefusal(
@@ -244,7 +276,7 @@
       );
       this.estimates.recordRefusal(member, retryAfterMilliseconds);
     } else if (reason === 'unreachable') {
-      this.options.dispatcher.recordUnreachable(machine, member);
+      this.options.dispatcher.recordUnreachable(handle.machine, member);
       this.estimates.recordFailure(member);
     }
     const allAnnounced = reason === 'overloaded';
--- a/packages/dispatch/src/read_round.ts
+++ b/packages/dispatch/src/read_round.ts
@@ -42,9 +42,12 @@
 
 /** Tries one read on the members of a group, one after the other. */
 export class ReadRound {
+  /** The last attempt that another member may follow. */
   private last = retryable('the database has no member that accepts work');
+  /** The answer of the first member that failed the statement. */
   private failed: AnsweredAttempt | undefined;
   private anyTried = false;
+  /** Whether each attempt so far was refused with an announced wait. */
   private allAnnounced = true;
   /** The first replica that was not tried because it is behind. */
   private skipped: string | undefined;
@@ -58,7 +61,7 @@
 
   /** Tries the members in order until one can run the statement. */
   async run(order: readonly Member[]): Promise<Attempt> {
-    const {statement, group, timer, attempts} = this.options;
+    const {statement, timer} = this.options;
     let members = order;
     for (let index = 0; index < members.length; index++) {
       const {name} = members[index] as Member;
@@ -78,24 +81,38 @@
           members = this.primaryFirst(members, index + 1);
         }
         this.recordFailure(attempt);
-      } else if (!isFailureToRepeat(statement, attempt)) {
-        this.endFailed();
-        return attempt;
-      } else if (this.failed === undefined) {
-        this.failed = attempt;
-        if (!attempts.retries.take(group.database, 'failed')) break;
       } else {
-        attempt.handle.end();
-        return this.failed;
+        const outcome = this.outcomeOf(attempt);
+        if (outcome !== undefined) return outcome;
       }
     }
     return this.failed ?? this.tryLastResort();
   }
 
   /**
-   * Returns whether another member may be tried. One that has room is worth more
-   * than the message to a full one, so only failed work takes a retry from the
-   * budget here; refused work takes one for each further round.
+   * Returns the outcome of the round after a member has run the statement, or
+   * `undefined` if the member failed it and another one is to be tried. If two
+   * members fail it, the first failure is the outcome.
+   */
+  private outcomeOf(attempt: RouteOutcome): RouteOutcome | undefined {
+    const {statement, group, attempts} = this.options;
+    if (!isFailureToRepeat(statement, attempt)) {
+      this.endFailed();
+      return attempt;
+    }
+    if (this.failed !== undefined) {
+      attempt.handle.end();
+      return this.failed;
+    }
+    this.failed = attempt;
+    const mayRetry = attempts.retries.take(group.database, 'failed');
+    return mayRetry ? undefined : attempt;
+  }
+
+  /**
+   * Returns whether another member may be tried. Only failed work takes a retry
+   * from the budget here. Refused work takes one for each further round: within a
+   * round, finding a member with room outweighs the message to a full one.
    */
   private mayTryAnother(): boolean {
     const {group, attempts} = this.options;
--- a/packages/dispatch/src/read_router.ts
+++ b/packages/dispatch/src/read_router.ts
@@ -48,6 +48,7 @@
 /** Routes reads that any member with a recent enough log may run. */
 export class ReadRouter {
   private readonly requirements: ReadRequirements;
+  /** Counts reads, so that equal members take turns. */
   private turn = 0;
 
   private constructor(private readonly options: ReadRouterOptions) {
@@ -82,23 +83,23 @@
     group: DatabaseGroup,
     requirement: TimedRequirement,
   ): Promise<Attempt> {
-    const now = this.options.timer.now();
-    const remainingObjective = objectiveTimeLeft(statement, now);
-    const maximumWaitMilliseconds = queueMilliseconds(statement.terms);
+    const {timer, attempts} = this.options;
+    const limits = objectiveLimits(statement, timer.now());
     let first: RetryableFailure | undefined;
-    if (remainingObjective > 0) {
-      const attempt = await this.tryInOrder(statement, group, requirement, {
-        waitMilliseconds: Math.min(remainingObjective, maximumWaitMilliseconds),
-        timeoutMilliseconds: readAttemptTimeout(statement, now),
-      });
+    if (limits !== undefined) {
+      const attempt = await this.tryInOrder(
+        statement,
+        group,
+        requirement,
+        limits,
+      );
       if (attempt.kind !== 'retryable') return attempt;
       if (attempt.expectedWaitMilliseconds === undefined) return attempt;
-      const {attempts} = this.options;
       if (!attempts.mayRetry(group.database, attempt)) return attempt;
       first = attempt;
     }
     const attempt = await this.tryInOrder(statement, group, requirement, {
-      waitMilliseconds: maximumWaitMilliseconds,
+      waitMilliseconds: queueMilliseconds(statement.terms),
       timeoutMilliseconds: statement.terms.statementMilliseconds,
     });
     return attempt.kind === 'retryable'
@@ -125,13 +126,11 @@
         organisation: statement.organisation?.name,
       },
     );
-    const {waitMilliseconds, timeoutMilliseconds} = limits;
     const round = ReadRound.create({
       statement,
       group,
       requirement,
-      waitMilliseconds,
-      timeoutMilliseconds,
+      ...limits,
       attempts,
       timer,
       observer,
@@ -140,6 +139,23 @@
   }
 }
 
+/**
+ * Returns the limits of attempts that are to meet the latency objective,
+ * `undefined` if the statement is late already or has none.
+ */
+function objectiveLimits(
+  statement: RoutedStatement,
+  now: number,
+): AttemptLimits | undefined {
+  const remaining = objectiveTimeLeft(statement, now);
+  if (remaining <= 0) return undefined;
+  const maximumWait = queueMilliseconds(statement.terms);
+  return {
+    waitMilliseconds: Math.min(remaining, maximumWait),
+    timeoutMilliseconds: readAttemptTimeout(statement, now),
+  };
+}
+
 /** Returns the time limit of an attempt that is to meet the objective. */
 function readAttemptTimeout(statement: RoutedStatement, now: number): number {
   if (statement.terms.objectiveMilliseconds === undefined) {
