Reword comments of routing that are hard to follow

Comments began with "It answers" or "Load pattern", or restated a rule by a figure of speech, and many lines exceeded 80 characters. Private names that told less than they do are changed: startProcessGauges starts a monitor, isRefusedEarly is named like its event, EJECTION_RESET_MILLISECONDS and processesWithoutRelay say what they hold. No behaviour, stored or logged name changes.

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -1,6 +1,6 @@
-// Bundles each program of the platform into one file under target/, and compiles
-// it. A process reads its whole bundle at each start, so the bundles leave out
-// code that no program uses, to keep starts fast.
+// Bundles each program of the platform into one file under target/, and
+// compiles it. A process reads its whole bundle at each start, so the bundles
+// leave out code that no program uses, to keep starts fast.
 import {execFileSync} from 'node:child_process';
 import {copyFileSync, readFileSync} from 'node:fs';
 import {build} from 'esbuild';
@@ -44,7 +44,8 @@
     plugins: [englishMessagesOnly],
     // Only command-line tools need yargs; services must not pay for loading it.
     external: ['yargs'],
-    // A script that is run with stored bytecode can't import modules at run time.
+    // A script that is run with stored bytecode can't import modules at run
+    // time.
     supported: {'dynamic-import': false},
     legalComments: 'none',
     logLevel: 'warning',
--- a/packages/dispatch/src/announced_waits.ts
+++ b/packages/dispatch/src/announced_waits.ts
@@ -26,13 +26,12 @@
 /**
  * The waits that members announced when they refused statements.
  *
- * It answers the overload that outlasts its cause: each refused statement asks
- * all members again and again, and members that refuse ten times as often as
- * they serve have no processor time left to serve. So a statement is not sent
- * to a member that has just announced a longer wait to one that is as urgent:
- * until that wait has passed, the answer is known. Members share their slots
- * fairly among organisations, so a wait concerns only the organisation whose
- * statement was refused.
+ * Without them, an overload can outlast its cause: each refused statement asks
+ * all members repeatedly, and members that refuse ten times as often as they
+ * serve have no processor time left to serve. So a statement is not sent to a
+ * member that has just announced a longer wait to one that is as urgent.
+ * Members share their slots fairly among organisations, so a wait concerns only
+ * the organisation whose statement was refused.
  */
 export class AnnouncedWaits {
   /** By member, and by the organisation of the refused statement. */
@@ -78,8 +77,8 @@
 
   /**
    * Returns the wait that a member announced, if a statement is not to be sent
-   * there: it would still wait for longer than its limit, or another one has just
-   * been sent to find out. Otherwise returns `undefined`.
+   * there: it would still wait for longer than its limit, or another one has
+   * just been sent to find out. Otherwise returns `undefined`.
    */
   knownRefusal(
     member: string,
--- a/packages/dispatch/src/attempt.ts
+++ b/packages/dispatch/src/attempt.ts
@@ -76,7 +76,8 @@
 /**
  * Returns the outcome of a statement whose retries are exhausted. Without an
  * expected wait at a member, the caller is advised to retry after
- * `outageRetryAfterMilliseconds`; otherwise after that wait, spread over callers.
+ * `outageRetryAfterMilliseconds`; otherwise after that wait, spread over
+ * callers.
  */
 export function toFinalOutcome(
   {reason, mayHaveRun, expectedWaitMilliseconds}: RetryableFailure,
--- a/packages/dispatch/src/authenticator.ts
+++ b/packages/dispatch/src/authenticator.ts
@@ -17,15 +17,15 @@
 /** The longest wait for a newer view before a key is refused as unknown. */
 const REFRESH_MILLISECONDS = 500;
 /**
- * An operation waits for a refresh of an older view. Views are usually confirmed
- * several times a second, but requests that arrived while this VM was frozen would
- * be served at once after it, by a view of before.
+ * An operation waits for a refresh of an older view. Views are usually
+ * confirmed several times a second, but requests that arrived while this VM was
+ * suspended would otherwise be served by the view from before the suspension.
  */
 const STALE_MILLISECONDS = 2_000;
 /**
  * How long an open transaction may continue after this VM has learned that its
- * caller's key was revoked. Views reach all VMs within 3 s, and no member may run
- * statements for a revoked key later than 4 s after the acknowledgement.
+ * caller's key was revoked. Views reach all VMs within 3 s, and no member may
+ * run statements for a revoked key later than 4 s after the acknowledgement.
  */
 const TRANSACTION_GRACE_MILLISECONDS = 1_000;
 
@@ -45,8 +45,8 @@
 }
 
 /**
- * The identity of a caller, or `unconfirmed` if the view of this VM may be older
- * than one in which the key was revoked.
+ * The identity of a caller, or `unconfirmed` if the view of this VM may be
+ * older than one in which the key was revoked.
  */
 export type Authentication = CallerIdentity | {readonly kind: 'unconfirmed'};
 
@@ -60,8 +60,9 @@
   private revokedAt: ReadonlyMap<string, number> = new Map();
 
   /**
-   * The refresh of a stale view, kept until the view is current: if control cannot
-   * be reached, the last confirmed view stays in use without further waits.
+   * The refresh of a stale view, kept until the view is current: if control
+   * cannot be reached, the last confirmed view stays in use without further
+   * waits.
    */
   private staleRefresh: Promise<void> | undefined;
 
--- a/packages/dispatch/src/caller_identity.ts
+++ b/packages/dispatch/src/caller_identity.ts
@@ -22,8 +22,9 @@
 >();
 
 /**
- * Identifies a caller of an entry by the digest of its key. As digests are looked
- * up instead of keys, the time does not depend on the characters of a key.
+ * Identifies a caller of an entry by the digest of its key. As digests are
+ * looked up instead of keys, the time does not depend on the characters of a
+ * key.
  */
 export function identifyCaller(
   catalogue: Catalogue,
--- a/packages/dispatch/src/direct_samples.ts
+++ b/packages/dispatch/src/direct_samples.ts
@@ -12,8 +12,8 @@
 
 /**
  * The newest position sample of each group that this VM received from the
- * group's lease holder itself. Only these are passed on to other VMs: the age of
- * a sample that is passed on repeatedly would have no bound.
+ * group's lease holder itself. Only these are passed on to other VMs: the age
+ * of a sample that is passed on repeatedly would have no bound.
  */
 export class DirectSamples {
   private readonly samples = new Map<string, DirectSample>();
@@ -25,7 +25,9 @@
     return new DirectSamples(timer);
   }
 
-  /** Returns the moment on the wall clock, for {@link record}. */
+  /**
+   * Returns the wall-clock time at the start of a request, for {@link record}.
+   */
   startRequest(): number {
     return this.timer.wallClock();
   }
@@ -36,8 +38,8 @@
   }
 
   /**
-   * Returns the samples to pass on. Their ages are measured on the clock that has
-   * run further, since the monotonic clock may stand still while a VM is
+   * Returns the samples to pass on. Their ages are measured on the clock that
+   * has run further, since the monotonic clock may stand still while a VM is
    * suspended.
    */
   list(): readonly RelayedSample[] {
--- a/packages/dispatch/src/early_refusal.ts
+++ b/packages/dispatch/src/early_refusal.ts
@@ -1,11 +1,11 @@
 import {attemptQueueMilliseconds} from './wait_policy.js';
 
-/** Successive multiples modulo 1 of this are spread evenly over the unit. */
+/** Successive multiples of this, modulo 1, are spread evenly from 0 to 1. */
 const GOLDEN_RATIO = 0.6180339887498949;
-/** Callers return within this part of the announced wait after it. */
+/** Callers are spread over this part of the announced wait, after its end. */
 const SPREAD_SHARE = 0.5;
 
-/** A statement that every member has refused with the wait that it would have. */
+/** A statement that every member has refused, announcing a wait. */
 export interface RefusedByAll {
   /** The shortest wait that is left of those that the members announced. */
   readonly announcedWaitMilliseconds: number;
@@ -18,10 +18,10 @@
 }
 
 /**
- * Returns whether no member can serve a statement within its time limit, so that
- * it is refused at once. It answers work beyond capacity that lasts for longer
- * than single statements: such a statement would be tried again and again until
- * its deadline, and its caller would learn only then that it was not run.
+ * Returns whether no member can serve a statement within its time limit, so
+ * that it is refused at once. While an overload lasts for longer than single
+ * statements, such a statement would otherwise be tried repeatedly until its
+ * deadline, and its caller would learn only then that it was not run.
  *
  * A statement that a queue would still serve within its objective is never
  * refused at once, and neither is one that may wait for as long as announced.
--- a/packages/dispatch/src/member_attempts.ts
+++ b/packages/dispatch/src/member_attempts.ts
@@ -245,7 +245,9 @@
     return outliers.recordFailure(group, member);
   }
 
-  /** Learns a member's lag from its position, or the position of the primary. */
+  /**
+   * Learns a member's lag from its position, or the position of the primary.
+   */
   private learnLag(
     {database, primary}: DatabaseGroup,
     member: string,
--- a/packages/dispatch/src/member_estimates.ts
+++ b/packages/dispatch/src/member_estimates.ts
@@ -5,16 +5,16 @@
 /** How long the expected wait that a member reported stays valid. */
 const LOAD_VALIDITY_MILLISECONDS = 200;
 /**
- * After that, the mean of the reported waits counts, for half as much after each
- * period of this length: each VM sees about one answer of each member in a
+ * After that, the mean of the reported waits counts, for half as much after
+ * each period of this length: each VM sees about one answer of each member in a
  * second, so that its newest report is usually no longer valid.
  */
 const MEAN_WAIT_HALF_LIFE_MILLISECONDS = 2_000;
 const MEAN_WAIT_WEIGHT = 0.3;
 /**
- * How long a member is avoided after a failure. Each VM reads from a member about
- * once in a second, so a member that fails again after that, without an answer in
- * between, is avoided for twice as long each time.
+ * How long a member is avoided after a failure. Each VM reads from a member
+ * about once in a second, so a member that fails again after that, without an
+ * answer in between, is avoided for twice as long each time.
  */
 const AVOID_MILLISECONDS = 400;
 const LONGEST_AVOID_MILLISECONDS = 3_200;
@@ -29,7 +29,7 @@
 const LAG_HALF_LIFE_MILLISECONDS = 2_000;
 /** A member that lacks a position lags by more than the age of the position. */
 const LAG_GROWTH_FACTOR = 1.25;
-/** A member whose lag is only assumed may be asked after this time. */
+/** A read may probe a member whose lag was last seen this long ago. */
 const LAG_PROBE_MILLISECONDS = 250;
 
 interface MemberEstimate {
@@ -148,7 +148,7 @@
       : waitMilliseconds;
   }
 
-  /** Returns the mean wait at the member of late, in milliseconds. */
+  /** Returns the recent mean wait at the member, in milliseconds. */
   meanWaitMilliseconds(member: string): number {
     const {meanWaitMilliseconds, meanWaitAt} = this.estimateFor(member);
     if (meanWaitMilliseconds === 0) return 0;
@@ -160,8 +160,8 @@
 
   /**
    * Returns how long it will probably take until the member has a position that
-   * the primary had reached `floorAgeMilliseconds` ago, in milliseconds; 0 if it
-   * has the position now.
+   * the primary had reached `floorAgeMilliseconds` ago, in milliseconds; 0 if
+   * it has the position now.
    */
   catchUpMilliseconds(
     member: string,
--- a/packages/dispatch/src/member_outliers.ts
+++ b/packages/dispatch/src/member_outliers.ts
@@ -8,7 +8,7 @@
 const MINIMUM_FAILURE_SHARE = 0.05;
 /** How much more often than the other members an outlier fails. */
 const FAILURE_RATIO = 3;
-/** Observations without which the other members are no standard. */
+/** Fewer observations of other members are no basis for a comparison. */
 const MINIMUM_COMPARED = 2;
 const MINIMUM_LATENCIES = 4;
 /** How much slower than the fastest other member an outlier is. */
@@ -17,16 +17,20 @@
 const MINIMUM_EXCESS_MILLISECONDS = 80;
 const LATENCY_WEIGHT = 0.2;
 /**
- * A single latency counts as no more than this. A VM that waits for its processor
- * measures long latencies at any member, and five in a row make an outlier.
+ * A single latency counts as no more than this. A VM that waits for its
+ * processor measures long latencies at any member, and five in a row make an
+ * outlier.
  */
 const LARGEST_RATIO = 6;
-/** A slow member that has most of the work must not become the standard. */
+/**
+ * Small, so that a slow member with most of the reads sets no new usual
+ * latency.
+ */
 const SLOWER_WEIGHT = 0.02;
 const FIRST_EJECTION_MILLISECONDS = 1_000;
 const LONGEST_EJECTION_MILLISECONDS = 30_000;
-/** After this time without an ejection, the next one is short again. */
-const FORGIVENESS_MILLISECONDS = 30_000;
+/** This long after an ejection, the next one is short again. */
+const EJECTION_RESET_MILLISECONDS = 30_000;
 /** Length of the slow start, in which the share of reads grows to all. */
 const PROBATION_MILLISECONDS = 5_000;
 const FIRST_PROBATION_SHARE = 0.1;
@@ -53,8 +57,8 @@
 
 /**
  * Finds members that fail or are slow by comparison with the other members of
- * their group, from the answers to reads. Load pattern: a member fails or hangs
- * a share of its requests while its health check passes.
+ * their group, from the answers to reads. Health checks do not show a member
+ * that fails or delays only a share of its requests.
  *
  * Such a member is ejected from reads for a time that doubles with each
  * ejection, and returns on probation: its share of reads grows slowly, and a
@@ -113,7 +117,10 @@
       : undefined;
   }
 
-  /** Returns whether the next read should use the member only as a last resort. */
+  /**
+   * Returns whether the next read should use the member only as a last resort.
+   * On probation, each call counts as one read.
+   */
   isEjected(member: string): boolean {
     const record = this.records.get(member);
     if (record === undefined || record.ejections === 0) return false;
@@ -223,7 +230,7 @@
     }
     if (record.ejectedUntil > now || ejected + 1 > active / 2) return undefined;
     const {failures, latencyRatio} = record;
-    if (now - record.ejectedUntil > FORGIVENESS_MILLISECONDS) {
+    if (now - record.ejectedUntil > EJECTION_RESET_MILLISECONDS) {
       record.ejections = 0;
     }
     const milliseconds = Math.min(
--- a/packages/dispatch/src/primary_position_tracker.ts
+++ b/packages/dispatch/src/primary_position_tracker.ts
@@ -24,8 +24,8 @@
 const TRACKING_DURATION_MILLISECONDS = 3_000;
 const RETRY_INTERVAL_MILLISECONDS = 20;
 /**
- * Lease holders ask each other at the interval for this many VMs for each group,
- * which is the shortest one up to 6 groups.
+ * Lease holders ask each other at the interval for this many VMs for each
+ * group, which is the shortest one up to 6 groups.
  */
 const HOLDER_WEIGHT = 5;
 
@@ -50,7 +50,7 @@
   private readonly pendingRequests = new Map<string, Deferred<void>>();
   private readonly directSamples: DirectSamples;
   /** Processes of an earlier version, which pass on no samples. */
-  private readonly withoutRelay = new Set<string>();
+  private readonly processesWithoutRelay = new Set<string>();
   private readonly stopTicking: Unsubscribe;
 
   private constructor(private readonly options: PrimaryPositionTrackerOptions) {
@@ -153,7 +153,7 @@
         sampleAgeMilliseconds: now - (requestedAt ?? -Infinity),
       };
     });
-    // The few lease holders ask each other, so that what they pass on is new.
+    // The few lease holders refresh often, so that what they pass on is recent.
     const isHolder = this.heldDatabases().length > 0;
     const askers = isHolder
       ? Math.min(machines.current.length, HOLDER_WEIGHT * groups.length)
@@ -236,8 +236,8 @@
 
   /**
    * Requests all samples that a lease holder has. Returns `false` if the group
-   * has to be asked for alone, since the holder answered without a sample of it
-   * or its process is of an earlier version.
+   * has to be requested on its own, since the holder answered without a sample
+   * of it or its process is of an earlier version.
    */
   private async requestSamples(
     holder: VirtualMachine,
@@ -245,7 +245,7 @@
   ): Promise<boolean> {
     const {network, timer} = this.options;
     const process = `${holder.name} ${holder.incarnation}`;
-    if (this.withoutRelay.has(process)) return false;
+    if (this.processesWithoutRelay.has(process)) return false;
     const requestedAt = timer.now();
     const answer = await network.call(
       holder.peerAddress,
@@ -260,7 +260,7 @@
       return samples.some(sample => sample.database === database);
     }
     const isRefused = (answer.extract() as PeerError).kind === 'refused';
-    if (isRefused) this.withoutRelay.add(process);
+    if (isRefused) this.processesWithoutRelay.add(process);
     return !isRefused;
   }
 
--- a/packages/dispatch/src/primary_timeline.ts
+++ b/packages/dispatch/src/primary_timeline.ts
@@ -28,11 +28,11 @@
 
 /**
  * The recent positions of the primary of each group, with the times at which
- * they were seen. A position in an answer of a replica lies between two of them,
- * which bounds the lag of the replica. Load pattern: each VM sees few answers of
- * each member, so every answer has to yield a bound, not only those that failed
- * because the member was behind. The bounds hold however long this VM waited for
- * its processor, as they use the times of requests and answers separately.
+ * they were seen. A position in an answer of a replica lies between two of
+ * them, which bounds the lag of the replica. Each VM sees few answers of each
+ * member, so every answer has to yield a bound, not only failures of members
+ * that were behind. The bounds hold however long this VM waited for its
+ * processor, as they use the times of requests and answers separately.
  */
 export class PrimaryTimeline {
   private readonly points = new Map<string, Point[]>();
--- a/packages/dispatch/src/read_affinity.ts
+++ b/packages/dispatch/src/read_affinity.ts
@@ -1,19 +1,19 @@
 import {DatabaseGroup, rendezvousWeight} from '@apricotlock/topology';
 
 /**
- * Cost of a replica that is not the preferred one of an organisation. It is more
- * than that of another data centre, and less than that of the primary and than
- * the 12 ms of a slot that opening a connection takes. It is also the bound on
- * the load of the preferred replica: once new work waits there for longer than
- * elsewhere by this time, reads go elsewhere.
+ * Cost of a replica that is not the preferred one of an organisation. It is
+ * more than that of another data centre, and less than that of the primary and
+ * than the 12 ms for which opening a connection occupies a slot. It also bounds
+ * the load of the preferred replica: once new work waits there this much longer
+ * than elsewhere, reads go elsewhere.
  */
 export const AFFINITY_COST_MILLISECONDS = 6;
 
 /**
  * Returns the replica that the reads of an organisation prefer on all VMs, by
- * rendezvous hashing; `undefined` if there is none. Load pattern: a connection to
- * a member serves one organisation only, so that many organisations with reads on
- * every replica would need more connections than a member has.
+ * rendezvous hashing; `undefined` if there is none. A connection to a member
+ * serves one organisation only, so many organisations with reads on every
+ * replica would need more connections than a member accepts.
  */
 export function preferredReplica(
   {members, primary}: DatabaseGroup,
--- a/packages/dispatch/src/read_order.ts
+++ b/packages/dispatch/src/read_order.ts
@@ -53,8 +53,8 @@
     organisation === undefined
       ? undefined
       : preferredReplica(group, organisation);
-  // Both directions from each start, so that any two members that are equal come
-  // first equally often.
+  // Both directions from each start, so that any two members that are equal
+  // come first equally often.
   const start = turn >> 1;
   const step = turn % 2 === 0 ? 1 : members.length - 1;
   for (let offset = 0; offset < members.length; offset++) {
--- a/packages/dispatch/src/read_requirements.ts
+++ b/packages/dispatch/src/read_requirements.ts
@@ -11,6 +11,7 @@
 const STALENESS_MARGIN_MILLISECONDS = 40;
 /** How long a read waits for the position of the primary. */
 const POSITION_WAIT_MILLISECONDS = 250;
+
 /** Dependencies of the requirements of reads. */
 export interface ReadRequirementsOptions {
   readonly primaryPositions: PrimaryPositionTracker;
--- a/packages/dispatch/src/read_round.ts
+++ b/packages/dispatch/src/read_round.ts
@@ -111,8 +111,8 @@
 
   /**
    * Returns whether another member may be tried. Only failed work takes a retry
-   * from the budget here. Refused work takes one for each further round: within a
-   * round, finding a member with room outweighs the message to a full one.
+   * from the budget here. Refused work takes one for each further round: within
+   * a round, finding a member with room outweighs the message to a full one.
    */
   private mayTryAnother(): boolean {
     const {group, attempts} = this.options;
@@ -129,8 +129,8 @@
   }
 
   /**
-   * Tries a replica that was known to be behind, if nothing else could be tried:
-   * a read is then the only way to notice that it has caught up.
+   * Tries a replica that was known to be behind, if nothing else could be
+   * tried: a read is then the only way to notice that it has caught up.
    */
   private async tryLastResort(): Promise<Attempt> {
     const {last, anyTried, allAnnounced, skipped} = this;
@@ -153,8 +153,8 @@
   }
 
   /**
-   * Returns whether the read may wait until a replica has caught up. Records the
-   * replica as skipped if not.
+   * Returns whether the read may wait until a replica has caught up. Records
+   * the replica as skipped if not.
    */
   private mayWaitFor(member: string, catchUpMilliseconds: number): boolean {
     if (catchUpMilliseconds === 0) return true;
--- a/packages/dispatch/src/read_router.ts
+++ b/packages/dispatch/src/read_router.ts
@@ -24,8 +24,9 @@
 const READ_ATTEMPT_TIMEOUT_MILLISECONDS = 450;
 const LONGEST_READ_ATTEMPT_MILLISECONDS = 1_350;
 /**
- * The time of an attempt in terms of the objective: a queue then admits work for
- * up to 0.8 of the objective, and the rest is for the statement and its way.
+ * The time of an attempt in terms of the objective: a queue then admits work
+ * for up to 0.8 of the objective, and the rest is for the statement and its
+ * way.
  */
 const ATTEMPT_OBJECTIVES = 4 / 3;
 
@@ -141,7 +142,7 @@
 
 /**
  * Returns the limits of attempts that are to meet the latency objective,
- * `undefined` if the statement is late already or has none.
+ * `undefined` if the statement is late already.
  */
 function objectiveLimits(
   statement: RoutedStatement,
--- a/packages/dispatch/src/retry_budget.ts
+++ b/packages/dispatch/src/retry_budget.ts
@@ -1,12 +1,12 @@
 import {TimerService} from '@apricotlock/timer';
 
-/** Retries that each first attempt allows. */
+/** Each first attempt adds this to the balance. */
 const RETRY_SHARE = 0.2;
-/** A group with few statements is allowed this many retries. */
+/** Added to the balance each second, for groups with few statements. */
 const RETRIES_PER_SECOND = 1;
 /** Unused retries of about ten seconds are kept for a burst. */
 const LARGEST_BALANCE = 15;
-/** Retries that only failed work may use, since members did not refuse it. */
+/** Kept for failed work, which members have not refused. */
 const RESERVE_FOR_FAILURES = 5;
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -19,10 +19,10 @@
 }
 
 /**
- * Limits the retries of this VM for each group to a share of its first attempts.
- * It answers the overload that feeds itself: each refused or failed statement
- * asks again, here and at the caller, so that members get several times the
- * work that arrives, when they can do least.
+ * Limits the retries of this VM for each group to a share of its first
+ * attempts. Without a limit, an overload feeds itself: refused and failed
+ * statements are tried again, here and by the caller, so that members get
+ * several times the work that arrives while they are overloaded.
  */
 export class RetryBudget {
   private readonly balances = new Map<string, Balance>();
@@ -40,7 +40,7 @@
     balance.retries = Math.min(LARGEST_BALANCE, balance.retries + RETRY_SHARE);
   }
 
-  /** Takes a retry from the budget. Returns whether it was there. */
+  /** Takes a retry from the budget. Returns `false` if it is used up. */
   take(database: string, cause: RetryCause): boolean {
     const balance = this.balanceOf(database);
     const reserve = cause === 'refused' ? RESERVE_FOR_FAILURES : 0;
--- a/packages/dispatch/src/session_caller.ts
+++ b/packages/dispatch/src/session_caller.ts
@@ -12,8 +12,8 @@
 >;
 
 /**
- * The caller of one session. It keeps the digest of the caller's key and not the
- * key, so that none can be shown by mistake.
+ * The caller of one session. It keeps the digest of the caller's key and not
+ * the key, so that none can be shown by mistake.
  */
 export class SessionCaller {
   private identified: Organisation | undefined;
@@ -44,8 +44,8 @@
   }
 
   /**
-   * Identifies the caller at the start of its session or of an operation. Resolves
-   * to the reason if it is not served.
+   * Identifies the caller at the start of its session or of an operation.
+   * Resolves to the reason if it is not served.
    */
   async identify(): Promise<CallerRefusal | undefined> {
     const identity = await this.authenticator.authenticate(this.credential);
@@ -67,8 +67,8 @@
   }
 
   /**
-   * Returns whether, by the current view, the operation that was started last may
-   * send another statement to a member.
+   * Returns whether, by the current view, the operation that was started last
+   * may send another statement to a member.
    */
   isPermitted(): boolean {
     const {credential, identified} = this;
--- a/packages/dispatch/src/session_observer.ts
+++ b/packages/dispatch/src/session_observer.ts
@@ -9,11 +9,13 @@
   | 'behindSkipped'
   /** A read waited for a replica to catch up. */
   | 'waitedForReplica'
-  /** A member was ejected from reads because it fails more than others. */
+  /** A member was ejected from reads because it fails or is slow. */
   | 'ejected'
   /** A read that a member failed was run on another one. */
   | 'failedElsewhere'
-  /** A statement was refused at once, since no member could serve it in time. */
+  /**
+   * A statement was refused at once, since no member could serve it in time.
+   */
   | 'refusedEarly'
   /** A statement was not tried again, since too many retries came before. */
   | 'retryDenied';
@@ -21,8 +23,8 @@
 /** Receives the results of callers' requests, for metrics. */
 export abstract class SessionObserver {
   /**
-   * Called when the answer of a member is ready, with the time since the request
-   * was read.
+   * Called when the answer of a member is ready, with the time since the
+   * request was read.
    */
   abstract onAnswer(consistency: Consistency, milliseconds: number): void;
 
@@ -30,8 +32,8 @@
   abstract onFailure(kind: CallerFailure['kind']): void;
 
   /**
-   * Called when an operation was refused by the quota of its organisation, which
-   * is also reported as a failure of kind `notRun`.
+   * Called when an operation was refused by the quota of its organisation,
+   * which is also reported as a failure of kind `notRun`.
    */
   onQuotaRefusal(): void {
     return undefined;
--- a/packages/dispatch/src/statement_router.ts
+++ b/packages/dispatch/src/statement_router.ts
@@ -72,8 +72,8 @@
   }
 
   /**
-   * Runs a statement on a member that may run it. Waits for such a member as long
-   * as the wait policy permits.
+   * Runs a statement on a member that may run it. Waits for such a member as
+   * long as the wait policy permits.
    */
   async route(statement: RoutedStatement): Promise<RouteOutcome> {
     const {terms, entry, readOnly} = statement;
@@ -105,7 +105,7 @@
       last = carryMayHaveRun(last, attempt);
       const remainingMilliseconds = deadline - timer.now();
       const isOver = remainingMilliseconds < MINIMUM_ATTEMPT_MILLISECONDS;
-      if (isOver || this.mayNotRetry(statement, last)) {
+      if (isOver || this.isRefusedBeforeDeadline(statement, last)) {
         return toFinalOutcome(last, retryAfterMilliseconds, this.spread);
       }
       const {expectedWaitMilliseconds} = attempt;
@@ -115,14 +115,14 @@
   }
 
   /** Returns whether a statement is refused although it has time left. */
-  private mayNotRetry(
+  private isRefusedBeforeDeadline(
     statement: RoutedStatement,
     last: RetryableFailure,
   ): boolean {
     const {observer} = this.options;
     // No member gets a statement of a revoked key.
     if (statement.isPermitted?.() === false) return true;
-    if (this.isHopeless(statement, last)) {
+    if (this.isRefusedEarly(statement, last)) {
       observer.onRouting('refusedEarly');
       return true;
     }
@@ -132,7 +132,7 @@
   }
 
   /** Returns whether no member can serve a statement in time. */
-  private isHopeless(
+  private isRefusedEarly(
     statement: RoutedStatement,
     {mayHaveRun, allAnnounced, expectedWaitMilliseconds}: RetryableFailure,
   ): boolean {
--- a/packages/dispatch/src/statement_session.ts
+++ b/packages/dispatch/src/statement_session.ts
@@ -213,8 +213,9 @@
   }
 
   /**
-   * Checks that the caller may still be served: an open transaction may continue
-   * for a short time after its key was revoked, and anything else not at all.
+   * Checks that the caller may still be served: an open transaction may
+   * continue for a short time after its key was revoked, and anything else not
+   * at all.
    */
   private async checkCaller(): Promise<CallerFailure | undefined> {
     const {transaction, caller} = this;
--- a/packages/dispatch/src/work_handle.ts
+++ b/packages/dispatch/src/work_handle.ts
@@ -20,7 +20,9 @@
       readonly kind: 'lost';
       readonly mayHaveRun: boolean;
       readonly timedOut: boolean;
-      /** Whether the link to the VM was lost, which is no sign of the member. */
+      /**
+       * Whether the link to the VM was lost, which is no sign of the member.
+       */
       readonly linkLost?: boolean;
       readonly reason: string;
     };
--- a/packages/dispatch/test/fleet_under_load_test.ts
+++ b/packages/dispatch/test/fleet_under_load_test.ts
@@ -35,7 +35,9 @@
   readonly requests: number;
 }
 
-/** The members of a group, each with slots and a queue, and the VMs before it. */
+/**
+ * The members of a group, each with slots and a queue, and the VMs before it.
+ */
 class Fleet {
   private readonly timer = ManualTimerService.create();
   private readonly machines: readonly ReplayedGroup[];
@@ -164,7 +166,8 @@
 
     it('answers reads while a replica is cut off, and once VMs are killed', async () => {
       const {reads, requests} = await expectCalm({cut: 'first'});
-      // Half of all reads went there; now each VM tries it at 0, 0.4, 1.2 and 2.8 s.
+      // Half of all reads went there; now each VM tries it at 0, 0.4, 1.2 and
+      // 2.8 s.
       expect(requests).to.be.at.most(reads + 4 * machineCount);
       await expectCalm({servingShare: 0.45});
     });
--- a/packages/dispatch/test/primary_position_tracker_test.ts
+++ b/packages/dispatch/test/primary_position_tracker_test.ts
@@ -198,8 +198,8 @@
     expect(longest).to.be.at.most(900);
   });
 
-  // Guards against a bound on the lag of a replica that exceeds its lag, since a
-  // position counts as reached before it was written.
+  // Guards against a bound on the lag of a replica that exceeds its lag, since
+  // a position counts as reached before it was written.
   it('takes a position as reached no earlier than it was written', async () => {
     cluster.delayMilliseconds = 200;
     const reader = cluster.start(50);
--- a/packages/dispatch/test/session_identity_test.ts
+++ b/packages/dispatch/test/session_identity_test.ts
@@ -95,7 +95,8 @@
     });
   });
 
-  // Requests that arrive while a VM is frozen are read before it hears of changes.
+  // Requests that arrive while a VM is frozen are read before it hears of
+  // changes.
   describe('on a VM that was frozen', () => {
     it('is checked against a newer view', async () => {
       const bench = new SessionBench([ACME, ZETA]);
@@ -176,8 +177,8 @@
       expect(link.closed).to.equal(true);
     });
 
-    // The entry serves the caller without a key, but no longer in the name of the
-    // organisation, for which its connection to the member was opened.
+    // The entry serves the caller without a key, but no longer in the name of
+    // the organisation, for which its connection to the member was opened.
     for (const [change, organisations] of [
       ['at an entry that needs no key', REVOKED],
       [
@@ -224,8 +225,8 @@
     });
   });
 
-  // The VM that works on the member would keep its connection for as long as the
-  // channel of the work is open.
+  // The VM that works on the member would keep its connection for as long as
+  // the channel of the work is open.
   it('has its transaction ended if its session ends with an exception', async () => {
     const bench = new SessionBench([ACME]);
     const link = await bench.start('key-a');
--- a/packages/dispatch/test/statement_router_test.ts
+++ b/packages/dispatch/test/statement_router_test.ts
@@ -66,8 +66,8 @@
     expect(outcome.kind).to.equal('unknown');
   });
 
-  // A statement that is held during a failover would otherwise run for a revoked
-  // key long after all VMs have learned of the revocation.
+  // A statement that is held during a failover would otherwise run for a
+  // revoked key long after all VMs have learned of the revocation.
   it('sends a statement to no member once its key is revoked', async () => {
     createGroup([]);
     let revoked = false;
--- a/packages/dispatch/test/work_request_test.ts
+++ b/packages/dispatch/test/work_request_test.ts
@@ -94,8 +94,8 @@
     }
   });
 
-  // An exception while a statement is run would leave its slot and connection in
-  // use, and a priority of -1 would make a statement cost nothing.
+  // An exception while a statement is run would leave its slot and connection
+  // in use, and a priority of -1 would make a statement cost nothing.
   it('is refused with what no statement can have', () => {
     const request = toWorkRequest(statementOf(ACME), CHOICE, 80);
     const {first} = request;
--- a/packages/peer/src/peer_link.ts
+++ b/packages/peer/src/peer_link.ts
@@ -61,7 +61,8 @@
     const deferred = Deferred.create<PeerFrame | undefined>();
     this.pendingCalls.set(id, deferred);
     this.unsentCalls.add(id);
-    // The timeout includes the time for connecting, so it limits the whole wait.
+    // The timeout includes the time for connecting, so it limits the whole
+    // wait.
     const answer = await withTimeout(
       this.options.timer,
       timeoutMilliseconds,
--- a/packages/peer/src/schema_check.ts
+++ b/packages/peer/src/schema_check.ts
@@ -7,8 +7,9 @@
 }
 
 /**
- * Returns whether a value is an object whose fields have the types that `typeof`
- * names. It is cheaper than a schema, for messages that are sent often.
+ * Returns whether a value is an object whose fields have the types that
+ * `typeof` names. It is cheaper than a schema, for messages that are sent
+ * often.
  */
 export function hasFields(
   candidate: unknown,
--- a/packages/program/src/control_program.ts
+++ b/packages/program/src/control_program.ts
@@ -22,7 +22,7 @@
 import {Address, formatAddress} from '@apricotlock/topology';
 import {ProgramContext} from './program_context.js';
 import {HttpHandler, HttpListener} from './http_listener.js';
-import {createProcessGauges, startMetricsListener} from './metrics_listener.js';
+import {startMetricsListener, startProcessGauges} from './metrics_listener.js';
 import {ProgramSettings} from './program_settings.js';
 import {RunningProgram} from './run_program.js';
 
@@ -45,7 +45,7 @@
 const VIEW_FETCH_INTERVAL_MILLISECONDS = 300;
 /**
  * A view that was confirmed within this time needs no fetch. Heartbeats of the
- * control leader confirm it each 100 ms, two heartbeats later.
+ * control leader confirm it every 100 ms, with a delay of two heartbeats.
  */
 const CURRENT_VIEW_MILLISECONDS = 400;
 /** The drain time where the settings name none. */
@@ -67,8 +67,8 @@
 }
 
 /**
- * The program of a control VM. It runs the control log, the HTTP API for members
- * and operators, and the supervisor that replaces failed primaries.
+ * The program of a control VM. It runs the control log, the HTTP API for
+ * members and operators, and the supervisor that replaces failed primaries.
  */
 export class ControlProgram implements RunningProgram {
   private constructor(
@@ -78,8 +78,8 @@
 
   /**
    * Starts the program and listens for requests. Throws if the settings name no
-   * data folder or no control address, if the stored log cannot be used, or if an
-   * address cannot be bound.
+   * data folder or no control address, if the stored log cannot be used, or if
+   * an address cannot be bound.
    */
   static async start(
     context: ProgramContext,
@@ -121,8 +121,8 @@
   }
 
   /**
-   * Announces that this VM is draining, hands control leadership over if this VM
-   * has it, and leaves the membership.
+   * Announces that this VM is draining, hands control leadership over if this
+   * VM has it, and leaves the membership.
    */
   async stop(): Promise<void> {
     const {membership, timer} = this.context;
@@ -166,8 +166,8 @@
 }
 
 /**
- * Returns the voters that create the control log, one for each seed. The list is
- * empty unless the whole system starts for the first time.
+ * Returns the voters that create the control log, one for each seed. The list
+ * is empty unless the whole system starts for the first time.
  */
 function initialVoters({
   firstStart,
@@ -219,7 +219,7 @@
   timer: TimerService,
 ): readonly Gauge[] {
   return [
-    ...createProcessGauges(timer),
+    ...startProcessGauges(timer),
     {
       name: 'apricotlock_control_leading',
       help: '1 on the VM that leads control',
--- a/packages/program/src/entry_program.ts
+++ b/packages/program/src/entry_program.ts
@@ -19,7 +19,7 @@
 import {startEntryQuota} from './entry_quota.js';
 import {ProgramContext} from './program_context.js';
 import {HttpResponse, HttpListener} from './http_listener.js';
-import {createProcessGauges, startMetricsListener} from './metrics_listener.js';
+import {startMetricsListener, startProcessGauges} from './metrics_listener.js';
 import {ProgramSettings} from './program_settings.js';
 import {RunningProgram} from './run_program.js';
 import {SessionMetrics} from './session_metrics.js';
@@ -33,8 +33,8 @@
  */
 const BALANCER_DELAY_MILLISECONDS = 2_300;
 /**
- * The part of the grace period that draining may not use: it is reserved for the
- * handover to other VMs and for ending the process.
+ * The part of the grace period that draining may not use: it is reserved for
+ * the handover to other VMs and for ending the process.
  */
 const SHUTDOWN_RESERVE_MILLISECONDS = 700;
 const IDLE_CHECK_INTERVAL_MILLISECONDS = 100;
@@ -191,7 +191,7 @@
 
   private gauges(): readonly Gauge[] {
     return [
-      ...createProcessGauges(this.context.timer),
+      ...startProcessGauges(this.context.timer),
       {
         name: 'apricotlock_caller_sessions',
         help: 'Callers that are connected',
--- a/packages/program/src/event_loop_monitor.ts
+++ b/packages/program/src/event_loop_monitor.ts
@@ -4,16 +4,16 @@
 
 /** The period of the timer; it shares its wake-ups with other timers. */
 const PERIOD_MILLISECONDS = 100;
-/** The delays of one minute, for a page that is read more seldom. */
+/** The delays of one minute, in case the metrics page is read less often. */
 const MAXIMUM_DELAYS = 600;
 const QUANTILE = 0.99;
 const MILLISECONDS_PER_SECOND = 1_000;
 const MICROSECONDS_PER_SECOND = 1_000_000;
 
 /**
- * Measures by how much a periodic timer is late: a request that arrives waits as
- * long before it is read. The histogram of Node.js would wake the process 100
- * times a second.
+ * Measures how late a periodic timer fires, which is how long an arriving
+ * request waits before it is read. The histogram of Node.js would wake the
+ * process 100 times a second.
  */
 export class EventLoopMonitor {
   private delays: number[] = [];
--- a/packages/program/src/metrics_listener.ts
+++ b/packages/program/src/metrics_listener.ts
@@ -7,8 +7,10 @@
 const MAXIMUM_BODY_BYTES = 64 << 10;
 const CONTENT_TYPE = 'text/plain; version=0.0.4';
 
-/** Returns the gauges that every program reports. */
-export function createProcessGauges(timer: TimerService): readonly Gauge[] {
+/**
+ * Starts the measurements that every program reports, and returns their gauges.
+ */
+export function startProcessGauges(timer: TimerService): readonly Gauge[] {
   return [
     {
       name: 'apricotlock_resident_memory_bytes',
--- a/packages/program/src/session_metrics.ts
+++ b/packages/program/src/session_metrics.ts
@@ -17,8 +17,8 @@
 } from '@apricotlock/work';
 
 /**
- * Counts failures and measures latencies of callers' requests. No metric has the
- * entry as a label, so that the number of metrics does not grow with the
+ * Counts failures and measures latencies of callers' requests. No metric has
+ * the entry as a label, so that the number of metrics does not grow with the
  * catalogue; details about a single entry are in the log.
  */
 export class SessionMetrics extends SessionObserver implements WorkObserver {
--- a/packages/timer/src/periodic_schedule.ts
+++ b/packages/timer/src/periodic_schedule.ts
@@ -37,9 +37,9 @@
   }
 
   /**
-   * Runs an action after each period, in the next slot that is shared. The period is rounded
-   * up to whole slots. Periods that pass while the process is suspended or busy
-   * are skipped.
+   * Runs an action after each period, in the next shared slot. The period is
+   * rounded up to whole slots. Periods that pass while the process is suspended
+   * or busy are skipped.
    */
   add(periodMilliseconds: number, run: () => void): Unsubscribe {
     const periodSlots = Math.ceil(periodMilliseconds / SLOT_MILLISECONDS);
