Split the routing of a session's statement and the costs of a read

StatementSession.routeStatement built the routed statement between the checks of the catalogue and the quota; readOrder mixed three costs. Each is a function now. The terms of entries that define none are beside the catalogue lookup, and the two halves of SessionTransaction have names. 'entry' in EntryProgram was a set of options, not a catalogue entry.

--- a/packages/dispatch/src/catalogue_lookup.ts
+++ b/packages/dispatch/src/catalogue_lookup.ts
@@ -1,10 +1,21 @@
 import {Observable, withTimeout} from '@apricotlock/flow';
 import {CallerFailure} from '@apricotlock/statement';
 import {TimerService} from '@apricotlock/timer';
-import {CatalogueEntry, ClusterView, findEntry} from '@apricotlock/topology';
+import {
+  CatalogueEntry,
+  ClusterView,
+  findEntry,
+  ServiceTerms,
+} from '@apricotlock/topology';
 
 /** How long callers wait for a VM to receive its first catalogue. */
 const CATALOGUE_WAIT_MILLISECONDS = 1_000;
+/** Terms of catalogue entries that define none. */
+export const DEFAULT_TERMS: ServiceTerms = {
+  consistency: 'primary',
+  statementMilliseconds: 30_000,
+  priority: 0,
+};
 
 /** Finds catalogue entries by database. None are known before the first view. */
 export class CatalogueLookup {
--- a/packages/dispatch/src/primary_position_tracker.ts
+++ b/packages/dispatch/src/primary_position_tracker.ts
@@ -155,10 +155,10 @@
     });
     // The few lease holders refresh often, so that what they pass on is recent.
     const isHolder = this.heldDatabases().length > 0;
-    const askers = isHolder
+    const requesterCount = isHolder
       ? Math.min(machines.current.length, HOLDER_WEIGHT * groups.length)
       : machines.current.length;
-    for (const database of groupsToRefresh(groups, askers)) {
+    for (const database of groupsToRefresh(groups, requesterCount)) {
       void this.poll(database, !isHolder);
     }
   }
--- a/packages/dispatch/src/read_order.ts
+++ b/packages/dispatch/src/read_order.ts
@@ -8,7 +8,7 @@
 const REMOTE_DATA_CENTRE_COST_MILLISECONDS = 4;
 /** Reads use the primary only if replicas are busier by this wait. */
 const PRIMARY_COST_MILLISECONDS = 10;
-/** Exceeds all waits: a member that fails more than others is tried later. */
+/** Exceeds all waits: a member that fails or is slow is tried later. */
 const EJECTED_COST_MILLISECONDS = 5_000;
 /** Exceeds all other costs: a member that failed recently is tried last. */
 const AVOIDED_COST_MILLISECONDS = 10_000;
@@ -62,12 +62,8 @@
     if (member.state !== 'active') continue;
     const cost =
       readCost(group, member, dataCentre, requirement, estimates) +
-      (outliers?.isEjected(member.name) === true
-        ? EJECTED_COST_MILLISECONDS
-        : 0) +
-      (preferred === undefined || preferred === member.name
-        ? 0
-        : AFFINITY_COST_MILLISECONDS);
+      ejectionCost(member, outliers) +
+      affinityCost(member, preferred);
     let index = costs.length;
     while (index > 0 && (costs[index - 1] as number) > cost) index--;
     costs.splice(index, 0, cost);
@@ -76,6 +72,19 @@
   return ordered;
 }
 
+function ejectionCost(
+  {name}: Member,
+  outliers: MemberOutliers | undefined,
+): number {
+  return outliers?.isEjected(name) === true ? EJECTED_COST_MILLISECONDS : 0;
+}
+
+function affinityCost({name}: Member, preferred: string | undefined): number {
+  return preferred === undefined || preferred === name
+    ? 0
+    : AFFINITY_COST_MILLISECONDS;
+}
+
 function readCost(
   group: DatabaseGroup,
   {name, dataCentre: memberDataCentre}: Member,
--- a/packages/dispatch/src/session_transaction.ts
+++ b/packages/dispatch/src/session_transaction.ts
@@ -21,13 +21,23 @@
       readonly terms: ServiceTerms;
     };
 
+/** A transaction that no member knows yet, or none. */
+export type UnstartedTransaction = Extract<
+  SessionTransaction,
+  {readonly kind: 'none' | 'begun'}
+>;
+
+/** A transaction that has not ended on its member. */
+export type StartedTransaction = Extract<
+  SessionTransaction,
+  {readonly kind: 'open' | 'failed'}
+>;
+
 /** No transaction is open. */
 export const NO_TRANSACTION: SessionTransaction = {kind: 'none'};
 
 /** Returns which transaction the first statement on a member opens there. */
-export function opensFor(
-  transaction: Extract<SessionTransaction, {kind: 'none' | 'begun'}>,
-): TransactionStart {
+export function opensFor(transaction: UnstartedTransaction): TransactionStart {
   if (transaction.kind === 'none') return 'none';
   return transaction.readOnly ? 'readOnlyTransaction' : 'transaction';
 }
--- a/packages/dispatch/src/statement_session.ts
+++ b/packages/dispatch/src/statement_session.ts
@@ -15,31 +15,28 @@
 } from '@apricotlock/statement';
 import {TimerService} from '@apricotlock/timer';
 import {ClusterView, Consistency, ServiceTerms} from '@apricotlock/topology';
+import {RouteOutcome} from './attempt.js';
 import {Authenticator} from './authenticator.js';
 import {toCallerFailure, toTransactionFailure} from './caller_failure.js';
 import {ForwardedStatement, SessionContext} from './session_context.js';
 import {StatementRouter} from './statement_router.js';
-import {CatalogueLookup} from './catalogue_lookup.js';
-import {runWithinQuota} from './operation_admission.js';
+import {CatalogueLookup, DEFAULT_TERMS} from './catalogue_lookup.js';
+import {Operation, runWithinQuota} from './operation_admission.js';
 import {RequestRecorder} from './request_recorder.js';
-import {OwnWrite} from './routed_statement.js';
+import {OwnWrite, RoutedStatement} from './routed_statement.js';
 import {SessionCaller} from './session_caller.js';
 import {SessionObserver} from './session_observer.js';
 import {
   NO_TRANSACTION,
   opensFor,
   SessionTransaction,
+  StartedTransaction,
+  UnstartedTransaction,
 } from './session_transaction.js';
 import {WorkHandle} from './work_handle.js';
 
 /** Time for a caller to send its start-up message after it has connected. */
 const START_UP_TIMEOUT_MILLISECONDS = 5_000;
-/** Terms of catalogue entries that define none. */
-const DEFAULT_TERMS: ServiceTerms = {
-  consistency: 'primary',
-  statementMilliseconds: 30_000,
-  priority: 0,
-};
 
 const NOT_STARTED: SessionStart = {database: '', credential: undefined};
 
@@ -305,39 +302,23 @@
   private async routeStatement(
     id: string,
     statement: ForwardedStatement,
-    transaction: Extract<SessionTransaction, {kind: 'none' | 'begun'}>,
+    transaction: UnstartedTransaction,
     receivedAt: number,
   ): Promise<CallerAnswer> {
     const {database, organisation} = this.caller;
-    const {quota, timer, router, observer} = this.options;
+    const {quota, timer, observer} = this.options;
     const entry = this.catalogue.entryOf(database);
     if (entry === undefined) {
       this.transaction = NO_TRANSACTION;
       return this.fail(this.catalogue.missingEntryFailure(database));
     }
     const terms = entry.terms ?? DEFAULT_TERMS;
-    const opens = opensFor(transaction);
-    const run = () =>
-      router.route({
-        requestId: id,
-        text: statement.text,
-        opens,
-        values: this.context.values,
-        readOnly:
-          opens === 'none' ? statement.readOnly : opens !== 'transaction',
-        entry,
-        terms,
-        receivedAt,
-        ownWrite: this.ownWrite,
-        organisation,
-        isPermitted: () => this.caller.isPermitted(),
-      });
     const operation = {organisation, terms, receivedAt};
     const {outcome, refusedByQuota} = await runWithinQuota(
       operation,
       quota,
       timer,
-      run,
+      () => this.route(id, statement, transaction, {...operation, entry}),
     );
     if (refusedByQuota) observer.onQuotaRefusal();
     if (outcome.kind !== 'answered') {
@@ -352,15 +333,30 @@
     );
   }
 
+  private route(
+    id: string,
+    statement: ForwardedStatement,
+    transaction: UnstartedTransaction,
+    operation: Pick<RoutedStatement, keyof Operation | 'entry'>,
+  ): Promise<RouteOutcome> {
+    const opens = opensFor(transaction);
+    return this.options.router.route({
+      ...operation,
+      requestId: id,
+      text: statement.text,
+      opens,
+      values: this.context.values,
+      readOnly: opens === 'none' ? statement.readOnly : opens !== 'transaction',
+      ownWrite: this.ownWrite,
+      isPermitted: () => this.caller.isPermitted(),
+    });
+  }
+
   /** Runs the next statement of a transaction that is open on a member. */
   private async continueTransaction(
     id: string,
     statement: ForwardedStatement,
-    {
-      handle,
-      terms,
-      kind,
-    }: Extract<SessionTransaction, {kind: 'open' | 'failed'}>,
+    {handle, terms, kind}: StartedTransaction,
     receivedAt: number,
   ): Promise<CallerAnswer> {
     const elapsedMilliseconds = this.options.timer.now() - receivedAt;
--- a/packages/program/src/entry_program.ts
+++ b/packages/program/src/entry_program.ts
@@ -95,17 +95,17 @@
     });
     const {view} = control;
     const shared = {self, view, network, timer, logger};
-    const entry = {...shared, machines: entryMachines};
+    const entryShared = {...shared, machines: entryMachines};
     const observer = SessionMetrics.create(timer);
     const work = WorkService.start({
-      ...entry,
+      ...entryShared,
       connector: platform.createMemberConnector(timer),
       leader: ControlLeaderClient.create({network, machines}),
       observer,
       onDrainingWork: role => observer.onDrainingWork(role),
     });
     const health = VirtualMachineHealth.create({...shared, machines});
-    const dispatcher = WorkDispatcher.create({...entry, work, health});
+    const dispatcher = WorkDispatcher.create({...entryShared, work, health});
     const positions = PrimaryPositionTracker.start({...shared, machines, work});
     const detector = IsolationDetector.start({
       connectivity: () => readConnectivity(control, positions),
@@ -125,7 +125,7 @@
       router,
       observer,
       freshness: readFreshness(control),
-      quota: startEntryQuota(entry, control, observer),
+      quota: startEntryQuota(entryShared, control, observer),
     });
     const program = new EntryProgram(context, control, work, host, detector);
     timer.every(IDLE_CHECK_INTERVAL_MILLISECONDS, () =>
