--- a/packages/dispatch/test/early_refusal_test.ts
+++ b/packages/dispatch/test/early_refusal_test.ts
@@ -76,7 +76,8 @@
     group = new ReplayedGroup(TERMS, reply);
   });
 
-  // Each such read was tried until 5.1 s had passed, and refused only then.
+  // Guards against reads that are tried until 5.1 s have passed, and refused
+  // only then.
   it('are refused at once, without asking the members each time', async () => {
     waitMilliseconds = 4_000;
     const retryTimes = new Set<number>();
@@ -93,7 +94,8 @@
     expect(retryTimes.size).to.be.above(15);
   });
 
-  // A queue admitted reads for 270 ms only, whatever their objective.
+  // Guards against a queue that admits reads for 270 ms only, whatever their
+  // objective.
   it('are served if a queue allows that within their objective', async () => {
     waitMilliseconds = 500;
     const {outcome, milliseconds} = await group.read();
--- a/packages/dispatch/test/fleet_under_load_test.ts
+++ b/packages/dispatch/test/fleet_under_load_test.ts
@@ -153,8 +153,8 @@
       expect(requests).to.be.at.most(reads * 1.01);
     });
 
-    // An overload held on for ten seconds after its cause, because each refused
-    // read asked all members again and again.
+    // Guards against an overload that outlasts its cause by ten seconds,
+    // because each refused read asks all members repeatedly.
     it('answers what it can in a burst, and all reads a second later', async () => {
       const {reads, onTime, requests} = await fleet.play(BURST);
       const capacity = (BURST.seconds * 1_000 * SLOTS * 3) / WORK_MILLISECONDS;
@@ -166,8 +166,8 @@
 
     it('answers reads while a replica is cut off, and once VMs are killed', async () => {
       const {reads, requests} = await expectCalm({cut: 'first'});
-      // Half of all reads went there; now each VM tries it at 0, 0.4, 1.2 and
-      // 2.8 s.
+      // Each VM tries the replica at 0, 0.4, 1.2 and 2.8 s; without avoidance,
+      // half of all reads would try it.
       expect(requests).to.be.at.most(reads + 4 * machineCount);
       await expectCalm({servingShare: 0.45});
     });
--- a/packages/dispatch/test/member_outliers_test.ts
+++ b/packages/dispatch/test/member_outliers_test.ts
@@ -98,7 +98,8 @@
     expect(outliers.isEjected('a')).to.equal(false);
   });
 
-  // VMs wait for their processor for hundreds of milliseconds at times.
+  // Guards against ejections by a VM that itself waited for its processor,
+  // which takes hundreds of milliseconds at times.
   it('does not eject a member for a few long latencies', () => {
     succeed('b', 8, 20);
     for (let count = 0; count < 20; count++) {
@@ -146,7 +147,8 @@
     failing = 'first';
   });
 
-  // Such errors went to callers, and the member kept its share of reads.
+  // Guards against a member that fails reads and keeps its share of them, with
+  // its errors passed to callers.
   it('are answered by another member, and rarely sent to that one', async () => {
     expect(await replay(120)).to.equal(0);
     expect(group.countOf('failedElsewhere')).to.be.above(0);
--- a/packages/dispatch/test/read_affinity_test.ts
+++ b/packages/dispatch/test/read_affinity_test.ts
@@ -44,7 +44,8 @@
     group = new ReplayedGroup(READ_TERMS, reply);
   });
 
-  // With reads on both replicas each organisation needs connections to both.
+  // Guards against reads of an organisation on both replicas, for which it
+  // needs connections to both.
   it('go to one replica each, and to each replica about as often', async () => {
     let first = 0;
     for (let index = 0; index < ORGANISATIONS; index++) {
--- a/packages/dispatch/test/replica_lag_test.ts
+++ b/packages/dispatch/test/replica_lag_test.ts
@@ -109,8 +109,8 @@
     await group.timer.advanceAsync(10_000);
   });
 
-  // Such reads cost a round trip and a slot each; a lag that was forgotten
-  // within a second was learned anew by a failed read each time.
+  // Guards against a known lag that is forgotten within a second, and learned
+  // again by a failed read, which costs a round trip and a slot.
   it('are rarely answered as behind', async () => {
     expect(await replay(40, 100)).to.be.at.most(4);
   });
--- a/packages/dispatch/test/retry_budget_test.ts
+++ b/packages/dispatch/test/retry_budget_test.ts
@@ -45,7 +45,8 @@
 });
 
 describe('statements that every member fails or refuses', () => {
-  // Each statement was tried on three members in each round until its deadline.
+  // Guards against statements that are tried on all three members in each round
+  // until their deadline.
   it('are retried within the budget', async () => {
     const group = new ReplayedGroup(READ_TERMS, () => ({
       message: LOST,
--- a/packages/dispatch/test/session_identity_test.ts
+++ b/packages/dispatch/test/session_identity_test.ts
@@ -95,8 +95,8 @@
     });
   });
 
-  // Requests that arrive while a VM is frozen are read before it hears of
-  // changes.
+  // Requests that arrive while a VM is suspended are read before the views that
+  // it has missed.
   describe('on a VM that was frozen', () => {
     it('is checked against a newer view', async () => {
       const bench = new SessionBench([ACME, ZETA]);
@@ -225,7 +225,7 @@
     });
   });
 
-  // The VM that works on the member would keep its connection for as long as
+  // Guards against a connection to the member that stays in use for as long as
   // the channel of the work is open.
   it('has its transaction ended if its session ends with an exception', async () => {
     const bench = new SessionBench([ACME]);
