--- a/packages/dispatch/src/read_router.ts
+++ b/packages/dispatch/src/read_router.ts
@@ -24,8 +24,9 @@
 const READ_ATTEMPT_TIMEOUT_MILLISECONDS = 450;
 const LONGEST_READ_ATTEMPT_MILLISECONDS = 1_350;
 /**
- * The time of an attempt in terms of the objective: a queue then admits work for
- * up to 0.8 of the objective, and the rest is for the statement and its way.
+ * The time of an attempt in terms of the objective: a queue then admits work
+ * for up to 0.8 of the objective, and the rest is for the statement and its
+ * way.
  */
 const ATTEMPT_OBJECTIVES = 4 / 3;
 
@@ -48,6 +49,7 @@
 /** Routes reads that any member with a recent enough log may run. */
 export class ReadRouter {
   private readonly requirements: ReadRequirements;
+  /** Counts reads, so that equal members take turns. */
   private turn = 0;
 
   private constructor(private readonly options: ReadRouterOptions) {
@@ -82,23 +84,23 @@
     group: DatabaseGroup,
     requirement: TimedRequirement,
   ): Promise<Attempt> {
-    const now = this.options.timer.now();
-    const remainingObjective = objectiveTimeLeft(statement, now);
-    const maximumWaitMilliseconds = queueMilliseconds(statement.terms);
+    const {timer, attempts} = this.options;
+    const limits = objectiveLimits(statement, timer.now());
     let first: RetryableFailure | undefined;
-    if (remainingObjective > 0) {
-      const attempt = await this.tryInOrder(statement, group, requirement, {
-        waitMilliseconds: Math.min(remainingObjective, maximumWaitMilliseconds),
-        timeoutMilliseconds: readAttemptTimeout(statement, now),
-      });
+    if (limits !== undefined) {
+      const attempt = await this.tryInOrder(
+        statement,
+        group,
+        requirement,
+        limits,
+      );
       if (attempt.kind !== 'retryable') return attempt;
       if (attempt.expectedWaitMilliseconds === undefined) return attempt;
-      const {attempts} = this.options;
       if (!attempts.mayRetry(group.database, attempt)) return attempt;
       first = attempt;
     }
     const attempt = await this.tryInOrder(statement, group, requirement, {
-      waitMilliseconds: maximumWaitMilliseconds,
+      waitMilliseconds: queueMilliseconds(statement.terms),
       timeoutMilliseconds: statement.terms.statementMilliseconds,
     });
     return attempt.kind === 'retryable'
@@ -125,13 +127,11 @@
         organisation: statement.organisation?.name,
       },
     );
-    const {waitMilliseconds, timeoutMilliseconds} = limits;
     const round = ReadRound.create({
       statement,
       group,
       requirement,
-      waitMilliseconds,
-      timeoutMilliseconds,
+      ...limits,
       attempts,
       timer,
       observer,
@@ -140,6 +140,23 @@
   }
 }
 
+/**
+ * Returns the limits of attempts that are to meet the latency objective,
+ * `undefined` if the statement is late already.
+ */
+function objectiveLimits(
+  statement: RoutedStatement,
+  now: number,
+): AttemptLimits | undefined {
+  const remaining = objectiveTimeLeft(statement, now);
+  if (remaining <= 0) return undefined;
+  const maximumWait = queueMilliseconds(statement.terms);
+  return {
+    waitMilliseconds: Math.min(remaining, maximumWait),
+    timeoutMilliseconds: readAttemptTimeout(statement, now),
+  };
+}
+
 /** Returns the time limit of an attempt that is to meet the objective. */
 function readAttemptTimeout(statement: RoutedStatement, now: number): number {
   if (statement.terms.objectiveMilliseconds === undefined) {
--- a/packages/dispatch/src/session_caller.ts
+++ b/packages/dispatch/src/session_caller.ts
@@ -12,8 +12,8 @@
 >;
 
 /**
- * The caller of one session. It keeps the digest of the caller's key and not the
- * key, so that none can be shown by mistake.
+ * The caller of one session. It keeps the digest of the caller's key and not
+ * the key, so that none can be shown by mistake.
  */
 export class SessionCaller {
   private identified: Organisation | undefined;
@@ -44,8 +44,8 @@
   }
 
   /**
-   * Identifies the caller at the start of its session or of an operation. Resolves
-   * to the reason if it is not served.
+   * Identifies the caller at the start of its session or of an operation.
+   * Resolves to the reason if it is not served.
    */
   async identify(): Promise<CallerRefusal | undefined> {
     const identity = await this.authenticator.authenticate(this.credential);
@@ -60,15 +60,18 @@
     };
   }
 
-  /** Resolves to whether its open transaction may run another statement. */
-  async mayContinue(): Promise<boolean> {
+  /** Like {@link isPermitted}, after a stale view has been refreshed. */
+  async isPermittedAfterRefresh(): Promise<boolean> {
     await this.authenticator.refreshStaleView(this.credential);
     return this.isPermitted();
   }
 
-  /** Returns whether, by the current view, its operation may go on. */
+  /**
+   * Returns whether, by the current view, the operation that was started last
+   * may send another statement to a member.
+   */
   isPermitted(): boolean {
     const {credential, identified} = this;
-    return this.authenticator.mayContinue(credential, identified?.name);
+    return this.authenticator.isPermitted(credential, identified?.name);
   }
 }
