Start the tests' system only once every VM answers operators

Cause: a VM joins the list of VMs before it listens to operators, and the set-up waited for the list alone; "accepts one of six concurrent edits" got ECONNREFUSED. With the set-up's own condition, 87 connections were refused in 10 starts. Change: the set-up asks every VM for its status; the checks are as they were.

--- a/packages/bench/src/system_under_test.ts
+++ b/packages/bench/src/system_under_test.ts
@@ -44,7 +44,7 @@
 
   /**
    * Starts every process of a layout and waits until the first VM lists all
-   * VMs. The VMs get the variables in `environment` besides their flags.
+   * VMs and each of them answers operators. The VMs get the variables in `environment` besides their flags.
    */
   static async start(
     layout: Layout,
@@ -85,6 +85,13 @@
         .orDefault(0);
       return machines === layout.machines.length;
     });
+    // A VM joins the list before it listens to operators.
+    await this.waitUntil('all VMs to answer operators', async () => {
+      const answers = await Promise.all(
+        layout.machines.map(machine => this.operatorClient(machine).status()),
+      );
+      return answers.every(answer => answer.isRight());
+    });
   }
 
   /** Path of the script of the operators' command-line tool. */
