--- a/packages/control/test/view_refresher_test.ts
+++ b/packages/control/test/view_refresher_test.ts
@@ -15,7 +15,7 @@
   return {
     name: `vm-${vmNumber}`,
     incarnation: 1,
-    dataCentre: 'catania',
+    dataCentre: 'here',
     peerAddress: address,
     operatorAddress: address,
     controlVoter: vmNumber < 3,
--- a/packages/dispatch/src/direct_samples.ts
+++ b/packages/dispatch/src/direct_samples.ts
@@ -2,7 +2,7 @@
 import {PositionSample} from './position_sample_history.js';
 import {RelayedSample} from './position_samples.js';
 
-/** Older samples are not worth passing on. */
+/** Older samples are not passed on: the receiver asks the lease holder instead. */
 const MAXIMUM_AGE_MILLISECONDS = 750;
 
 interface DirectSample extends PositionSample {
--- a/packages/dispatch/src/member_outliers.ts
+++ b/packages/dispatch/src/member_outliers.ts
@@ -13,7 +13,7 @@
 const MINIMUM_LATENCIES = 4;
 /** How much slower than the fastest other member an outlier is. */
 const LATENCY_RATIO = 4;
-/** A member that is slower by less than this is not worth ejecting. */
+/** A member that is slower by less than this is never ejected. */
 const MINIMUM_EXCESS_MILLISECONDS = 80;
 const LATENCY_WEIGHT = 0.2;
 /**
--- a/packages/dispatch/test/fleet_under_load_test.ts
+++ b/packages/dispatch/test/fleet_under_load_test.ts
@@ -18,7 +18,7 @@
 const NETWORK_MILLISECONDS = 2;
 const NEVER = new Promise<never>(() => undefined);
 
-/** A part of the day: arrivals at the whole fleet, and what fails. */
+/** A period of the replay: arrivals at the whole fleet, and what fails. */
 interface Phase {
   readonly seconds: number;
   readonly readsPerSecond: number;
