Send frames and messages about work without the names of their fields

Change: frames are arrays, and a conversation may define a layout of its messages; work on members does. The protocol version is 3, so that an upgrade from version 2 needs all VMs stopped (docs/operations/shutdown-and-upgrade.md).

--- a/packages/peer/src/accepted_link.ts
+++ b/packages/peer/src/accepted_link.ts
@@ -2,8 +2,8 @@
 import {TimerService} from '@apricotlock/timer';
 import {sendEncoded, sendFrame} from './frame_sender.js';
 import {monitorLinkLiveness} from './link_liveness_monitor.js';
-import {Check} from './peer_call.js';
 import {LinkChannel, PeerChannel} from './peer_channel.js';
+import {MessageCodec} from './peer_conversation.js';
 import {encodeFrame, PeerFrame} from './peer_frame.js';
 
 const MAXIMUM_OPEN_CONVERSATIONS = 16_384;
@@ -67,11 +67,13 @@
   /** Creates the channel of conversation `id`, opened by the other side. */
   openChannel<Sent, Received>(
     id: number,
-    check: Check<Received>,
+    sent: MessageCodec<Sent>,
+    received: MessageCodec<Received>,
   ): PeerChannel<Sent, Received> {
     const channel = LinkChannel.create<Sent, Received>(
       {
-        prepare: body => {
+        prepare: message => {
+          const body = sent.pack(message);
           const encoded = encodeFrame({kind: 'down', id, body});
           const transmit = () => this.sendEncoded(encoded);
           return {bytes: encoded.length, transmit};
@@ -82,7 +84,7 @@
           this.send({kind: 'end', id, from: 'down'});
         },
       },
-      check,
+      received.read,
     );
     this.channels.set(id, channel as LinkChannel<unknown, unknown>);
     return channel;
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -6,7 +6,9 @@
  *
  * @packageDocumentation
  */
-export {PeerCall, PeerConversation, type Check} from './peer_call.js';
+export {type ConversationLayout, type MessageLayout} from './message_layout.js';
+export {PeerCall, type Check} from './peer_call.js';
+export {PeerConversation} from './peer_conversation.js';
 export {
   createChannelPair,
   PeerChannel,
--- a/packages/peer/src/peer_channel.ts
+++ b/packages/peer/src/peer_channel.ts
@@ -48,8 +48,8 @@
 }
 
 /** The operations that a channel requires of the link that carries it. */
-export interface ChannelCarrier {
-  readonly prepare: (body: unknown) => PreparedMessage;
+export interface ChannelCarrier<Sent> {
+  readonly prepare: (message: Sent) => PreparedMessage;
   /** Permits the other side to send `bytes` more. */
   readonly sendCredit: (bytes: number) => void;
   /** Notifies the other side that no more messages follow. */
@@ -73,7 +73,7 @@
   private writableSignal: Deferred<void> | undefined;
 
   private constructor(
-    private readonly carrier: ChannelCarrier,
+    private readonly carrier: ChannelCarrier<Sent>,
     private readonly check: Check<Received>,
   ) {
     super();
@@ -81,7 +81,7 @@
 
   /** Creates a channel that sends through `carrier`. */
   static create<Sent, Received>(
-    carrier: ChannelCarrier,
+    carrier: ChannelCarrier<Sent>,
     check: Check<Received>,
   ): LinkChannel<Sent, Received> {
     return new LinkChannel<Sent, Received>(carrier, check);
@@ -223,8 +223,8 @@
 }
 
 function createLocalCarrier<Sent, Received>(
-  getOtherSide: () => LinkChannel<Sent, Received>,
-): ChannelCarrier {
+  getOtherSide: () => LinkChannel<Received, Sent>,
+): ChannelCarrier<Sent> {
   return {
     prepare: body => {
       const bytes = estimateMessageBytes(body);
@@ -237,7 +237,7 @@
 
 function deliverTo<Sent, Received>(
   channel: LinkChannel<Sent, Received>,
-  body: unknown,
+  body: Received,
   bytes: number,
 ): boolean {
   channel.deliver(body, bytes);
--- a/packages/peer/src/peer_frame.ts
+++ b/packages/peer/src/peer_frame.ts
@@ -35,7 +35,8 @@
   readonly bytes: number;
 }
 
-const FRAME_KINDS: ReadonlySet<unknown> = new Set([
+/** A frame is sent as an array, which begins with the index of its kind here. */
+const FRAME_KINDS = [
   'request',
   'answer',
   'refusal',
@@ -44,13 +45,24 @@
   'down',
   'credit',
   'end',
-]);
+] as const;
+type FrameKind = (typeof FRAME_KINDS)[number];
+const FRAME_CODES = new Map<FrameKind, number>(
+  FRAME_KINDS.map((kind, code) => [kind, code]),
+);
 
 const packr = new Packr({useRecords: false});
 
-/** Encodes a frame as MessagePack. Encoded frames can be concatenated. */
+/**
+ * Encodes a frame as MessagePack, without the names of its fields. Encoded
+ * frames can be concatenated.
+ */
 export function encodeFrame(frame: PeerFrame): Buffer {
-  return packr.pack(frame);
+  return packr.pack([
+    FRAME_CODES.get(frame.kind),
+    frame.id,
+    ...contentOf(frame),
+  ]);
 }
 
 /**
@@ -64,9 +76,10 @@
   let isWellFormed = true;
   try {
     packr.unpackMultiple(message, (value, start = 0, end = 0) => {
-      isWellFormed = isFrame(value);
-      if (!isWellFormed) return false;
-      received.push({frame: value as PeerFrame, bytes: end - start});
+      const frame = toFrame(value);
+      isWellFormed = frame !== undefined;
+      if (frame === undefined) return false;
+      received.push({frame, bytes: end - start});
       return true;
     });
   } catch {
@@ -75,11 +88,50 @@
   return isWellFormed ? received : undefined;
 }
 
-function isFrame(value: unknown): value is PeerFrame {
-  if (typeof value !== 'object' || value === null) return false;
-  const {kind, id, name, bytes} = value as Record<string, unknown>;
-  if (!FRAME_KINDS.has(kind) || !Number.isSafeInteger(id)) return false;
-  if (kind === 'credit') return Number.isSafeInteger(bytes);
-  const requiresName = kind === 'request' || kind === 'open';
-  return !requiresName || typeof name === 'string';
+/** Returns what a frame carries beside its kind and identifier. */
+function contentOf(frame: PeerFrame): readonly unknown[] {
+  // A plain switch, since several frames are sent for each statement.
+  switch (frame.kind) {
+    case 'request':
+    case 'open':
+      return [frame.name, frame.body];
+    case 'answer':
+    case 'up':
+    case 'down':
+      return [frame.body];
+    case 'refusal':
+      return [frame.reason];
+    case 'credit':
+      return [frame.bytes];
+    case 'end':
+      return [frame.from];
+  }
+}
+
+/** Returns the frame of a decoded array, `undefined` if it is none. */
+function toFrame(value: unknown): PeerFrame | undefined {
+  if (!Array.isArray(value)) return undefined;
+  const [code, id, first, second] = value as readonly unknown[];
+  const kind = FRAME_KINDS[code as number];
+  if (kind === undefined || !isInteger(id)) return undefined;
+  switch (kind) {
+    case 'request':
+    case 'open':
+      if (typeof first !== 'string') return undefined;
+      return {kind, id, name: first, body: second};
+    case 'answer':
+    case 'up':
+    case 'down':
+      return {kind, id, body: first};
+    case 'refusal':
+      return {kind, id, reason: String(first)};
+    case 'credit':
+      return isInteger(first) ? {kind, id, bytes: first} : undefined;
+    case 'end':
+      return {kind, id, from: first === 'up' ? 'up' : 'down'};
+  }
+}
+
+function isInteger(value: unknown): value is number {
+  return Number.isSafeInteger(value);
 }
--- a/packages/peer/src/peer_handshake.ts
+++ b/packages/peer/src/peer_handshake.ts
@@ -6,7 +6,7 @@
  * The protocol version of links, offered as a WebSocket subprotocol. Processes
  * with different versions refuse each other and report both versions.
  */
-export const PEER_PROTOCOL = 'apricotlock.2';
+export const PEER_PROTOCOL = 'apricotlock.3';
 
 const NONCE_HEADER = 'x-apricotlock-nonce';
 const PROOF_HEADER = 'x-apricotlock-proof';
--- a/packages/peer/src/peer_link.ts
+++ b/packages/peer/src/peer_link.ts
@@ -5,9 +5,10 @@
 import {LinkOptions} from './link_options.js';
 import {monitorLinkLiveness} from './link_liveness_monitor.js';
 import {Address} from './peer_address.js';
-import {PeerCall, PeerConversation} from './peer_call.js';
+import {PeerCall} from './peer_call.js';
 import {ChannelCarrier, LinkChannel, PeerChannel} from './peer_channel.js';
 import {dialPeer} from './peer_dial.js';
+import {PeerConversation} from './peer_conversation.js';
 import {PeerError} from './peer_error.js';
 import {decodeFrames, encodeFrame, PeerFrame} from './peer_frame.js';
 
@@ -92,7 +93,8 @@
   ): PeerChannel<ClientMessage, ServerMessage> {
     const id = this.nextId++;
     const {name} = conversation;
-    const openFrame = encodeFrame({kind: 'open', id, name, body: opening});
+    const body = conversation.packOpening(opening);
+    const openFrame = encodeFrame({kind: 'open', id, name, body});
     let isConnected = this.socket?.readyState === WebSocket.OPEN;
     const bufferedFrames = [openFrame];
     const sendOrBuffer = (encoded: Buffer) => {
@@ -101,8 +103,12 @@
       return true;
     };
     const channel = LinkChannel.create<ClientMessage, ServerMessage>(
-      this.createCarrier(id, sendOrBuffer),
-      conversation.serverMessageCheck,
+      this.createCarrier(
+        id,
+        conversation.clientMessageCodec.pack,
+        sendOrBuffer,
+      ),
+      conversation.serverMessageCodec.read,
     );
     this.channels.set(id, channel as LinkChannel<unknown, unknown>);
     if (isConnected) {
@@ -128,12 +134,14 @@
     return this.pendingCalls.size > 0 || this.channels.size > 0;
   }
 
-  private createCarrier(
+  private createCarrier<Sent>(
     id: number,
+    pack: (message: Sent) => unknown,
     send: (encoded: Buffer) => boolean,
-  ): ChannelCarrier {
+  ): ChannelCarrier<Sent> {
     return {
-      prepare: body => {
+      prepare: message => {
+        const body = pack(message);
         const encoded = encodeFrame({kind: 'up', id, body});
         return {bytes: encoded.length, transmit: () => send(encoded)};
       },
--- a/packages/peer/src/peer_network.ts
+++ b/packages/peer/src/peer_network.ts
@@ -1,6 +1,7 @@
 import {Either} from 'purify-ts';
 import {Address} from './peer_address.js';
-import {PeerCall, PeerConversation} from './peer_call.js';
+import {PeerCall} from './peer_call.js';
+import {PeerConversation} from './peer_conversation.js';
 import {PeerChannel} from './peer_channel.js';
 import {PeerError} from './peer_error.js';
 
--- a/packages/peer/src/web_socket_peer_network.ts
+++ b/packages/peer/src/web_socket_peer_network.ts
@@ -3,7 +3,8 @@
 import {Unsubscribe} from '@apricotlock/timer';
 import {AcceptedLink} from './accepted_link.js';
 import {Address, addressKey} from './peer_address.js';
-import {PeerCall, PeerConversation} from './peer_call.js';
+import {PeerCall} from './peer_call.js';
+import {PeerConversation} from './peer_conversation.js';
 import {PeerChannel} from './peer_channel.js';
 import {PeerError} from './peer_error.js';
 import {decodeFrames, PeerFrame} from './peer_frame.js';
@@ -102,9 +103,10 @@
     this.conversationHandlers.set(conversation.name, (body, link, id) => {
       const channel = link.openChannel<ServerMessage, ClientMessage>(
         id,
-        conversation.clientMessageCheck,
+        conversation.serverMessageCodec,
+        conversation.clientMessageCodec,
       );
-      const opening = conversation.checkOpening(body);
+      const opening = conversation.readOpening(body);
       if (opening.isLeft()) {
         channel.end();
         return;
--- a/packages/work/src/work_messages.ts
+++ b/packages/work/src/work_messages.ts
@@ -1,5 +1,6 @@
 import {hasFields, PeerCall, PeerConversation} from '@apricotlock/peer';
 import {Access, LogPosition, StatementAnswer} from '@apricotlock/statement';
+import {WORK_LAYOUT} from './work_layout.js';
 
 /** The part of a caller's statement that a member runs. */
 export type WorkText =
@@ -99,6 +100,7 @@
   candidate => (isWorkRequest(candidate) ? candidate : undefined),
   candidate => (isClientMessage(candidate) ? candidate : undefined),
   candidate => (isServerMessage(candidate) ? candidate : undefined),
+  WORK_LAYOUT,
 );
 
 /** Checks whether a VM answers. */
