Take a VM for isolated only if other entry VMs do not answer

Change: while neither control nor a lease holder is heard, a VM pings the entry VMs that it knew before, and is isolated only if one of them does not answer. It stays isolated until a lease holder answers it again, at most 2 s after its view is confirmed.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -25,7 +25,13 @@
   PrimaryPositionTracker,
   type PrimaryPositionTrackerOptions,
 } from './primary_position_tracker.js';
-export {isIsolated, shouldCloseIdle, type Connectivity} from './isolation.js';
+export {
+  isIsolated,
+  shouldCloseIdle,
+  type Connectivity,
+  type ContactAges,
+} from './isolation.js';
+export {PeerContact, type PeerContactOptions} from './peer_contact.js';
 export {MemberEstimates} from './member_estimates.js';
 export {
   failoverWaitPolicy,
--- a/packages/dispatch/src/isolation.ts
+++ b/packages/dispatch/src/isolation.ts
@@ -5,6 +5,12 @@
 const STALE_VIEW_MILLISECONDS = 900;
 /** A VM that no lease holder has answered for longer than this may be isolated. */
 const STALE_PRIMARY_CONTACT_MILLISECONDS = 500;
+/**
+ * From these ages on, other entry VMs are pinged, so that it is known whether
+ * they answer by the time that the view is stale.
+ */
+const DOUBTFUL_VIEW_MILLISECONDS = 600;
+const DOUBTFUL_PRIMARY_CONTACT_MILLISECONDS = 250;
 /** Consecutive failed probes after which the balancer stops sending callers. */
 const FAILED_PROBES_THRESHOLD = 2;
 
@@ -14,25 +20,62 @@
   readonly viewAgeMilliseconds: number;
   /** Time since the lease holder of any primary answered. */
   readonly primaryContactAgeMilliseconds: number;
+  /** Whether an entry VM that was known before does not answer any more. */
+  readonly hasLostPeer: boolean;
+}
+
+/** The ages in {@link Connectivity}. */
+export type ContactAges = Omit<Connectivity, 'hasLostPeer'>;
+
+/** Returns whether control may be out of reach. */
+export function isViewDoubtful({viewAgeMilliseconds}: ContactAges): boolean {
+  return viewAgeMilliseconds > DOUBTFUL_VIEW_MILLISECONDS;
+}
+
+/** Returns whether it is to be found out which other entry VMs answer. */
+export function isContactDoubtful(ages: ContactAges): boolean {
+  const {primaryContactAgeMilliseconds} = ages;
+  return (
+    isViewDoubtful(ages) &&
+    primaryContactAgeMilliseconds > DOUBTFUL_PRIMARY_CONTACT_MILLISECONDS
+  );
 }
 
 /**
  * Returns whether a VM is isolated from the rest of the system, so that other
  * VMs can serve its callers better. This covers a whole data centre that is
- * partitioned from the others while callers still reach its VMs. Both values
- * must be stale: if a primary is missing or all control VMs are down, other
- * VMs are affected in the same way.
+ * partitioned from the others while callers still reach its VMs. Both ages must
+ * be stale: if only a primary is missing, other VMs are affected in the same
+ * way. So they are if all control VMs are lost, which is the case if every
+ * other entry VM still answers.
  */
-export function isIsolated({
-  viewAgeMilliseconds,
-  primaryContactAgeMilliseconds,
-}: Connectivity): boolean {
+export function isIsolated(connectivity: Connectivity): boolean {
   return (
-    viewAgeMilliseconds > STALE_VIEW_MILLISECONDS &&
-    primaryContactAgeMilliseconds > STALE_PRIMARY_CONTACT_MILLISECONDS
+    isViewStale(connectivity) &&
+    isOutOfPrimaryContact(connectivity) &&
+    connectivity.hasLostPeer
   );
 }
 
+/**
+ * Returns whether an isolated VM can serve callers again. After a partition has
+ * healed, a view may arrive seconds before the links to lease holders work.
+ */
+export function isReconnected(connectivity: ContactAges): boolean {
+  return !isViewStale(connectivity) && !isOutOfPrimaryContact(connectivity);
+}
+
+/** Returns whether a view has been unconfirmed for unusually long. */
+export function isViewStale({viewAgeMilliseconds}: ContactAges): boolean {
+  return viewAgeMilliseconds > STALE_VIEW_MILLISECONDS;
+}
+
+function isOutOfPrimaryContact({
+  primaryContactAgeMilliseconds,
+}: ContactAges): boolean {
+  return primaryContactAgeMilliseconds > STALE_PRIMARY_CONTACT_MILLISECONDS;
+}
+
 /**
  * Returns whether idle sessions should be closed, so that their callers connect
  * to another VM. This is safe only once the balancer no longer sends them back
--- a/packages/dispatch/src/isolation_detector.ts
+++ b/packages/dispatch/src/isolation_detector.ts
@@ -1,6 +1,12 @@
 import {Logger} from '@apricotlock/logging';
 import {TimerService, Unsubscribe} from '@apricotlock/timer';
-import {Connectivity, isIsolated, shouldCloseIdle} from './isolation.js';
+import {
+  Connectivity,
+  isIsolated,
+  isReconnected,
+  isViewStale,
+  shouldCloseIdle,
+} from './isolation.js';
 
 const CHECK_INTERVAL_MILLISECONDS = 100;
 /**
@@ -8,6 +14,11 @@
  * make it stop.
  */
 const BALANCER_DELAY_MILLISECONDS = 300;
+/**
+ * A VM whose view is confirmed for this long is no longer isolated, even if no
+ * lease holder answers: no other VM may have better contact.
+ */
+const CONFIRMED_VIEW_MILLISECONDS = 2_000;
 
 /** Options of the isolation detector. */
 export interface IsolationDetectorOptions {
@@ -20,6 +31,8 @@
 /** Detects when this VM becomes isolated and when it is connected again. */
 export class IsolationDetector {
   private isolated = false;
+  /** Since when the view of this isolated VM has been confirmed again. */
+  private confirmedSince: number | undefined;
   /** Consecutive balancer probes that were answered as not ready. */
   private failedProbes = 0;
   /** When the probe that should make the balancer stop was answered. */
@@ -71,9 +84,12 @@
     const {connectivity, logger} = this.options;
     const current = connectivity();
     if (current === undefined) return;
-    const isolated = isIsolated(current);
+    const isolated = this.isolated
+      ? !this.hasReconnected(current)
+      : isIsolated(current);
     if (isolated === this.isolated) return;
     this.isolated = isolated;
+    this.confirmedSince = undefined;
     logger.warn(
       isolated ? 'this VM is isolated' : 'this VM is connected again',
       {
@@ -82,4 +98,15 @@
       },
     );
   }
+
+  private hasReconnected(current: Connectivity): boolean {
+    const now = this.options.timer.now();
+    if (isViewStale(current)) this.confirmedSince = undefined;
+    else this.confirmedSince ??= now;
+    const {confirmedSince = now} = this;
+    return (
+      isReconnected(current) ||
+      now - confirmedSince >= CONFIRMED_VIEW_MILLISECONDS
+    );
+  }
 }
--- a/packages/dispatch/src/primary_position_tracker.ts
+++ b/packages/dispatch/src/primary_position_tracker.ts
@@ -37,6 +37,11 @@
   readonly network: PeerNetwork;
   readonly work: WorkService;
   readonly timer: TimerService;
+  /**
+   * Returns whether lease holders are asked although no group was read, to find
+   * out when they answer this VM again; never by default.
+   */
+  readonly seeksContact?: () => boolean;
 }
 
 /**
@@ -139,14 +144,15 @@
   }
 
   private refresh(): void {
-    if (this.lastReadAt.size === 0) return;
     const {timer, machines} = this.options;
     const now = timer.now();
     for (const [database, readAt] of this.lastReadAt) {
       if (now - readAt <= TRACKING_DURATION_MILLISECONDS) continue;
       this.lastReadAt.delete(database);
     }
-    const groups = [...this.lastReadAt.keys()].map(database => {
+    const databases = this.trackedDatabases();
+    if (databases.length === 0) return;
+    const groups = databases.map(database => {
       const requestedAt = this.history.newest(database)?.requestedAt;
       return {
         database,
@@ -163,6 +169,13 @@
     }
   }
 
+  private trackedDatabases(): readonly string[] {
+    const {view, seeksContact} = this.options;
+    return seeksContact?.() === true
+      ? view.current.groups.map(({database}) => database)
+      : [...this.lastReadAt.keys()];
+  }
+
   /** Returns the groups whose primaries are used by this VM. */
   private heldDatabases(): readonly string[] {
     const {self, view} = this.options;
--- a/packages/dispatch/test/decisions_test.ts
+++ b/packages/dispatch/test/decisions_test.ts
@@ -235,6 +235,7 @@
     const stale = {
       viewAgeMilliseconds: 5_000,
       primaryContactAgeMilliseconds: 5_000,
+      hasLostPeer: true,
     };
     expect(isIsolated(stale)).to.equal(true);
     expect(isIsolated({...stale, viewAgeMilliseconds: 100})).to.equal(false);
@@ -247,15 +248,26 @@
     const during = {
       viewAgeMilliseconds: 850,
       primaryContactAgeMilliseconds: 300,
+      hasLostPeer: true,
     };
     expect(isIsolated(during)).to.equal(false);
     const after = {
       viewAgeMilliseconds: 1_000,
       primaryContactAgeMilliseconds: 600,
+      hasLostPeer: true,
     };
     expect(isIsolated(after)).to.equal(true);
   });
 
+  it('requires that another entry VM does not answer', () => {
+    const withoutControl = {
+      viewAgeMilliseconds: 5_000,
+      primaryContactAgeMilliseconds: 5_000,
+      hasLostPeer: false,
+    };
+    expect(isIsolated(withoutControl)).to.equal(false);
+  });
+
   it('closes idle sessions only after a second failed probe', () => {
     expect(shouldCloseIdle(1)).to.equal(false);
     expect(shouldCloseIdle(2)).to.equal(true);
--- a/packages/dispatch/test/isolation_detector_test.ts
+++ b/packages/dispatch/test/isolation_detector_test.ts
@@ -6,10 +6,12 @@
 const CONNECTED: Connectivity = {
   viewAgeMilliseconds: 50,
   primaryContactAgeMilliseconds: 50,
+  hasLostPeer: false,
 };
 const ISOLATED: Connectivity = {
   viewAgeMilliseconds: 5_000,
   primaryContactAgeMilliseconds: 5_000,
+  hasLostPeer: true,
 };
 
 describe('IsolationDetector', () => {
@@ -66,4 +68,28 @@
     setConnectivity(CONNECTED);
     expect(detector.closeIdleBefore).to.equal(undefined);
   });
+
+  // Callers that return while the links to lease holders are still broken wait
+  // there for nothing.
+  it('stays isolated until a lease holder answers', () => {
+    setConnectivity(ISOLATED);
+    setConnectivity({...ISOLATED, viewAgeMilliseconds: 50});
+    expect(detector.isIsolated).to.equal(true);
+    setConnectivity(CONNECTED);
+    expect(detector.isIsolated).to.equal(false);
+  });
+
+  it('is connected once its view was confirmed for long', () => {
+    setConnectivity(ISOLATED);
+    setConnectivity({...ISOLATED, viewAgeMilliseconds: 50});
+    timer.advance(2_500);
+    expect(detector.isIsolated).to.equal(false);
+  });
+
+  // All other VMs are affected in the same way, and closing the sessions would
+  // leave their callers without any VM.
+  it('is not isolated while control is lost and other VMs answer', () => {
+    setConnectivity({...ISOLATED, hasLostPeer: false});
+    expect(detector.isIsolated).to.equal(false);
+  });
 });
--- a/packages/program/src/entry_program.ts
+++ b/packages/program/src/entry_program.ts
@@ -2,7 +2,9 @@
 import {ControlClient} from '@apricotlock/control';
 import {
   Connectivity,
+  ContactAges,
   IsolationDetector,
+  PeerContact,
   PrimaryPositionTracker,
   VirtualMachineHealth,
   SessionHost,
@@ -106,9 +108,19 @@
     });
     const health = VirtualMachineHealth.create({...shared, machines});
     const dispatcher = WorkDispatcher.create({...entryShared, work, health});
-    const positions = PrimaryPositionTracker.start({...shared, machines, work});
-    const detector = IsolationDetector.start({
-      connectivity: () => readConnectivity(control, positions),
+    const positions = PrimaryPositionTracker.start({
+      ...shared,
+      machines,
+      work,
+      seeksContact: () => detector.isIsolated,
+    });
+    const contactAges = () => readContactAges(control, positions);
+    const peerContact = PeerContact.start({
+      ...entryShared,
+      ages: contactAges,
+    });
+    const detector: IsolationDetector = IsolationDetector.start({
+      connectivity: () => readConnectivity(contactAges(), peerContact),
       timer,
       logger,
     });
@@ -251,15 +263,22 @@
   };
 }
 
-/** Returns this VM's connectivity; `undefined` before its first view. */
-function readConnectivity(
+function readContactAges(
   {viewAgeMilliseconds}: ControlClient,
   {primaryContactAgeMilliseconds}: PrimaryPositionTracker,
-): Connectivity | undefined {
-  if (viewAgeMilliseconds === Infinity) return undefined;
+): ContactAges {
   return {viewAgeMilliseconds, primaryContactAgeMilliseconds};
 }
 
+/** Returns this VM's connectivity; `undefined` before its first view. */
+function readConnectivity(
+  ages: ContactAges,
+  {hasLostPeer}: PeerContact,
+): Connectivity | undefined {
+  if (ages.viewAgeMilliseconds === Infinity) return undefined;
+  return {...ages, hasLostPeer};
+}
+
 async function listenForCallers(
   address: Address,
   accept: (socket: Socket) => void,
