Ping a VM that is back in the membership before it gets work

Cause: after a partition has healed, datagrams arrive seconds before links work. Change: a VM that had vanished from the membership is used once it answers a ping, which is sent on its first use, and the idle link to a VM that vanishes is closed, since the old connection may stay silent until its next retransmission.

--- a/packages/dispatch/src/virtual_machine_health.ts
+++ b/packages/dispatch/src/virtual_machine_health.ts
@@ -27,16 +27,33 @@
 export class VirtualMachineHealth {
   private readonly unresponsive = new Set<string>();
   private readonly pendingChecks = new Map<string, Promise<boolean>>();
+  private live = new Map<string, VirtualMachine>();
+  /** VMs that membership took for dead or that have left. */
+  private readonly vanished = new Set<string>();
+  /** VMs that are back in the membership and have answered no ping since. */
+  private readonly unverified = new Set<string>();
 
-  private constructor(private readonly options: VirtualMachineHealthOptions) {}
+  private constructor(private readonly options: VirtualMachineHealthOptions) {
+    this.trackMembership(options.machines.current);
+    options.machines.subscribe(machines => this.trackMembership(machines));
+  }
 
   /** Creates an instance that takes all VMs as responsive. */
   static create(options: VirtualMachineHealthOptions): VirtualMachineHealth {
     return new VirtualMachineHealth(options);
   }
 
-  /** Returns whether a VM is not known to be unresponsive. */
+  /**
+   * Returns whether a VM is not known to be unresponsive. A VM that is back in
+   * the membership is responsive once it has answered a ping, which is sent
+   * when it is first asked for: after a partition has healed, datagrams arrive
+   * before links work.
+   */
   isResponsive(machine: string): boolean {
+    if (this.unverified.has(machine)) {
+      void this.checkLiveness(machine);
+      return false;
+    }
     return !this.unresponsive.has(machine);
   }
 
@@ -59,6 +76,22 @@
     void this.checkLiveness(machine);
   }
 
+  private trackMembership(machines: readonly VirtualMachine[]): void {
+    const {self, network} = this.options;
+    const live = new Map(machines.map(machine => [machine.name, machine]));
+    for (const [name, {peerAddress}] of this.live) {
+      if (live.has(name)) continue;
+      this.vanished.add(name);
+      this.unverified.delete(name);
+      network.closeIdleLink(peerAddress);
+    }
+    for (const name of live.keys()) {
+      if (this.vanished.delete(name) && name !== self)
+        this.unverified.add(name);
+    }
+    this.live = live;
+  }
+
   private async sendPing(name: string): Promise<boolean> {
     const {machines, network} = this.options;
     const machine = machines.current.find(each => each.name === name);
@@ -72,6 +105,7 @@
       {},
       PING_TIMEOUT_MILLISECONDS,
     );
+    this.unverified.delete(name);
     if (answer.isRight()) {
       this.markResponsive(name);
       return true;
--- a/packages/peer/src/peer_link.ts
+++ b/packages/peer/src/peer_link.ts
@@ -130,7 +130,8 @@
     this.socket?.terminate();
   }
 
-  private get isBusy(): boolean {
+  /** Whether a call or conversation is open. */
+  get isBusy(): boolean {
     return this.pendingCalls.size > 0 || this.channels.size > 0;
   }
 
--- a/packages/peer/src/peer_network.ts
+++ b/packages/peer/src/peer_network.ts
@@ -48,6 +48,14 @@
     handler: ConversationHandler<Opening, ClientMessage, ServerMessage>,
   ): void;
 
+  /**
+   * Closes the link to a process that is considered dead, unless something is
+   * in progress on it, so that the next message uses a new connection: the old
+   * one may stay silent for seconds after a partition has healed. A network
+   * without links does nothing.
+   */
+  closeIdleLink(_to: Address): void {}
+
   /** Closes all links and stops listening. */
   abstract close(): Promise<void>;
 }
--- a/packages/peer/src/web_socket_peer_network.ts
+++ b/packages/peer/src/web_socket_peer_network.ts
@@ -144,6 +144,14 @@
     return getActiveCount();
   }
 
+  override closeIdleLink(to: Address): void {
+    const key = addressKey(to);
+    const link = this.links.get(key);
+    if (link === undefined || link.isBusy) return;
+    this.links.delete(key);
+    link.close();
+  }
+
   override async close(): Promise<void> {
     this.stopIdleChecks();
     for (const link of this.links.values()) link.close();
