--- a/packages/work/src/member_worker.ts
+++ b/packages/work/src/member_worker.ts
@@ -8,11 +8,10 @@
   StatementAnswer,
 } from '@apricotlock/statement';
 import {TimerService} from '@apricotlock/timer';
-import {lastAnswer} from './caller_command.js';
 import {ConnectionLimits} from './connection_limits.js';
 import {ConnectionPool} from './connection_pool.js';
-import {IdleTransactions} from './idle_transactions.js';
 import {Symptom} from './lease_messages.js';
+import {OpenTransactions} from './open_transactions.js';
 import {StatementRunner} from './statement_runner.js';
 import {WorkConnection} from './work_connection.js';
 import {
@@ -27,7 +26,6 @@
 
 const PROBE_TIMEOUT_MILLISECONDS = 300;
 const UNREACHABLE_RETRY_MILLISECONDS = 200;
-const ROLLBACK_TIMEOUT_MILLISECONDS = 500;
 
 /** Options of a member worker. */
 export interface MemberWorkerOptions {
@@ -64,21 +62,12 @@
   readonly inbox: WorkInbox;
 }
 
-/** A transaction that waits for the next statement of its session. */
-interface IdleTransaction {
-  readonly connection: WorkConnection;
-  readonly requestId: string;
-  readonly since: number;
-}
-
 /** Runs callers' statements on one member, on connections of this VM. */
 export class MemberWorker {
   private readonly connections: ConnectionPool;
   private readonly queue: WorkQueue<WorkConnection>;
   private readonly statements: StatementRunner;
-  private readonly idleTransactions =
-    IdleTransactions.create<IdleTransaction>();
-  private isEndingTransaction = false;
+  private readonly transactions: OpenTransactions;
   private reachable = true;
   private lastUsedAt: number;
   private lastOrganisation: string | undefined;
@@ -100,7 +89,11 @@
         this.setReachable(true);
       },
       onReplaced: connection => this.recordReplaced(connection),
-      onBlocked: () => this.endIdleTransaction(),
+      onBlocked: () => this.transactions.endIdle(),
+    });
+    this.transactions = OpenTransactions.create({
+      ...options,
+      connections: this.connections,
     });
     this.queue = WorkQueue.create({
       slots,
@@ -247,13 +240,10 @@
     {connection, channel, inbox}: ActiveWork,
     requestId: string,
   ): Promise<WorkStatement | undefined> {
-    const since = this.options.timer.now();
-    const idle = {connection, requestId, since};
-    this.idleTransactions.add(idle, since);
+    const idle = this.transactions.startIdle(connection, requestId);
     const next = await inbox.receiveStatement();
-    const isOpen = this.idleTransactions.remove(idle);
-    if (isOpen) {
-      if (next === undefined) await this.rollBack(connection);
+    if (this.transactions.stopIdle(idle)) {
+      if (next === undefined) await this.transactions.rollBack(connection);
       return next;
     }
     if (next !== undefined) {
@@ -328,55 +318,6 @@
     return isIdle ? 'finished' : 'continue';
   }
 
-  /**
-   * Ends an idle transaction if these hold most connections while new work
-   * waits for one. Returns when to call it again if the work still waits then.
-   */
-  private endIdleTransaction(): number | undefined {
-    // The connection of the transaction that is being ended may be enough.
-    if (this.isEndingTransaction) return undefined;
-    const {timer, logger, target, observer} = this.options;
-    const {count} = this.connections;
-    const choice = this.idleTransactions.chooseEnding(count, timer.now());
-    if (choice.kind === 'wait') return choice.until;
-    const {transaction} = choice;
-    const {connection, requestId, since} = transaction;
-    this.idleTransactions.remove(transaction);
-    logger.info('ended an idle transaction because new work waits', {
-      request: requestId,
-      member: target.name,
-      organisation: connection.organisation,
-      idle: Math.round(timer.now() - since),
-    });
-    observer.onConnectionEvent('transactionEnded');
-    this.isEndingTransaction = true;
-    void this.sendRollback(connection).then(isIdle => {
-      this.isEndingTransaction = false;
-      this.returnRolledBack(connection, isIdle);
-    });
-    return undefined;
-  }
-
-  /** Rolls back a transaction that its session did not end. */
-  private async rollBack(connection: WorkConnection): Promise<void> {
-    this.returnRolledBack(connection, await this.sendRollback(connection));
-  }
-
-  /** Resolves to whether the connection is out of its transaction. */
-  private async sendRollback({member}: WorkConnection): Promise<boolean> {
-    const rolledBack = await member.run(
-      [{kind: 'rollback'}],
-      ROLLBACK_TIMEOUT_MILLISECONDS,
-    );
-    const answer = rolledBack.map(lastAnswer).toMaybe().extract();
-    return answer?.state === 'idle';
-  }
-
-  private returnRolledBack(connection: WorkConnection, isIdle: boolean): void {
-    if (isIdle) this.connections.checkIn(connection);
-    else this.connections.discard(connection);
-  }
-
   /** Resolves to whether the member accepts and answers a new connection. */
   private async probe(): Promise<boolean> {
     const {connector, target} = this.options;
