--- a/packages/dispatch/src/virtual_machine_health.ts
+++ b/packages/dispatch/src/virtual_machine_health.ts
@@ -86,8 +86,8 @@
       network.closeIdleLink(peerAddress);
     }
     for (const name of live.keys()) {
-      if (this.vanished.delete(name) && name !== self)
-        this.unverified.add(name);
+      const isBack = this.vanished.delete(name) && name !== self;
+      if (isBack) this.unverified.add(name);
     }
     this.live = live;
   }
--- a/packages/peer/src/peer_network.ts
+++ b/packages/peer/src/peer_network.ts
@@ -54,7 +54,9 @@
    * one may stay silent for seconds after a partition has healed. A network
    * without links does nothing.
    */
-  closeIdleLink(_to: Address): void {}
+  closeIdleLink(_to: Address): void {
+    return;
+  }
 
   /** Closes all links and stops listening. */
   abstract close(): Promise<void>;
--- a/packages/program/src/entry_program.ts
+++ b/packages/program/src/entry_program.ts
@@ -5,6 +5,7 @@
   ContactAges,
   IsolationDetector,
   PeerContact,
+  PeerContactOptions,
   PrimaryPositionTracker,
   VirtualMachineHealth,
   SessionHost,
@@ -84,17 +85,7 @@
     const {self, network, timer, logger, membership, settings} = context;
     const {machines} = membership;
     const entryMachines = selectEntryMachines(machines);
-    const control = await ControlClient.start({
-      self,
-      network,
-      timer,
-      logger,
-      machines,
-      log: undefined,
-      folder: undefined,
-      fetchMilliseconds: VIEW_FETCH_INTERVAL_MILLISECONDS,
-      currentMilliseconds: CURRENT_VIEW_MILLISECONDS,
-    });
+    const control = await startControlClient(context);
     const {view} = control;
     const shared = {self, view, network, timer, logger};
     const entryShared = {...shared, machines: entryMachines};
@@ -114,16 +105,11 @@
       work,
       seeksContact: () => detector.isIsolated,
     });
-    const contactAges = () => readContactAges(control, positions);
-    const peerContact = PeerContact.start({
-      ...entryShared,
-      ages: contactAges,
-    });
-    const detector: IsolationDetector = IsolationDetector.start({
-      connectivity: () => readConnectivity(contactAges(), peerContact),
-      timer,
-      logger,
-    });
+    const detector: IsolationDetector = startIsolationDetector(
+      entryShared,
+      control,
+      positions,
+    );
     const router = StatementRouter.create({
       ...shared,
       dataCentre: settings.dataCentre,
@@ -253,6 +239,41 @@
   }
 }
 
+/** Starts to detect whether this VM is isolated. */
+function startIsolationDetector(
+  shared: Omit<PeerContactOptions, 'ages'>,
+  control: ControlClient,
+  positions: PrimaryPositionTracker,
+): IsolationDetector {
+  const ages = () => readContactAges(control, positions);
+  const peerContact = PeerContact.start({...shared, ages});
+  return IsolationDetector.start({
+    ...shared,
+    connectivity: () => readConnectivity(ages(), peerContact),
+  });
+}
+
+/** Starts the client of control, without a log of its own. */
+function startControlClient({
+  self,
+  network,
+  timer,
+  logger,
+  membership,
+}: ProgramContext): Promise<ControlClient> {
+  return ControlClient.start({
+    self,
+    network,
+    timer,
+    logger,
+    machines: membership.machines,
+    log: undefined,
+    folder: undefined,
+    fetchMilliseconds: VIEW_FETCH_INTERVAL_MILLISECONDS,
+    currentMilliseconds: CURRENT_VIEW_MILLISECONDS,
+  });
+}
+
 /** Returns what the sessions of this VM need to know of the age of its view. */
 function readFreshness(control: ControlClient): ViewFreshness {
   return {
