Keep a slot of a primary for reads while no replica confirms its commits

Change: until a single write of the term was answered, and again after a stall, writes take all slots but one; others wait, and are refused with a reason of their own, which says nothing about reads.

--- a/packages/work/src/member_worker.ts
+++ b/packages/work/src/member_worker.ts
@@ -23,6 +23,7 @@
 import {WorkInbox, WorkServerChannel} from './work_inbox.js';
 import {WorkObserver} from './work_observer.js';
 import {WorkQueue} from './work_queue.js';
+import {WriteSlots} from './write_slots.js';
 
 const PROBE_TIMEOUT_MILLISECONDS = 300;
 const UNREACHABLE_RETRY_MILLISECONDS = 200;
@@ -68,6 +69,7 @@
   private readonly queue: WorkQueue<WorkConnection>;
   private readonly statements: StatementRunner;
   private readonly transactions: OpenTransactions;
+  private readonly writeSlots: WriteSlots;
   private reachable = true;
   private lastUsedAt: number;
   private lastOrganisation: string | undefined;
@@ -102,8 +104,13 @@
       requestConnections: (demands, meanMilliseconds) =>
         this.connections.requestConnections(demands, meanMilliseconds),
     });
+    this.writeSlots = WriteSlots.create({slots, timer});
     this.statements = StatementRunner.create({
       ...options,
+      onSymptom: symptom => {
+        if (symptom === 'commitsStall') this.writeSlots.recordStall();
+        options.onSymptom(symptom);
+      },
       probe: () => this.probe(),
       onDeadConnection: () => void this.connections.checkIdle(),
     });
@@ -161,19 +168,28 @@
   async serve(request: WorkRequest, channel: WorkServerChannel): Promise<void> {
     const obstacle = this.obstacleTo(request);
     if (obstacle !== undefined) return this.refuse(channel, obstacle);
-    this.lastUsedAt = this.options.timer.now();
+    const {timer} = this.options;
+    const since = timer.now();
+    this.lastUsedAt = since;
     this.lastOrganisation = request.organisation;
+    const {waitMilliseconds} = request;
+    if (!(await this.acquireWriteSlot(request, waitMilliseconds))) {
+      return this.refuse(channel, 'commitsStall');
+    }
     if (!this.reachable) {
+      this.releaseWriteSlot(request);
       // A connection opened in the background detects recovery.
       this.requestRecovery();
       return this.refuse(channel, 'unreachable');
     }
     const inbox = WorkInbox.create(channel);
+    const remainingMilliseconds = waitMilliseconds - (timer.now() - since);
     const admission = await this.queue.acquireSlotAndConnection(
-      request,
+      {...request, waitMilliseconds: remainingMilliseconds},
       inbox.abandoned,
     );
     if (admission.isLeft()) {
+      this.releaseWriteSlot(request);
       const reason = this.reachable ? 'overloaded' : 'unreachable';
       const refusal = admission.extract() as {expectedWaitMilliseconds: number};
       return this.refuse(channel, reason, refusal.expectedWaitMilliseconds);
@@ -183,6 +199,7 @@
     // draining, while the work was queued.
     const laterObstacle = this.obstacleTo(request);
     if (laterObstacle !== undefined) {
+      this.releaseWriteSlot(request);
       this.queue.releaseSlot(0);
       this.connections.checkIn(connection);
       return this.refuse(channel, laterObstacle);
@@ -261,17 +278,20 @@
     {connection, request, channel}: ActiveWork,
     next: WorkStatement,
   ): Promise<boolean> {
-    const slot = await this.queue.acquireTransactionSlot(
-      next.timeoutMilliseconds,
-      request,
-    );
-    if (slot.isLeft()) {
+    const {timeoutMilliseconds} = next;
+    const mayWrite = await this.acquireWriteSlot(request, timeoutMilliseconds);
+    const slot = mayWrite
+      ? await this.queue.acquireTransactionSlot(timeoutMilliseconds, request)
+      : undefined;
+    if (slot === undefined || slot.isLeft()) {
+      if (mayWrite) this.releaseWriteSlot(request);
       const reason = 'no slot became free within the statement timeout';
       this.sendLost(channel, {mayHaveRun: false, timedOut: true, reason});
       this.connections.discard(connection);
       return false;
     }
     if (!this.options.mayUse(request.primaryTerm)) {
+      this.releaseWriteSlot(request);
       this.queue.releaseSlot(0);
       const reason = 'this VM no longer holds the primary lease';
       this.sendLost(channel, {mayHaveRun: false, timedOut: false, reason});
@@ -290,6 +310,7 @@
     this.runningCount += 1;
     const outcome = await this.statements.run(connection, statement);
     this.runningCount -= 1;
+    this.releaseWriteSlot(request);
     const releaseSlot = () => this.queue.releaseSlot(timer.now() - startedAt);
     // With organisations, the connection is returned first, so that the next
     // work of its organisation does not lose its turn to later work.
@@ -307,6 +328,9 @@
     const answer = outcome.unsafeCoerce();
     this.options.onAnswer(answer);
     this.reportIfNotPrimary(request, answer);
+    if (isCompletedWrite(request, answer)) {
+      this.writeSlots.recordConfirmation(request.primaryTerm);
+    }
     const isIdle = answer.state === 'idle';
     // The connection is returned before the answer is sent. Otherwise another
     // connection would be opened for queued work.
@@ -318,6 +342,19 @@
     return isIdle ? 'finished' : 'continue';
   }
 
+  /** Resolves to whether a statement that may write may take a slot. */
+  private async acquireWriteSlot(
+    request: WorkRequest,
+    waitMilliseconds: number,
+  ): Promise<boolean> {
+    if (!mayWrite(request)) return true;
+    return this.writeSlots.acquire(request.primaryTerm, waitMilliseconds);
+  }
+
+  private releaseWriteSlot(request: WorkRequest): void {
+    if (mayWrite(request)) this.writeSlots.release();
+  }
+
   /** Resolves to whether the member accepts and answers a new connection. */
   private async probe(): Promise<boolean> {
     const {connector, target} = this.options;
@@ -415,6 +452,28 @@
   }
 }
 
+/** Returns whether work may write, alone or in a transaction. */
+function mayWrite({primaryTerm, first}: WorkRequest): boolean {
+  return primaryTerm > 0 && !first.repeatable;
+}
+
+/**
+ * Returns whether a single write was answered, so that a replica has confirmed
+ * its commit. The end of a transaction is no such evidence, since it may have
+ * written nothing.
+ */
+function isCompletedWrite(
+  request: WorkRequest,
+  {end, state}: StatementAnswer,
+): boolean {
+  return (
+    mayWrite(request) &&
+    request.first.opens === 'none' &&
+    state === 'idle' &&
+    end.kind === 'complete'
+  );
+}
+
 function symptomOf({kind}: ConnectError): Symptom {
   if (kind === 'refused' || kind === 'otherMember') return kind;
   return 'silent';
--- a/packages/work/src/work_messages.ts
+++ b/packages/work/src/work_messages.ts
@@ -60,6 +60,8 @@
   | 'unreachable'
   /** The member is draining, and gets no new work as a replica. */
   | 'draining'
+  /** No replica confirms the commits of the primary, which limits writes. */
+  | 'commitsStall'
   /** The member is removed or unknown to this VM. */
   | 'unknownMember';
 
--- a/packages/work/test/member_worker_test.ts
+++ b/packages/work/test/member_worker_test.ts
@@ -310,6 +310,51 @@
       expect(fixture.connector.connections[0]?.closed).to.equal(false);
     });
   });
+
+  // Otherwise reads that only this primary can serve are refused until the
+  // commits time out.
+  describe('while no replica confirms commits', () => {
+    it('runs reads beside the first write, and writes after it', async () => {
+      const fixture = new Fixture(command =>
+        command.kind === 'caller' && command.requestId.startsWith('w')
+          ? new Promise(() => undefined)
+          : Promise.resolve(complete()),
+      );
+      const writes = ['w1', 'w2', 'w3'].map(requestId =>
+        fixture.start(request({requestId})),
+      );
+      await settle();
+      const read = fixture.start(request({requestId: 'r', repeatable: true}));
+      expect(await read.receive()).to.deep.include({kind: 'answer'});
+      await fixture.timer.advanceAsync(150);
+      for (const write of writes.slice(1)) {
+        // Not as overloaded: callers would take that for all statements.
+        expect(await write.receive()).to.deep.nested.include({
+          kind: 'refused',
+          'refusal.reason': 'commitsStall',
+        });
+      }
+    });
+
+    it('runs writes side by side once one was confirmed', async () => {
+      const fixture = new Fixture(async command => {
+        if (command.kind !== 'caller') return complete();
+        return command.requestId === 'w1'
+          ? complete()
+          : new Promise(() => undefined);
+      });
+      expect(
+        await fixture.start(request({requestId: 'w1'})).receive(),
+      ).to.deep.include({kind: 'answer'});
+      fixture.start(request({requestId: 'w2'}));
+      fixture.start(request({requestId: 'w3'}));
+      await settle();
+      const sent = fixture.connector.commands.filter(
+        ({kind}) => kind === 'caller',
+      );
+      expect(sent.length).to.equal(3);
+    });
+  });
 });
 
 async function settle(): Promise<void> {
