--- a/packages/dispatch/src/statement_session.ts
+++ b/packages/dispatch/src/statement_session.ts
@@ -1,4 +1,3 @@
-import {Either} from 'purify-ts';
 import {Observable, TIMED_OUT, withTimeout} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
 import {OperationQuota} from '@apricotlock/quota';
@@ -21,6 +20,7 @@
 import {ForwardedStatement, SessionContext} from './session_context.js';
 import {StatementRouter} from './statement_router.js';
 import {CatalogueLookup, DEFAULT_TERMS} from './catalogue_lookup.js';
+import {runLocally} from './local_statement.js';
 import {Operation, runWithinQuota} from './operation_admission.js';
 import {RequestRecorder} from './request_recorder.js';
 import {OwnWrite, RoutedStatement} from './routed_statement.js';
@@ -228,62 +228,18 @@
     return {kind: 'rolledBack', reason};
   }
 
-  /** Answers a statement that needs no member; `undefined` for any other. */
+  /** Runs a statement that needs no member; `undefined` for any other. */
   private answerLocally(statement: Statement): CallerAnswer | undefined {
-    const failed = this.transaction.kind === 'failed';
-    const ends = statement.kind === 'commit' || statement.kind === 'rollback';
-    if (failed && !ends) {
-      const reason =
-        'the transaction has failed; only COMMIT or ROLLBACK is accepted';
-      return this.fail({kind: 'malformed', reason});
-    }
-    switch (statement.kind) {
-      case 'setValue':
-        return this.applyContextChange(
-          this.context.withValue(statement.name, statement.value),
-        );
-      case 'prepare':
-        return this.applyContextChange(
-          this.context.withPrepared(statement.name, statement.prepared),
-        );
-      case 'deallocate':
-        return this.applyContextChange(
-          this.context.withoutPrepared(statement.name),
-        );
-      case 'begin':
-        return this.begin(statement.readOnly);
-      case 'rollback':
-        this.endTransaction();
-        this.transaction = NO_TRANSACTION;
-        return this.done();
-      case 'commit':
-        if (this.transaction.kind !== 'none') return undefined;
-        return this.fail({kind: 'malformed', reason: 'no transaction is open'});
-      default:
-        return undefined;
-    }
-  }
-
-  private applyContextChange(
-    changed: Either<CallerFailure, SessionContext>,
-  ): CallerAnswer {
-    return changed.caseOf({
-      Left: failure => this.fail(failure),
-      Right: context => {
-        this.context = context;
-        return this.done();
-      },
+    const outcome = runLocally(statement, {
+      context: this.context,
+      transaction: this.transaction,
     });
-  }
-
-  private begin(readOnly: boolean): CallerAnswer {
-    if (this.transaction.kind !== 'none') {
-      return this.fail({
-        kind: 'malformed',
-        reason: 'a transaction is already open',
-      });
-    }
-    this.transaction = {kind: 'begun', readOnly};
+    if (outcome === undefined) return undefined;
+    if (outcome.isLeft()) return this.fail(outcome.extract() as CallerFailure);
+    const {context, transaction} = outcome.unsafeCoerce();
+    this.context = context;
+    if (transaction.kind === 'none') this.endTransaction();
+    this.transaction = transaction;
     return this.done();
   }
 
