Ping other entry VMs only when both signs of isolation are near

Cause: with a doubt from 600 and 250 ms on, healthy VMs pinged now and then; at 85 VMs each ping opens a link of its own. Change: the doubt begins at 800 and 400 ms, and one unanswered ping is enough, since isolation still needs both ages stale, as it did without pings. Tests of the isolation decisions pass.

--- a/packages/dispatch/src/isolation.ts
+++ b/packages/dispatch/src/isolation.ts
@@ -7,10 +7,11 @@
 const STALE_PRIMARY_CONTACT_MILLISECONDS = 500;
 /**
  * From these ages on, other entry VMs are pinged, so that it is known whether
- * they answer by the time that the view is stale.
+ * they answer when both ages are stale. They are rare in normal operation, since
+ * pings of many VMs open as many links.
  */
-const DOUBTFUL_VIEW_MILLISECONDS = 600;
-const DOUBTFUL_PRIMARY_CONTACT_MILLISECONDS = 250;
+const DOUBTFUL_VIEW_MILLISECONDS = 800;
+const DOUBTFUL_PRIMARY_CONTACT_MILLISECONDS = 400;
 /** Consecutive failed probes after which the balancer stops sending callers. */
 const FAILED_PROBES_THRESHOLD = 2;
 
--- a/packages/dispatch/src/peer_contact.ts
+++ b/packages/dispatch/src/peer_contact.ts
@@ -10,8 +10,6 @@
 const PING_TIMEOUT_MILLISECONDS = 120;
 /** How many VMs are pinged in each interval, one after the other in turn. */
 const PINGS_PER_INTERVAL = 4;
-/** Consecutive unanswered pings after which a VM counts as lost. */
-const PINGS_TO_LOSE = 2;
 
 /** Dependencies of the contact to other entry VMs. */
 export interface PeerContactOptions {
@@ -80,34 +78,21 @@
     }
   }
 
-  private async checkPeer(peer: VirtualMachine): Promise<void> {
-    const {name} = peer;
+  private async checkPeer({name, peerAddress}: VirtualMachine): Promise<void> {
     if (this.pending.has(name)) return;
     this.pending.add(name);
-    const answers = await this.answersPing(peer);
+    const {network, ages, logger} = this.options;
+    const answer = await network.call(
+      peerAddress,
+      PING,
+      {},
+      PING_TIMEOUT_MILLISECONDS,
+    );
     this.pending.delete(name);
-    if (answers) this.lost.delete(name);
-    else if (isContactDoubtful(this.options.ages()) && !this.lost.has(name)) {
+    if (answer.isRight()) this.lost.delete(name);
+    else if (isContactDoubtful(ages()) && !this.lost.has(name)) {
       this.lost.add(name);
-      this.options.logger.info('an entry VM does not answer', {name});
-    }
-  }
-
-  /**
-   * Resolves to whether a VM answers one of several pings. While this VM is
-   * suspended, a ping can time out although its answer has arrived.
-   */
-  private async answersPing({peerAddress}: VirtualMachine): Promise<boolean> {
-    const {network} = this.options;
-    for (let pings = 0; pings < PINGS_TO_LOSE; pings++) {
-      const answer = await network.call(
-        peerAddress,
-        PING,
-        {},
-        PING_TIMEOUT_MILLISECONDS,
-      );
-      if (answer.isRight()) return true;
+      logger.info('an entry VM does not answer', {name});
     }
-    return false;
   }
 }
