--- a/packages/work/test/work_layout_test.ts
+++ b/packages/work/test/work_layout_test.ts
@@ -72,7 +72,7 @@
       state: 'idle',
       position: {term: 1, number: 2},
     } as const;
-    const error = {kind: 'behind', code: 'LAGGING', text: 'm1'} as const;
+    const error = {kind: 'behind', code: 'E7', text: 'm1'} as const;
     const messages: readonly WorkServerMessage[] = [
       {kind: 'answer', answer, expectedWaitMilliseconds: 0},
       {
