--- a/packages/peer/src/peer_conversation.ts
+++ b/packages/peer/src/peer_conversation.ts
@@ -19,6 +19,11 @@
  * The client is the side that opens it, the server the side that handles it.
  */
 export class PeerConversation<Opening, ClientMessage, ServerMessage> {
+  /** @internal */
+  readonly clientMessageCodec: MessageCodec<ClientMessage>;
+  /** @internal */
+  readonly serverMessageCodec: MessageCodec<ServerMessage>;
+
   private constructor(
     readonly name: string,
     private readonly opening: Check<Opening>,
@@ -29,7 +34,10 @@
       ClientMessage,
       ServerMessage
     >,
-  ) {}
+  ) {
+    this.clientMessageCodec = codecOf(layout.clientMessage, clientMessage);
+    this.serverMessageCodec = codecOf(layout.serverMessage, serverMessage);
+  }
 
   /**
    * Defines a conversation. `clientMessage` checks the messages sent by the
@@ -80,16 +88,6 @@
   readOpening(packed: unknown): Either<'malformed', Opening> {
     return this.checkOpening(this.layout.opening.unpack(packed));
   }
-
-  /** @internal */
-  get clientMessageCodec(): MessageCodec<ClientMessage> {
-    return codecOf(this.layout.clientMessage, this.clientMessage);
-  }
-
-  /** @internal */
-  get serverMessageCodec(): MessageCodec<ServerMessage> {
-    return codecOf(this.layout.serverMessage, this.serverMessage);
-  }
 }
 
 function codecOf<T>(
