Count the wait for a write slot towards the statement's timeout

Cause: the next statement of a transaction could wait for its timeout twice, once for a write slot and once for a slot. Change: the second wait has what is left.

--- a/packages/work/src/member_worker.ts
+++ b/packages/work/src/member_worker.ts
@@ -278,13 +278,17 @@
     {connection, request, channel}: ActiveWork,
     next: WorkStatement,
   ): Promise<boolean> {
-    const {timeoutMilliseconds} = next;
-    const mayWrite = await this.acquireWriteSlot(request, timeoutMilliseconds);
-    const slot = mayWrite
-      ? await this.queue.acquireTransactionSlot(timeoutMilliseconds, request)
+    const {timer} = this.options;
+    const deadline = timer.now() + next.timeoutMilliseconds;
+    const hasWriteSlot = await this.acquireWriteSlot(
+      request,
+      next.timeoutMilliseconds,
+    );
+    const slot = hasWriteSlot
+      ? await this.queue.acquireTransactionSlot(deadline - timer.now(), request)
       : undefined;
     if (slot === undefined || slot.isLeft()) {
-      if (mayWrite) this.releaseWriteSlot(request);
+      if (hasWriteSlot) this.releaseWriteSlot(request);
       const reason = 'no slot became free within the statement timeout';
       this.sendLost(channel, {mayHaveRun: false, timedOut: true, reason});
       this.connections.discard(connection);
