--- a/packages/work/src/member_worker.ts
+++ b/packages/work/src/member_worker.ts
@@ -1,6 +1,5 @@
 import {Logger} from '@apricotlock/logging';
 import {
-  ConnectError,
   ConnectionError,
   LogPosition,
   MemberConnector,
@@ -11,6 +10,7 @@
 import {ConnectionLimits} from './connection_limits.js';
 import {ConnectionPool} from './connection_pool.js';
 import {Symptom} from './lease_messages.js';
+import {MemberReachability} from './member_reachability.js';
 import {OpenTransactions} from './open_transactions.js';
 import {StatementRunner} from './statement_runner.js';
 import {WorkConnection} from './work_connection.js';
@@ -25,7 +25,7 @@
 import {WorkQueue} from './work_queue.js';
 import {WriteSlots} from './write_slots.js';
 
-const PROBE_TIMEOUT_MILLISECONDS = 300;
+const REPORT_TIMEOUT_MILLISECONDS = 300;
 const UNREACHABLE_RETRY_MILLISECONDS = 200;
 
 /** Options of a member worker. */
@@ -70,7 +70,7 @@
   private readonly statements: StatementRunner;
   private readonly transactions: OpenTransactions;
   private readonly writeSlots: WriteSlots;
-  private reachable = true;
+  private readonly reachability: MemberReachability;
   private lastUsedAt: number;
   private lastOrganisation: string | undefined;
   private runningCount = 0;
@@ -78,17 +78,21 @@
   private constructor(private readonly options: MemberWorkerOptions) {
     const {target, connector, timer, slots} = options;
     this.lastUsedAt = timer.now();
+    this.reachability = MemberReachability.create({
+      ...options,
+      onUnreachable: () => this.handleUnreachable(),
+    });
     this.connections = ConnectionPool.create({
       target,
       connector,
       timer,
       onAvailable: () => this.queue.notifyConnectionAvailable(),
       onConnectError: (error, organisation) =>
-        this.handleConnectError(error, organisation),
+        this.reachability.recordFailure(error, organisation),
       slots,
       onOpened: () => {
         options.observer.onConnectionEvent('opened');
-        this.setReachable(true);
+        this.reachability.recordOpened();
       },
       onReplaced: connection => this.recordReplaced(connection),
       onBlocked: () => this.transactions.endIdle(),
@@ -111,7 +115,7 @@
         if (symptom === 'commitsStall') this.writeSlots.recordStall();
         options.onSymptom(symptom);
       },
-      probe: () => this.probe(),
+      probe: () => this.reachability.probe(),
       onDeadConnection: () => void this.connections.checkIdle(),
     });
     this.connections.setLimits(options.connections);
@@ -176,7 +180,7 @@
     if (!(await this.acquireWriteSlot(request, waitMilliseconds))) {
       return this.refuse(channel, 'commitsStall');
     }
-    if (!this.reachable) {
+    if (!this.reachability.isReachable) {
       this.releaseWriteSlot(request);
       // A connection opened in the background detects recovery.
       this.requestRecovery();
@@ -190,7 +194,9 @@
     );
     if (admission.isLeft()) {
       this.releaseWriteSlot(request);
-      const reason = this.reachable ? 'overloaded' : 'unreachable';
+      const reason = this.reachability.isReachable
+        ? 'overloaded'
+        : 'unreachable';
       const refusal = admission.extract() as {expectedWaitMilliseconds: number};
       return this.refuse(channel, reason, refusal.expectedWaitMilliseconds);
     }
@@ -213,10 +219,10 @@
    */
   async currentPosition(): Promise<LogPosition | undefined> {
     const {connector, target} = this.options;
-    const opened = await connector.connect(target, PROBE_TIMEOUT_MILLISECONDS);
+    const opened = await connector.connect(target, REPORT_TIMEOUT_MILLISECONDS);
     if (opened.isLeft()) return undefined;
     const connection = opened.unsafeCoerce();
-    const report = await connection.report(PROBE_TIMEOUT_MILLISECONDS);
+    const report = await connection.report(REPORT_TIMEOUT_MILLISECONDS);
     connection.close();
     const memberReport = report.toMaybe().extract();
     if (memberReport === undefined) return undefined;
@@ -359,18 +365,6 @@
     if (mayWrite(request)) this.writeSlots.release();
   }
 
-  /** Resolves to whether the member accepts and answers a new connection. */
-  private async probe(): Promise<boolean> {
-    const {connector, target} = this.options;
-    const opened = await connector.connect(target, PROBE_TIMEOUT_MILLISECONDS);
-    if (opened.isLeft()) {
-      this.handleConnectError(opened.extract() as ConnectError, undefined);
-      return false;
-    }
-    opened.ifRight(connection => connection.close());
-    return true;
-  }
-
   private recordReplaced({organisation, openedAt}: WorkConnection): void {
     const {timer, logger, target, observer} = this.options;
     observer.onConnectionEvent('replaced');
@@ -381,46 +375,15 @@
     });
   }
 
-  private handleConnectError(
-    error: ConnectError,
-    organisation: string | undefined,
-  ): void {
-    const {logger, target, onSymptom} = this.options;
-    logger.warn('failed to connect to a member', {
-      member: target.name,
-      database: target.database,
-      organisation,
-      failure: error.kind,
-      reason: error.reason,
-    });
-    if (error.kind === 'tooManyConnections') return;
-    this.setReachable(false);
-    onSymptom(symptomOf(error));
-  }
-
   /**
-   * Records whether the member is reachable. If it is not, queued work is
-   * refused so that it can be run elsewhere, and all connections are closed.
+   * Refuses queued work, so that it can be run elsewhere, and closes all
+   * connections.
    */
-  private setReachable(reachable: boolean): void {
-    const {logger, target} = this.options;
-    if (this.reachable !== reachable) {
-      const {name: member, database} = target;
-      logger.info(
-        reachable ? 'member is reachable again' : 'member is unreachable',
-        {
-          member,
-          database,
-        },
-      );
-    }
-    this.reachable = reachable;
-    if (!reachable) {
-      this.queue.refuseQueuedWork();
-      this.connections.closeAll();
-      // Without organisations, the pool opens warm connections again by itself.
-      if (this.connections.servesOrganisations) this.requestRecovery();
-    }
+  private handleUnreachable(): void {
+    this.queue.refuseQueuedWork();
+    this.connections.closeAll();
+    // Without organisations, the pool opens warm connections again by itself.
+    if (this.connections.servesOrganisations) this.requestRecovery();
   }
 
   /** Requests a connection, whose opening detects that the member recovered. */
@@ -477,8 +440,3 @@
     end.kind === 'complete'
   );
 }
-
-function symptomOf({kind}: ConnectError): Symptom {
-  if (kind === 'refused' || kind === 'otherMember') return kind;
-  return 'silent';
-}
