Remember other entry VMs from when control was last in reach

Cause: a VM that membership took for dead within 800 ms was forgotten before it was pinged, so that a cut-off VM might have missed that it is isolated. Change: the VMs to ping are those that were live while the view was younger than 400 ms.

--- a/packages/dispatch/src/isolation.ts
+++ b/packages/dispatch/src/isolation.ts
@@ -12,6 +12,11 @@
  */
 const DOUBTFUL_VIEW_MILLISECONDS = 800;
 const DOUBTFUL_PRIMARY_CONTACT_MILLISECONDS = 400;
+/**
+ * A VM with a younger view has just heard from control. Membership takes longer
+ * than this to consider a VM dead that is cut off.
+ */
+const FRESH_VIEW_MILLISECONDS = 400;
 /** Consecutive failed probes after which the balancer stops sending callers. */
 const FAILED_PROBES_THRESHOLD = 2;
 
@@ -28,16 +33,18 @@
 /** The ages in {@link Connectivity}. */
 export type ContactAges = Omit<Connectivity, 'hasLostPeer'>;
 
-/** Returns whether control may be out of reach. */
-export function isViewDoubtful({viewAgeMilliseconds}: ContactAges): boolean {
-  return viewAgeMilliseconds > DOUBTFUL_VIEW_MILLISECONDS;
+/** Returns whether control was heard so recently that it was within reach. */
+export function isViewFresh({viewAgeMilliseconds}: ContactAges): boolean {
+  return viewAgeMilliseconds <= FRESH_VIEW_MILLISECONDS;
 }
 
 /** Returns whether it is to be found out which other entry VMs answer. */
-export function isContactDoubtful(ages: ContactAges): boolean {
-  const {primaryContactAgeMilliseconds} = ages;
+export function isContactDoubtful({
+  viewAgeMilliseconds,
+  primaryContactAgeMilliseconds,
+}: ContactAges): boolean {
   return (
-    isViewDoubtful(ages) &&
+    viewAgeMilliseconds > DOUBTFUL_VIEW_MILLISECONDS &&
     primaryContactAgeMilliseconds > DOUBTFUL_PRIMARY_CONTACT_MILLISECONDS
   );
 }
--- a/packages/dispatch/src/peer_contact.ts
+++ b/packages/dispatch/src/peer_contact.ts
@@ -4,7 +4,7 @@
 import {TimerService, Unsubscribe} from '@apricotlock/timer';
 import {VirtualMachine} from '@apricotlock/topology';
 import {PING} from '@apricotlock/work';
-import {ContactAges, isContactDoubtful, isViewDoubtful} from './isolation.js';
+import {ContactAges, isContactDoubtful, isViewFresh} from './isolation.js';
 
 const CHECK_INTERVAL_MILLISECONDS = 100;
 const PING_TIMEOUT_MILLISECONDS = 120;
@@ -30,10 +30,7 @@
  * sent in normal operation.
  */
 export class PeerContact {
-  /**
-   * The other entry VMs that were live when this VM last heard from control.
-   * Membership takes longer to consider a VM dead than a view to be doubtful.
-   */
+  /** The other entry VMs that were live when control was last in reach. */
   private peers: readonly VirtualMachine[] = [];
   private readonly pending = new Set<string>();
   private readonly lost = new Set<string>();
@@ -64,7 +61,7 @@
   private check(): void {
     const {machines, self} = this.options;
     const ages = this.options.ages();
-    if (!isViewDoubtful(ages)) {
+    if (isViewFresh(ages)) {
       this.peers = machines.current.filter(({name}) => name !== self);
     }
     if (!isContactDoubtful(ages)) {
--- a/packages/dispatch/test/peer_contact_test.ts
+++ b/packages/dispatch/test/peer_contact_test.ts
@@ -96,7 +96,7 @@
   // A long partition would otherwise look like a loss of all control VMs.
   it('remembers those that membership takes for dead', async () => {
     await advance(200);
-    ages = {...STALE, primaryContactAgeMilliseconds: 50};
+    ages = {viewAgeMilliseconds: 600, primaryContactAgeMilliseconds: 50};
     silent = new Set(['10.0.0.4', '10.0.0.5', '10.0.0.6']);
     machines.set(['1', '2', '3'].map(machine));
     await advance(300);
