--- a/packages/dispatch/test/primary_position_tracker_test.ts
+++ b/packages/dispatch/test/primary_position_tracker_test.ts
@@ -32,7 +32,11 @@
     machineOf(vm),
   );
 
-  start(vm: number, term = 1): PrimaryPositionTracker {
+  start(
+    vm: number,
+    term = 1,
+    seeksContact: () => boolean = () => false,
+  ): PrimaryPositionTracker {
     const groups = Array.from({length: GROUPS}, (_, group) => ({
       database: `group-${group}`,
       size: 3,
@@ -53,6 +57,7 @@
       network: this.networkOf(vm),
       work: {currentPosition} as unknown as WorkService,
       timer: this.timer,
+      seeksContact,
     });
   }
 
@@ -235,4 +240,17 @@
     expect(names).to.include('group-39');
     expect(names).not.to.include('group-0');
   });
+
+  // An isolated VM has no callers whose reads would show that it is connected.
+  it('asks lease holders without reads while it seeks contact', async () => {
+    const cluster = new Cluster();
+    cluster.start(0);
+    let seeks = false;
+    const tracker = cluster.start(50, 1, () => seeks);
+    await cluster.timer.advanceAsync(2_000);
+    expect(tracker.primaryContactAgeMilliseconds).to.equal(Infinity);
+    seeks = true;
+    await cluster.timer.advanceAsync(2_000);
+    expect(tracker.primaryContactAgeMilliseconds).to.be.below(1_000);
+  });
 });
--- a/packages/peer/test/web_socket_peer_network_test.ts
+++ b/packages/peer/test/web_socket_peer_network_test.ts
@@ -158,4 +158,33 @@
       expect(received).to.deep.equal([1, 2, 3, undefined]);
     });
   });
+
+  // The old connection to a VM that was cut off may stay silent for seconds.
+  describe('closeIdleLink', () => {
+    it('makes the next call use a new connection', async () => {
+      await client.call(serverAddress, DOUBLE, 1, TIMEOUT_MILLISECONDS);
+      const before = client.dialledLinkCount;
+      client.closeIdleLink(serverAddress);
+      expect(client.dialledLinkCount).to.equal(before - 1);
+      const answer = await client.call(
+        serverAddress,
+        DOUBLE,
+        2,
+        TIMEOUT_MILLISECONDS,
+      );
+      expect(answer.extract()).to.equal(4);
+    });
+
+    // A write that is in progress would become unknown to its caller.
+    it('leaves a link with an open conversation', async () => {
+      const channel = client.converse(serverAddress, COUNT, 2);
+      client.closeIdleLink(serverAddress);
+      expect(await channel.receive()).to.equal(1);
+      expect(await channel.receive()).to.equal(2);
+    });
+
+    it('does nothing without a link', () => {
+      client.closeIdleLink({host: '127.0.0.1', port: testPort(91)});
+    });
+  });
 });
