Confirm commits by transactions too, once no stall was noticed for a second

Cause: work that consists of transactions alone would have left a slot to reads for good, since only a single write ended the limit. Change: the end of a transaction does so too, if the term began, and the last stall was noticed, a second ago or more; it may have written nothing, so it is no evidence by itself.

--- a/packages/work/src/member_worker.ts
+++ b/packages/work/src/member_worker.ts
@@ -338,9 +338,7 @@
     const answer = outcome.unsafeCoerce();
     this.options.onAnswer(answer);
     this.reportIfNotPrimary(request, answer);
-    if (isCompletedWrite(request, answer)) {
-      this.writeSlots.recordConfirmation(request.primaryTerm);
-    }
+    this.recordConfirmation(request, answer);
     const isIdle = answer.state === 'idle';
     // The connection is returned before the answer is sent. Otherwise another
     // connection would be opened for queued work.
@@ -361,6 +359,18 @@
     return this.writeSlots.acquire(request.primaryTerm, waitMilliseconds);
   }
 
+  /** Records what an answer says of whether replicas confirm commits. */
+  private recordConfirmation(
+    request: WorkRequest,
+    {end, state}: StatementAnswer,
+  ): void {
+    const isEnd = state === 'idle' && end.kind === 'complete';
+    if (!isEnd || !mayWrite(request)) return;
+    const {primaryTerm, first} = request;
+    if (first.opens === 'none') this.writeSlots.recordWrite(primaryTerm);
+    else this.writeSlots.recordTransactionEnd(primaryTerm);
+  }
+
   private releaseWriteSlot(request: WorkRequest): void {
     if (mayWrite(request)) this.writeSlots.release();
   }
@@ -423,20 +433,3 @@
 function mayWrite({primaryTerm, first}: WorkRequest): boolean {
   return primaryTerm > 0 && !first.repeatable;
 }
-
-/**
- * Returns whether a single write was answered, so that a replica has confirmed
- * its commit. The end of a transaction is no such evidence, since it may have
- * written nothing.
- */
-function isCompletedWrite(
-  request: WorkRequest,
-  {end, state}: StatementAnswer,
-): boolean {
-  return (
-    mayWrite(request) &&
-    request.first.opens === 'none' &&
-    state === 'idle' &&
-    end.kind === 'complete'
-  );
-}
--- a/packages/work/src/write_slots.ts
+++ b/packages/work/src/write_slots.ts
@@ -1,6 +1,12 @@
 import {Deferred} from '@apricotlock/flow';
 import {TimerService} from '@apricotlock/timer';
 
+/**
+ * A transaction may have written nothing, so its end confirms commits only if no
+ * stall was noticed for this long. A stall is noticed after a quarter of it.
+ */
+const QUIET_MILLISECONDS = 1_000;
+
 /** Options of {@link WriteSlots}. */
 export interface WriteSlotsOptions {
   /** The number of statements that the member runs at once. */
@@ -18,8 +24,11 @@
  * serve them. A primary with a single slot runs writes and reads in turn.
  */
 export class WriteSlots {
-  /** The term in which a commit was confirmed after the last stall. */
-  private confirmedTerm: number | undefined;
+  /** The term of the last write. */
+  private term: number | undefined;
+  private isConfirmed = false;
+  /** When the term began here, or a stall was last noticed. */
+  private doubtfulSince = -Infinity;
   private used = 0;
   private readonly waiting = new Set<Deferred<boolean>>();
 
@@ -36,7 +45,8 @@
    * successful call is followed by one of {@link WriteSlots.release}.
    */
   async acquire(term: number, waitMilliseconds: number): Promise<boolean> {
-    if (this.mayStart(term)) {
+    if (term !== this.term) this.startTerm(term);
+    if (this.isConfirmed || this.used < this.limit) {
       this.used += 1;
       return true;
     }
@@ -56,19 +66,29 @@
     if (this.used < this.limit) this.startNext();
   }
 
-  /** Records that a replica has confirmed a commit of a term. */
-  recordConfirmation(term: number): void {
-    this.confirmedTerm = term;
+  /** Records that a single write was answered, which a replica has confirmed. */
+  recordWrite(term: number): void {
+    if (term !== this.term || this.isConfirmed) return;
+    this.isConfirmed = true;
     while (this.startNext()) continue;
   }
 
+  /** Records that a transaction has ended, which may have written. */
+  recordTransactionEnd(term: number): void {
+    const quietMilliseconds = this.options.timer.now() - this.doubtfulSince;
+    if (quietMilliseconds >= QUIET_MILLISECONDS) this.recordWrite(term);
+  }
+
   /** Records that a commit waits for a replica for unusually long. */
   recordStall(): void {
-    this.confirmedTerm = undefined;
+    this.isConfirmed = false;
+    this.doubtfulSince = this.options.timer.now();
   }
 
-  private mayStart(term: number): boolean {
-    return this.confirmedTerm === term || this.used < this.limit;
+  private startTerm(term: number): void {
+    this.term = term;
+    this.isConfirmed = false;
+    this.doubtfulSince = this.options.timer.now();
   }
 
   private get limit(): number {
--- a/packages/work/test/write_slots_test.ts
+++ b/packages/work/test/write_slots_test.ts
@@ -22,12 +22,14 @@
     const second = slots.acquire(2, 100);
     await timer.advanceAsync(150);
     expect(await second).to.equal(false);
-    slots.recordConfirmation(2);
+    slots.recordWrite(2);
     expect(await slots.acquire(2, 100)).to.equal(true);
   });
 
   it('counts a confirmation of an earlier term for nothing', async () => {
-    slots.recordConfirmation(1);
+    await slots.acquire(1, 100);
+    slots.recordWrite(1);
+    slots.release();
     expect(await slots.acquire(2, 100)).to.equal(true);
     const second = slots.acquire(2, 100);
     await timer.advanceAsync(150);
@@ -50,13 +52,13 @@
   it('admits all waiting writes once a commit is confirmed', async () => {
     await slots.acquire(2, 100);
     const waiting = [slots.acquire(2, 100), slots.acquire(2, 100)];
-    slots.recordConfirmation(2);
+    slots.recordWrite(2);
     expect(await Promise.all(waiting)).to.deep.equal([true, true]);
   });
 
   it('leaves a slot to reads again after a stall', async () => {
-    slots.recordConfirmation(2);
     await slots.acquire(2, 100);
+    slots.recordWrite(2);
     slots.recordStall();
     const second = slots.acquire(2, 100);
     await timer.advanceAsync(150);
@@ -72,4 +74,16 @@
     slots.release();
     expect(await next).to.equal(true);
   });
+
+  // Work that consists of transactions alone would stay limited for good.
+  it('takes the end of a transaction for a confirmation without stalls', async () => {
+    await slots.acquire(2, 100);
+    slots.recordTransactionEnd(2);
+    const second = slots.acquire(2, 100);
+    await timer.advanceAsync(150);
+    expect(await second).to.equal(false);
+    await timer.advanceAsync(1_000);
+    slots.recordTransactionEnd(2);
+    expect(await slots.acquire(2, 100)).to.equal(true);
+  });
 });
