--- a/review/lib/member_server.mjs
+++ b/review/lib/member_server.mjs
@@ -1,7 +1,10 @@
 // The wire side of a stand-in member.
 import {randomBytes} from 'node:crypto';
 import {createServer} from 'node:net';
-import {setTimeout as sleep} from 'node:timers/promises';
+import {
+  setImmediate as nextTurn,
+  setTimeout as sleep,
+} from 'node:timers/promises';
 import {line, onLines, splitWord} from './wire.mjs';
 
 const MAXIMUM_CONNECTIONS = 16;
@@ -78,8 +81,8 @@
   /** Sends an answer unless the member can't be heard. */
   send(...lines) {
     if (this.member.dark || !this.member.running) return;
-    if (Math.random() < (this.member.loseShare ?? 0)) return;
-    if (!this.closed) for (const each of lines) this.socket.write(each);
+    if (this.closed) return;
+    for (const each of lines) this.socket.write(each);
   }
 
   async handle(text) {
@@ -89,8 +92,12 @@
     if (word === 'STARTUP') return this.start(rest.split(' '));
     if (word !== 'QUERY') return this.socket.end();
     const [id, statement] = splitWord(rest);
-    const {rows = [], end} = await this.run(id, statement);
+    const {rows = [], blocks = [], end} = await this.run(id, statement);
     if (end === undefined) return;
+    for (const block of blocks) {
+      this.send(block);
+      await nextTurn();
+    }
     const answer = [...rows.map(row => line('DATAROW', row)), line(...end)];
     const position =
       this.member.role === 'primary'
@@ -232,6 +239,9 @@
       .slice(0, visibleCount)
       .findLast(({writes}) => writes.some(each => each.item === item))
       ?.writes.findLast(each => each.item === item);
+    // An item may stand for a table, which is read as any number of rows.
+    const blocks = this.member.tables.get(item);
+    if (blocks !== undefined) return {blocks, end: ['COMPLETE', signature()]};
     return {
       rows: [(own ?? stored)?.data ?? 'none'],
       end: ['COMPLETE', signature()],
--- a/review/lib/members.mjs
+++ b/review/lib/members.mjs
@@ -117,6 +117,8 @@
     this.sequence = 0;
     this.cutFrom = new Set();
     this.held = [];
+    /** Tables by name, each as blocks of lines with its rows. */
+    this.tables = new Map();
     this.log = [];
     this.server = new MemberServer(this);
   }
--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -21,7 +21,7 @@
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), '../..');
 const PEER_PORT = 24_140;
 const FRONT_PORT = 24_160;
-const READY_PORT = 24_161;
+export const READY_PORT = 24_161;
 const CONTROL_PORT = 24_162;
 const MEMBER_PORT = 24_170;
 const CLOUD_PORT = 24_180;
