--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -52,10 +52,10 @@
   return late;
 }
 
-/** Returns how many statements were sent and served in a span. */
+/** Returns how many writes were sent and served in a span. */
 function served({statements}, from) {
   const sent = statements.filter(
-    ({sentAt, text}) => sentAt >= from && !text.startsWith('SET'),
+    ({sentAt, text}) => sentAt >= from && text.startsWith('WRITE'),
   );
   const done = sent.filter(({end}) => end?.startsWith('COMPLETE'));
   return {sent: sent.length, served: done.length};
@@ -75,13 +75,16 @@
   await sleep(CALM_MS);
   const late = await changeTwice(system);
   const crashedAt = Date.now();
-  system.record('served before', served(load, 0));
+  system.record('writes served before', served(load, 0));
   group.leader.crash();
   await sleep(OUTAGE_MS);
   await load.stop();
   recordWork(system, load, [group]);
   const after = served(load, crashedAt + FAILOVER_MS);
   const promotions = system.promotionCalls.length;
-  system.record('10 s after the crash and later', {...after, promotions});
+  system.record('writes 10 s after the crash and later', {
+    ...after,
+    promotions,
+  });
   return {Acks: late};
 });
