Keep an old primary unassigned while an ordered promotion may take effect

Cause: after 4 s `abandonPromotion` ended in `assignLeaseHolder` of the old primary whenever too few members could be fenced. The promotion had taken effect unseen, so the old primary and the other replica acknowledged writes in a term that was over, and rolled them back once the zone was joined again. The same happened to a new control leader, or a later attempt, that found the order in the log and a member that was not running.

Change: once a promotion may have been accepted, in this failover or in an earlier one that left its order in the log, the old primary is not assigned again. Another replica is promoted instead as soon as it holds all that the old primary holds. No lease was granted since the order, so that replica lacks no acknowledged commit, and its later term supersedes the unseen promotion. A promotion that is certain to have been refused still ends with the old primary.

--- a/packages/appointment/src/primary_failover.ts
+++ b/packages/appointment/src/primary_failover.ts
@@ -77,6 +77,13 @@
 export class PrimaryFailover {
   /** Resolves once no primary lease of an earlier term remains. */
   private revocation: Promise<void> = Promise.resolve();
+  /**
+   * Whether a promotion ordered since the last primary was assigned may have
+   * taken effect, or still will, on a member that this VM can't reach. The old
+   * primary must not be assigned again then: its commits would be rolled back
+   * once the members reach the one that was promoted.
+   */
+  private mayHavePromoted = false;
 
   private constructor(
     private readonly database: string,
@@ -104,7 +111,11 @@
     if (holder !== undefined) task.revocation = task.revokeLease(holder);
     const current = task.currentGroup();
     if (current === undefined) return false;
-    if (current.promoting !== undefined) return task.runPromotion(current);
+    if (current.promoting !== undefined) {
+      // The failover that ordered the promotion may have requested it.
+      task.mayHavePromoted = true;
+      return task.runPromotion(current);
+    }
     return task.selectPrimary(current, group.primary);
   }
 
@@ -175,8 +186,9 @@
     group: DatabaseGroup,
     primary: Member,
   ): Promise<MemberWithReport | undefined> {
+    const excluded = [primary.name, group.promoting];
     const candidates = presentMembers(group).filter(
-      ({name, state}) => state === 'active' && name !== primary.name,
+      ({name, state}) => state === 'active' && !excluded.includes(name),
     );
     return findCaughtUpReplica(primary, candidates, this.options);
   }
@@ -185,7 +197,8 @@
    * Fences the replicas and promotes the one with the longest log. A primary
    * that answers is not demoted for this: it may hold commits that no other
    * reachable member holds, and could not be promoted again. It stays the
-   * primary if too few replicas can be fenced.
+   * primary if too few replicas can be fenced, unless another member may have
+   * been promoted.
    */
   private async fenceAndPromote(
     group: DatabaseGroup,
@@ -213,9 +226,8 @@
       {fenced: fenced.map(({member}) => member.name).join(' '), needed},
     );
     await this.releaseAll(fenced);
-    return primary === undefined
-      ? false
-      : this.assignLeaseHolder(primary.member);
+    if (primary === undefined || this.mayHavePromoted) return false;
+    return this.assignLeaseHolder(primary.member);
   }
 
   private async promote(
@@ -295,8 +307,10 @@
   }
 
   /**
-   * Tries to promote another member, fenced at a higher term, because the member
-   * whose promotion was ordered did not become the primary.
+   * Tries to promote another member, because the member whose promotion was
+   * ordered did not become the primary. No lease has been granted since the old
+   * primary's, so a replica with the whole log of the old primary lacks no
+   * acknowledged commit, and its later term supersedes the ordered promotion.
    */
   private async abandonPromotion(group: DatabaseGroup): Promise<boolean> {
     const {memberAdmin} = this.options;
@@ -304,6 +318,12 @@
     const usable = reported.filter(
       ({member}) => member.name !== group.promoting,
     );
+    const primary = findPrimary(usable);
+    if (primary !== undefined && this.mayHavePromoted) {
+      await this.revocation;
+      const replica = await this.findSuccessor(group, primary.member);
+      if (replica !== undefined) return this.promote(group, replica, usable);
+    }
     return this.fenceAndPromote(group, usable);
   }
 
@@ -321,6 +341,7 @@
     });
     return answer.caseOf({
       Left: ({kind}) => {
+        if (kind === 'unavailable') this.mayHavePromoted = true;
         const {name} = member;
         this.logInfo('promotion request was not accepted', {
           member: name,
@@ -328,7 +349,10 @@
         });
         return kind === 'notRunning' ? kind : 'notAccepted';
       },
-      Right: () => 'accepted',
+      Right: () => {
+        this.mayHavePromoted = true;
+        return 'accepted';
+      },
     });
   }
 
--- a/packages/appointment/test/draining_primary_test.ts
+++ b/packages/appointment/test/draining_primary_test.ts
@@ -25,6 +25,45 @@
     expect(scenario.primary).to.be.oneOf(['b', 'c']);
   });
 
+  // Guards against commits on a former primary, which are rolled back once it
+  // reaches the member that was promoted.
+  describe('gets no lease after a promotion that control could not see', () => {
+    for (const milliseconds of [3_000, 5_500, 15_000]) {
+      it(`while the promoted member is cut off for ${milliseconds} ms`, async () => {
+        const scenario = await DrainingScenario.start(['a', 'b', 'c']);
+        await scenario.reportAgain('b');
+        scenario.cutOffNextPromoted(300, milliseconds);
+        await scenario.announce('a');
+        await scenario.timer.advanceAsync(RUN_MILLISECONDS);
+        expect(scenario.leasesOnFormerPrimaries).to.deep.equal([]);
+        expect(scenario.primary).to.be.oneOf(['b', 'c']);
+      });
+    }
+
+    it('if the control leader changes while the member is cut off', async () => {
+      const scenario = await DrainingScenario.start(['a', 'b', 'c']);
+      await scenario.reportAgain('b');
+      scenario.cutOffNextPromoted(300, 5_500);
+      await scenario.announce('a');
+      await scenario.timer.advanceAsync(1_500);
+      scenario.changeLeader();
+      await scenario.timer.advanceAsync(RUN_MILLISECONDS);
+      expect(scenario.leasesOnFormerPrimaries).to.deep.equal([]);
+      expect(scenario.primary).to.be.oneOf(['b', 'c']);
+    });
+
+    it('if no other replica can be promoted', async () => {
+      const scenario = await DrainingScenario.start(['a', 'b', 'c']);
+      await scenario.reportAgain('b');
+      scenario.cutOffNextPromoted(300, 8_000);
+      scenario.crash('c', 60_000);
+      await scenario.announce('a');
+      await scenario.timer.advanceAsync(RUN_MILLISECONDS);
+      expect(scenario.leasesOnFormerPrimaries).to.deep.equal([]);
+      expect(scenario.primary).to.equal('b');
+    });
+  });
+
   // Guards against inc-0020: after handovers that failed it was used again.
   describe('gets no lease after the drain time', () => {
     it('if each member that is to succeed it is lost', async () => {
