Check log entries on the control leader as its followers check them

Cause: the leader appended commands without a check, while its followers checked each entry with the limits of the catalogue. A time-out of 900 s makes a queue time above 600 s, so the followers refused the append message as malformed, and the leader repeated it for ever; nothing behind it could be committed. The same holds for a priority above 1,000, a host with other characters than the catalogue's names, a time above an hour and a sequence number above the safe integers.

Change: one schema checks an entry on the leader before it is appended and on the followers. It checks the structure only, since a limit that one version has and another has not would jam the log again; values are limited where a command is created. So entries that an older version has left in a log are accepted by the followers and committed. A malformed command is refused at once, and the operator's document with it (422 in place of 503 for ever).

Seven tests of the log fail before the change (the leader answers "unknown" after its timeout) and pass after it.

--- a/packages/control/src/control_schemas.ts
+++ b/packages/control/src/control_schemas.ts
@@ -1,27 +1,69 @@
 import {z} from 'zod';
-import {catalogueEntrySchema, organisationSchema} from '@apricotlock/topology';
 import {ControlCommand} from './control_command.js';
 import {AuditTrail, ControlState} from './control_state.js';
-import {LogEntry, Snapshot} from './log_entry.js';
+import {EntryBody, LogEntry, Snapshot} from './log_entry.js';
 import {ViewUpdate} from './view_update.js';
 
-const MAXIMUM_TEXT_CHARACTERS = 1_000;
-const MAXIMUM_DOCUMENT_CHARACTERS = 8 << 20;
-const MAXIMUM_PORT = 65_535;
-
-const text = z.string().max(MAXIMUM_TEXT_CHARACTERS);
+// A command is in the log of every control VM or of none: what the leader has
+// appended must be accepted by all its followers, whichever version they run.
+// So these schemas check the structure only, and have no limits that a later
+// version could change. The limits on values, such as those of the catalogue,
+// are checked where a command is created.
+const text = z.string();
 const count = z.int().min(0);
 const time = z.number();
-// Absent in what earlier versions have written.
-const organisations = z.array(organisationSchema).optional();
 
-const address = z.object({
-  host: text,
-  port: z.int().min(0).max(MAXIMUM_PORT),
-});
+const address = z.object({host: text, port: count});
 
 const origin = z.object({changeId: text.min(1), actor: text, at: time});
 
+// Fields that only later versions know are kept.
+const catalogueEntry = z.looseObject({
+  name: text,
+  owner: text,
+  class: z.enum(['critical', 'standard', 'background']),
+  database: text,
+  members: count,
+  limits: z.looseObject({
+    connections: count,
+    slots: count,
+    queueLength: count,
+    queueMilliseconds: z.number(),
+  }),
+  verifier: z
+    .looseObject({
+      salt: text,
+      iterations: count,
+      storedKey: text,
+      serverKey: text,
+    })
+    .optional(),
+  terms: z
+    .looseObject({
+      consistency: z.enum(['primary', 'boundedStaleness', 'readYourWrites']),
+      maximumStalenessMilliseconds: z.number().optional(),
+      statementMilliseconds: z.number(),
+      objectiveMilliseconds: z.number().optional(),
+      idleTransactionMilliseconds: z.number().optional(),
+      priority: count,
+      synchronousReplicas: count.optional(),
+      allowsAnonymous: z.boolean().optional(),
+    })
+    .optional(),
+});
+
+const organisation = z.looseObject({
+  name: text,
+  keyDigests: z.array(text),
+  priority: count,
+  quota: z
+    .looseObject({operationsPerSecond: z.number(), burst: z.number()})
+    .optional(),
+});
+
+// Absent in what earlier versions have written.
+const organisations = z.array(organisation).optional();
+
 const announcement = z.object({
   name: text,
   database: text,
@@ -44,15 +86,15 @@
     kind: z.literal('putCatalogue'),
     origin,
     baseVersion: count,
-    entries: z.array(catalogueEntrySchema),
+    entries: z.array(catalogueEntry),
     organisations,
   }),
   replaceCatalogue: z.object({
     kind: z.literal('replaceCatalogue'),
     version: count,
-    entries: z.array(catalogueEntrySchema),
+    entries: z.array(catalogueEntry),
     organisations,
-    document: z.string().max(MAXIMUM_DOCUMENT_CHARACTERS),
+    document: text,
     at: time,
   }),
   reportMember: z.object({
@@ -65,7 +107,7 @@
       incarnation: count,
       capacity: z.object({connections: count, slots: count}).optional(),
       state: z.enum(['active', 'draining', 'removed']),
-      reportSequence: count,
+      reportSequence: z.number(),
     }),
     at: time,
   }),
@@ -139,11 +181,13 @@
   ),
 });
 
-/** Validates one entry of the log. */
-export const logEntrySchema: z.ZodType<LogEntry> = z.object({
-  index: z.int().min(1),
-  term: count,
-  body: z.discriminatedUnion('kind', [
+/**
+ * Validates the content of a log entry, on the leader before it is appended and
+ * on the followers.
+ */
+export const entryBodySchema: z.ZodType<EntryBody> = z.discriminatedUnion(
+  'kind',
+  [
     z.object({kind: z.literal('command'), command: commandSchema}),
     z.object({
       kind: z.literal('configuration'),
@@ -152,7 +196,14 @@
       at: time,
     }),
     z.object({kind: z.literal('termStart')}),
-  ]),
+  ],
+);
+
+/** Validates one entry of the log. */
+export const logEntrySchema: z.ZodType<LogEntry> = z.object({
+  index: z.int().min(1),
+  term: count,
+  body: entryBodySchema,
 });
 
 // These schemas check the structure only: the contents were validated when they
--- a/packages/control/src/leadership.ts
+++ b/packages/control/src/leadership.ts
@@ -9,6 +9,7 @@
   votersOf,
 } from './control_configuration.js';
 import {ControlError} from './control_log.js';
+import {checkEntryBody} from './entry_check.js';
 import {EntryBody, LogPosition} from './log_entry.js';
 import {LeaderContext, Replicator} from './replicator.js';
 
@@ -115,15 +116,23 @@
     return this.replicators.find(({member}) => member.diskId === diskId);
   }
 
-  /** Appends an entry to the log; resolves once it has been applied. */
-  propose(body: EntryBody): Promise<ProposalOutcome> {
+  /**
+   * Appends an entry to the log; resolves once it has been applied. A malformed
+   * entry is refused and not appended.
+   */
+  async propose(body: EntryBody): Promise<ProposalOutcome> {
     if (this.ended || this.pending.size >= MAXIMUM_PENDING_PROPOSALS) {
       const reason = this.ended ? 'not leading' : 'too many pending proposals';
-      return Promise.resolve(Left({kind: 'unavailable', reason}));
+      return Left({kind: 'unavailable', reason});
     }
-    const deferred = Deferred.create<ProposalOutcome>();
-    this.pending.set(this.append(body), deferred);
-    return deferred.promise;
+    return checkEntryBody(body).caseOf<Promise<ProposalOutcome>>({
+      Left: async reason => Right({kind: 'refused', reason}),
+      Right: checked => {
+        const deferred = Deferred.create<ProposalOutcome>();
+        this.pending.set(this.append(checked), deferred);
+        return deferred.promise;
+      },
+    });
   }
 
   /** Resolves the proposal of an entry that has been applied. */
--- a/packages/control/src/single_node_control_log.ts
+++ b/packages/control/src/single_node_control_log.ts
@@ -3,6 +3,7 @@
 import {applyCommand} from './apply_command.js';
 import {CommandAnswer, ControlCommand} from './control_command.js';
 import {ControlError, ControlLog} from './control_log.js';
+import {checkEntryBody} from './entry_check.js';
 import {ControlReport} from './control_report.js';
 import {ControlState, EMPTY_CONTROL_STATE} from './control_state.js';
 
@@ -47,6 +48,10 @@
   override async propose(
     command: ControlCommand,
   ): Promise<Either<ControlError, CommandAnswer>> {
+    const checked = checkEntryBody({kind: 'command', command});
+    if (checked.isLeft()) {
+      return Right({kind: 'refused', reason: checked.extract() as string});
+    }
     const index = this.state.current.view.index + 1;
     const applied = applyCommand(this.state.current, index, command);
     this.state.set(applied.state);
--- a/packages/control/test/replicated_control_log_test.ts
+++ b/packages/control/test/replicated_control_log_test.ts
@@ -1,7 +1,66 @@
 import {expect} from 'chai';
+import {CatalogueEntry} from '@apricotlock/topology';
+import {ControlCommand, MemberReport} from '../src/index.js';
 import {ControlCluster, catalogueEdit} from './support/control_cluster.js';
 import {MemoryFolder} from './support/memory_folder.js';
 
+const ENTRY: CatalogueEntry = {
+  name: 'ledger-writes',
+  owner: 'platform',
+  class: 'standard',
+  database: 'ledger',
+  members: 1,
+  limits: {
+    connections: 16,
+    slots: 16,
+    queueLength: 1_000,
+    queueMilliseconds: 800,
+  },
+  terms: {consistency: 'primary', statementMilliseconds: 800, priority: 1},
+};
+const REPORT: MemberReport = {
+  name: 'i-1',
+  database: 'ledger',
+  dataCentre: 'catania',
+  address: {host: '10.0.0.9', port: 8_080},
+  incarnation: 1,
+  state: 'active',
+  reportSequence: 1,
+};
+
+function replacement(
+  change: Partial<CatalogueEntry>,
+  version = 9,
+): ControlCommand {
+  const entries = [{...ENTRY, ...change}];
+  return {kind: 'replaceCatalogue', version, entries, document: '', at: 1};
+}
+
+const UNUSUAL_COMMANDS: Readonly<Record<string, ControlCommand>> = {
+  'a queue time of a quarter of an hour': replacement({
+    limits: {...ENTRY.limits, queueMilliseconds: 900_000},
+  }),
+  'a statement time of a day': replacement({
+    terms: {
+      consistency: 'primary',
+      statementMilliseconds: 86_400_000,
+      priority: 1_000_000,
+    },
+  }),
+  'a name with other characters': replacement({name: 'magazzino è_1 \ufffd'}),
+  'a sequence number above the safe integers': {
+    kind: 'reportMember',
+    report: {...REPORT, reportSequence: Number.MAX_SAFE_INTEGER + 1},
+    at: 1,
+  },
+};
+
+const MALFORMED_COMMANDS: Readonly<Record<string, unknown>> = {
+  'a version that is no number': {...replacement({}), version: NaN},
+  'an entry without a name': replacement({name: undefined as never}),
+  'an unknown kind': {kind: 'unknown', at: 1},
+};
+
 describe('ReplicatedControlLog', () => {
   let cluster: ControlCluster;
 
@@ -96,6 +155,34 @@
     });
   });
 
+  // Guards against an entry that the leader appends and its followers refuse:
+  // it is never committed, and neither is any entry after it.
+  describe('a command with unusual values', () => {
+    for (const [what, command] of Object.entries(UNUSUAL_COMMANDS)) {
+      it(`is committed: ${what}`, async () => {
+        cluster = await ControlCluster.start(3);
+        const leader = cluster.log(await cluster.waitForLeader());
+        await leader.propose(replacement({}, 8));
+        const answer = await leader.propose(command);
+        expect(answer.extract()).to.include({kind: 'accepted'});
+        const {version} = leader.state.current.view.catalogue;
+        const next = await leader.propose(catalogueEdit('next', version));
+        expect(next.extract()).to.include({kind: 'accepted'});
+      });
+    }
+
+    for (const [what, command] of Object.entries(MALFORMED_COMMANDS)) {
+      it(`is refused, and the next one committed: ${what}`, async () => {
+        cluster = await ControlCluster.start(3);
+        const leader = cluster.log(await cluster.waitForLeader());
+        const answer = await leader.propose(command as ControlCommand);
+        expect(answer.extract()).to.include({kind: 'refused'});
+        const next = await leader.propose(catalogueEdit('next', 0));
+        expect(next.extract()).to.include({kind: 'accepted'});
+      });
+    }
+  });
+
   // Guards against a view of the old leader that lacks what its successor has
   // already acknowledged: a hand-over does not wait for an election timeout.
   describe('a leader that hands over', () => {
--- a/packages/topology/src/catalogue.ts
+++ b/packages/topology/src/catalogue.ts
@@ -7,13 +7,16 @@
 import {Organisation} from './organisation.js';
 
 const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,252}$/;
-const MAXIMUM_DURATION_MILLISECONDS = 3_600_000;
-const LOWEST_PRIORITY = 1_000;
+/** The largest duration of the terms of an entry. */
+export const MAXIMUM_DURATION_MILLISECONDS = 3_600_000;
+/** The largest number of a priority. */
+export const LOWEST_PRIORITY = 1_000;
 const MAXIMUM_MEMBERS = 9;
 const MAXIMUM_ENTRIES = 20_000;
 const MAXIMUM_CONNECTIONS = 10_000;
 const MAXIMUM_QUEUE_LENGTH = 1_000_000;
-const MAXIMUM_QUEUE_MILLISECONDS = 600_000;
+/** The largest time that a statement may wait for a connection. */
+export const MAXIMUM_QUEUE_MILLISECONDS = 600_000;
 
 const nameSchema = z
   .string()
