Send no promotion order that could arrive after one of a successor

The platform of these deployments checks no fence.

Change: an order carries an authority that is asked in the very step that writes it. It holds while a quorum has followed the leader within less than the shortest election timeout, so that no successor can have been elected, and while the order is the one in the log. A leader that hands over has no authority.

--- a/packages/appointment/src/primary_failover.ts
+++ b/packages/appointment/src/primary_failover.ts
@@ -335,9 +335,14 @@
     // A VM that can't confirm that it still leads control must not promote.
     const isLeader = await log.confirmLeading();
     if (!isLeader || fencingToken === undefined) return 'notAccepted';
+    const isCurrent = () =>
+      log.isCertainlyLeading &&
+      log.leadingTerm === fencingToken &&
+      this.currentGroup()?.promoting === member.name;
     const answer = await promotions.promote(this.database, member.name, {
       holder: publicName,
       fencingToken,
+      isCurrent,
     });
     return answer.caseOf({
       Left: ({kind}) => {
--- a/packages/appointment/test/fake_control_vm.ts
+++ b/packages/appointment/test/fake_control_vm.ts
@@ -74,6 +74,10 @@
     this.leading.set(false);
   }
 
+  override get isCertainlyLeading(): boolean {
+    return this.leading.current;
+  }
+
   override async confirmLeading(): Promise<boolean> {
     return this.leading.current;
   }
--- a/packages/control/src/control_log.ts
+++ b/packages/control/src/control_log.ts
@@ -55,6 +55,14 @@
    */
   abstract confirmLeading(): Promise<boolean>;
 
+  /**
+   * Whether this process is certain to lead at this moment: a quorum has
+   * followed it so recently that no other VM can have been elected. It still
+   * leads when a message that is sent now arrives, unless the message is held up
+   * on its way.
+   */
+  abstract readonly isCertainlyLeading: boolean;
+
   /** Returns the status of the log, which is complete only on the leader. */
   abstract report(): ControlReport;
 
--- a/packages/control/src/replicated_control_log.ts
+++ b/packages/control/src/replicated_control_log.ts
@@ -35,6 +35,8 @@
 const RETRY_INTERVAL_MILLISECONDS = 40;
 const OPEN_RETRY_INTERVAL_MILLISECONDS = 300;
 const CONFIRM_TIMEOUT_MILLISECONDS = 700;
+/** Time for a message of the leader to arrive outside of the quorum. */
+const DELIVERY_MILLISECONDS = 50;
 
 type Outcome = Either<ControlError, CommandAnswer>;
 
@@ -177,6 +179,15 @@
     return confirmed === true && this.establishedLeadership() === leadership;
   }
 
+  override get isCertainlyLeading(): boolean {
+    const leadership = this.establishedLeadership();
+    // While this VM hands over, voters grant their votes to its successor.
+    if (leadership === undefined || this.stopping) return false;
+    const silence = this.options.timer.now() - leadership.quorumContactAt;
+    const {electionMinimumMilliseconds} = this.timings;
+    return silence + DELIVERY_MILLISECONDS < electionMinimumMilliseconds;
+  }
+
   /** Returns the status of the log, which is complete only on the leader. */
   override report(): ControlReport {
     const {
--- a/packages/control/src/single_node_control_log.ts
+++ b/packages/control/src/single_node_control_log.ts
@@ -29,6 +29,10 @@
     return 1;
   }
 
+  override get isCertainlyLeading(): boolean {
+    return true;
+  }
+
   override async confirmLeading(): Promise<boolean> {
     return true;
   }
--- a/packages/control/test/replicated_control_log_test.ts
+++ b/packages/control/test/replicated_control_log_test.ts
@@ -4,6 +4,9 @@
 import {ControlCluster, catalogueEdit} from './support/control_cluster.js';
 import {MemoryFolder} from './support/memory_folder.js';
 
+/** Longer than the shortest election timeout, but not than the longest one. */
+const TIME_WITHOUT_CONTACT_MILLISECONDS = 130;
+
 const ENTRY: CatalogueEntry = {
   name: 'ledger-writes',
   owner: 'platform',
@@ -183,6 +186,21 @@
     }
   });
 
+  // Guards against a call of a leader that was frozen or cut off meanwhile.
+  describe('a leader without recent contact with a quorum', () => {
+    it('is not certain to lead, though it has not noticed that', async () => {
+      cluster = await ControlCluster.start(3);
+      const name = await cluster.waitForLeader();
+      const leader = cluster.log(name);
+      const before = leader.isCertainlyLeading;
+      cluster.network.isolate(cluster.portOf(name));
+      await cluster.timer.sleep(TIME_WITHOUT_CONTACT_MILLISECONDS);
+      expect(before).to.equal(true);
+      expect(leader.leading.current).to.equal(true);
+      expect(leader.isCertainlyLeading).to.equal(false);
+    });
+  });
+
   // Guards against a view of the old leader that lacks what its successor has
   // already acknowledged: a hand-over does not wait for an election timeout.
   describe('a leader that hands over', () => {
