Release no member that a later failover has fenced

Suspected as a cause of lost commits; no run on real processes has shown that it matters. Found by reading every call of the kind of the promotion order.

Cause: after a promotion, members that could not be reached are released from fencing for up to 6 s or more. That ended only when another primary had been assigned in the same term; a later failover has a term of its own, so the repair of the earlier one released the members that the later one had fenced and counts on. A primary that control can't reach could then have commits confirmed by such a replica, which the member promoted lacks. A former control leader could do the same, and after a failover that fenced too few members.

Change: a release is sent only while this VM is certain to lead and the primary is the one assigned, or the one that this very failover is to assign; both are asked once the member has accepted the connection. While a later failover selects a primary, the repair waits; once another one is assigned, it ends.

Measured: the new test fails before the change (fenced terms 0 and 3 in place of 3 and 3), and passes after it.

--- a/packages/appointment/src/member_admin_client.ts
+++ b/packages/appointment/src/member_admin_client.ts
@@ -1,4 +1,4 @@
-import {Either} from 'purify-ts';
+import {Either, Left} from 'purify-ts';
 import {
   ConnectError,
   ConnectionError,
@@ -68,10 +68,20 @@
     return answered.filter(({report}) => report.fencedTerm >= term);
   }
 
-  /** Releases a member from fencing, so that it receives records again. */
-  release(member: Member): Promise<Either<MemberAdminError, MemberReport>> {
-    return this.runCommand(member, connection =>
-      connection.release(COMMAND_TIMEOUT_MILLISECONDS),
+  /**
+   * Releases a member from fencing, so that it receives records again. The
+   * command is sent only if `mayRelease` holds once the member has accepted the
+   * connection: a later failover may have fenced the member by then, and counts
+   * on it.
+   */
+  release(
+    member: Member,
+    mayRelease: () => boolean,
+  ): Promise<Either<MemberAdminError, MemberReport>> {
+    return this.runCommand(member, async connection =>
+      mayRelease()
+        ? connection.release(COMMAND_TIMEOUT_MILLISECONDS)
+        : Left({kind: 'connectionLost', reason: 'the release is outdated'}),
     );
   }
 
--- a/packages/appointment/src/primary_failover.ts
+++ b/packages/appointment/src/primary_failover.ts
@@ -403,15 +403,15 @@
     primary: Member,
     term: number,
   ): Promise<void> {
-    const {memberAdmin, timer} = this.options;
+    const {memberAdmin, timer, log} = this.options;
     const others = presentMembers(group).filter(
       ({name}) => name !== primary.name,
     );
-    const isSuperseded = () => {
-      const assigned = this.currentGroup()?.primary;
-      return assigned !== undefined && assigned !== primary.name;
-    };
-    const context = {memberAdmin, timer, isSuperseded};
+    const isSuperseded = () =>
+      !log.leading.current || !this.mayLead(primary.name);
+    const mayRelease = () =>
+      log.isCertainlyLeading && this.isChosen(primary.name);
+    const context = {memberAdmin, timer, isSuperseded, mayRelease};
     const pending = await restoreReplication(others, term, context);
     if (pending.length === 0) return;
     this.logInfo('could not reach all members after the promotion', {
@@ -420,12 +420,37 @@
   }
 
   private async releaseAll(fenced: readonly MemberWithReport[]): Promise<void> {
-    const {memberAdmin} = this.options;
-    await Promise.all(fenced.map(({member}) => memberAdmin.release(member)));
+    const {memberAdmin, log} = this.options;
+    const mayRelease = () =>
+      log.isCertainlyLeading && this.currentGroup() !== undefined;
+    await Promise.all(
+      fenced.map(({member}) => memberAdmin.release(member, mayRelease)),
+    );
+  }
+
+  /** Returns whether no other member has been assigned as the primary. */
+  private mayLead(member: string): boolean {
+    const {primary} = this.latestGroup() ?? {};
+    return primary === undefined || primary === member;
+  }
+
+  /**
+   * Returns whether a member is the primary, or is to be assigned by this
+   * failover. It isn't while a later failover selects a primary.
+   */
+  private isChosen(member: string): boolean {
+    const {primary} = this.latestGroup() ?? {};
+    if (primary !== undefined) return primary === member;
+    return this.currentGroup()?.promoting === member;
+  }
+
+  private latestGroup(): DatabaseGroup | undefined {
+    return findGroup(this.options.log.state.current.view, this.database);
   }
 
+  /** The group, or `undefined` if the term of this failover is over. */
   private currentGroup(): DatabaseGroup | undefined {
-    const group = findGroup(this.options.log.state.current.view, this.database);
+    const group = this.latestGroup();
     return group?.term === this.term ? group : undefined;
   }
 
--- a/packages/appointment/test/fake_group.ts
+++ b/packages/appointment/test/fake_group.ts
@@ -104,6 +104,8 @@
   readonly ordered: string[] = [];
   /** The members whose promotion is refused because they aren't running. */
   refused: readonly string[] = [];
+  /** Whether accepted promotions take effect at once. */
+  isImmediate = true;
   private currentPrimary: string;
 
   constructor(
@@ -124,11 +126,16 @@
     if (member === undefined || !member.reachable || isRefused) {
       return Left({kind: 'notRunning'});
     }
-    if (this.currentPrimary === name) return Right(undefined);
-    this.currentPrimary = name;
+    if (this.isImmediate) this.complete(member);
+    return Right(undefined);
+  }
+
+  /** Makes the promotion of a member take effect. */
+  complete(member: FakeMember): void {
+    if (this.currentPrimary === member.name) return;
+    this.currentPrimary = member.name;
     this.group.term += 1;
     for (const other of this.group.members) other.fencedTerm = 0;
     member.role = 'primary';
-    return Right(undefined);
   }
 }
--- a/packages/appointment/test/primary_failover_test.ts
+++ b/packages/appointment/test/primary_failover_test.ts
@@ -23,6 +23,8 @@
 
 const HOLDER = 'entry-1';
 const OTHER = 'entry-2';
+/** The repair of replication tries again within this time. */
+const REPAIR_MILLISECONDS = 1_000;
 
 describe('PrimaryFailover', function () {
   this.timeout(10_000);
@@ -117,6 +119,25 @@
     });
   });
 
+  describe('while members of an earlier promotion are still to be released', () => {
+    // Guards against a replica that a later failover counts as fenced, but that
+    // receives and so confirms commits of the old primary again.
+    it('does not release members that a later failover has fenced', async () => {
+      a.cutOff = true;
+      expect(await run('primaryLost')).to.equal(true);
+      b.cutOff = true;
+      a.cutOff = false;
+      a.role = 'replica';
+      promotions.isImmediate = false;
+      const later = run('primaryLost');
+      await timer.sleep(REPAIR_MILLISECONDS);
+      expect(promotions.ordered).to.deep.equal(['b', 'a']);
+      expect([a.fencedTerm, c.fencedTerm]).to.deep.equal([3, 3]);
+      promotions.complete(a);
+      expect(await later).to.equal(true);
+    });
+  });
+
   describe('when commits stall and too few other members are reachable', () => {
     it('keeps the primary and assigns it again', async () => {
       b.reachable = false;
