Accept a leader's decisions only within its term of the control log

Suspected as a cause of lost commits; no run on real processes has shown that it matters.

Cause: a control VM that was replaced in the middle of a failover went on with it, and its log forwarded what it decided to the successor. A second leader continues a failover under the same term of the group, so the successor's log accepted, for example, the former primary as assigned by the former leader, while the successor had ordered another member: a lease on a primary that is about to be replaced.

Change: a failover, and the check of removed members, note the term of the control log in which they began, and propose their commands in that term only; such a command is neither forwarded nor repeated in a later term. A promotion call is refused in a later term too, where it carried the newer fencing token.

Measured: the new test of a failover fails before the change (the former leader assigns the primary), and passes after it; so does a test of the log that three VMs run.

--- a/packages/appointment/src/primary_failover.ts
+++ b/packages/appointment/src/primary_failover.ts
@@ -1,4 +1,4 @@
-import {ControlLog} from '@apricotlock/control';
+import {ControlCommand, ControlLog} from '@apricotlock/control';
 import {Observable} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
 import {PeerNetwork} from '@apricotlock/peer';
@@ -89,6 +89,8 @@
     private readonly database: string,
     private readonly term: number,
     private readonly cause: FailoverCause,
+    /** The term of the control log in which this VM decides. */
+    private readonly leadingTerm: number,
     private readonly options: PrimaryFailoverOptions,
   ) {}
 
@@ -99,9 +101,17 @@
     options: PrimaryFailoverOptions,
   ): Promise<boolean> {
     const {database, holder} = group;
+    const {leadingTerm} = options.log;
+    if (leadingTerm === undefined) return false;
     const opens = group.primary !== undefined;
     const term = opens ? group.term + 1 : Math.max(1, group.term);
-    const task = new PrimaryFailover(database, term, cause, options);
+    const task = new PrimaryFailover(
+      database,
+      term,
+      cause,
+      leadingTerm,
+      options,
+    );
     task.logInfo('primary failover started', {
       cause,
       formerPrimary: group.primary,
@@ -124,16 +134,14 @@
    * are no longer renewed.
    */
   private async begin({term}: DatabaseGroup): Promise<boolean> {
-    const {log, timer} = this.options;
-    const answer = await log.propose({
+    const accepted = await this.propose({
       kind: 'beginTerm',
       database: this.database,
       expectedTerm: term,
       term: this.term,
       reason: this.cause,
-      at: timer.wallClock(),
+      at: this.options.timer.wallClock(),
     });
-    const accepted = answer.toMaybe().extract()?.kind === 'accepted';
     if (!accepted) this.logInfo('control log did not accept the new term', {});
     return accepted;
   }
@@ -235,16 +243,15 @@
     {member, report}: MemberWithReport,
     reported: readonly MemberWithReport[],
   ): Promise<boolean> {
-    const {log, timer} = this.options;
     const {database, term} = this;
-    const answer = await log.propose({
+    const accepted = await this.propose({
       kind: 'orderPromotion',
       database,
       term,
       member: member.name,
-      at: timer.wallClock(),
+      at: this.options.timer.wallClock(),
     });
-    if (answer.toMaybe().extract()?.kind !== 'accepted') return false;
+    if (!accepted) return false;
     this.logInfo('ordering the promotion of a replica', {
       member: member.name,
       received: `${report.received.term}.${report.received.number}`,
@@ -331,10 +338,10 @@
     member: Member,
   ): Promise<PromotionRequestOutcome> {
     const {log, promotions, publicName} = this.options;
-    const fencingToken = log.leadingTerm;
+    const {leadingTerm: fencingToken} = this;
     // A VM that can't confirm that it still leads control must not promote.
     const isLeader = await log.confirmLeading();
-    if (!isLeader || fencingToken === undefined) return 'notAccepted';
+    if (!isLeader || log.leadingTerm !== fencingToken) return 'notAccepted';
     const isCurrent = () =>
       log.isCertainlyLeading &&
       log.leadingTerm === fencingToken &&
@@ -362,7 +369,6 @@
   }
 
   private async assignLeaseHolder(primary: Member): Promise<boolean> {
-    const {log, timer} = this.options;
     const {database, term} = this;
     await this.revocation;
     if (!this.mayBeUsed(primary)) {
@@ -381,15 +387,14 @@
       });
       return false;
     }
-    const answer = await log.propose({
+    const accepted = await this.propose({
       kind: 'setPrimary',
       database,
       term,
       primary: primary.name,
       holder,
-      at: timer.wallClock(),
+      at: this.options.timer.wallClock(),
     });
-    const accepted = answer.toMaybe().extract()?.kind === 'accepted';
     this.logInfo(
       accepted ? 'primary assigned' : 'primary assignment not accepted',
       {primary: primary.name, state: primary.state, holder},
@@ -397,6 +402,13 @@
     return accepted;
   }
 
+  /** Returns whether the control log has accepted a command. */
+  private async propose(command: ControlCommand): Promise<boolean> {
+    const {log} = this.options;
+    const answer = await log.proposeInTerm(command, this.leadingTerm);
+    return answer.toMaybe().extract()?.kind === 'accepted';
+  }
+
   /** Makes the other members replicate from a member that was promoted. */
   private async restoreReplication(
     group: DatabaseGroup,
--- a/packages/appointment/src/removed_log_check.ts
+++ b/packages/appointment/src/removed_log_check.ts
@@ -63,18 +63,23 @@
   ): Promise<void> {
     const {log, timer, logger} = this.options;
     const {database, term} = group;
+    const {leadingTerm} = log;
+    if (leadingTerm === undefined) return;
     await timer.sleep(PROCESS_END_MILLISECONDS);
     if (!(await this.hasReplicaOfPrimary(group))) {
       await timer.sleep(RETRY_MILLISECONDS);
       return;
     }
-    const answer = await log.propose({
-      kind: 'confirmRemovedLogs',
-      database,
-      term,
-      members: names,
-      at: timer.wallClock(),
-    });
+    const answer = await log.proposeInTerm(
+      {
+        kind: 'confirmRemovedLogs',
+        database,
+        term,
+        members: names,
+        at: timer.wallClock(),
+      },
+      leadingTerm,
+    );
     logger.info('checked the logs of removed members', {
       database,
       term,
--- a/packages/appointment/test/fake_control_vm.ts
+++ b/packages/appointment/test/fake_control_vm.ts
@@ -86,6 +86,15 @@
     return this.committed.report();
   }
 
+  override async proposeInTerm(
+    command: ControlCommand,
+    leadingTerm: number,
+  ): Promise<Either<ControlError, CommandAnswer>> {
+    return this.term === leadingTerm
+      ? this.propose(command)
+      : Left({kind: 'unavailable', reason: 'the term is over'});
+  }
+
   override async propose(
     command: ControlCommand,
   ): Promise<Either<ControlError, CommandAnswer>> {
--- a/packages/appointment/test/fake_network.ts
+++ b/packages/appointment/test/fake_network.ts
@@ -11,6 +11,8 @@
   readonly handlers = new Map<string, Handler>();
   /** Whether other processes answer. */
   reachable = true;
+  /** Called before each outgoing call. */
+  onCall: () => Promise<void> = async () => undefined;
   /** Names of the outgoing calls. */
   readonly called: string[] = [];
 
@@ -19,6 +21,7 @@
     call: PeerCall<Request, Answer>,
   ): Promise<Either<PeerError, Answer>> {
     this.called.push(call.name);
+    await this.onCall();
     if (!this.reachable) return Left({kind: 'noAnswer', reason: 'silent'});
     return Right({stopped: true} as Answer);
   }
--- a/packages/appointment/test/primary_failover_test.ts
+++ b/packages/appointment/test/primary_failover_test.ts
@@ -157,6 +157,30 @@
     });
   });
 
+  describe('when another VM leads control before it is finished', () => {
+    // Guards against a primary that a former leader assigns by what it saw,
+    // while the successor has ordered the promotion of another member.
+    it('assigns no primary any more', async () => {
+      network.onCall = async () => {
+        // The former lease holder has been called, and a new one is sought.
+        if (network.called.length !== 2) return;
+        log.loseLead();
+        await log.propose({
+          kind: 'orderPromotion',
+          database: 'ledger',
+          term: 2,
+          member: 'b',
+          at: 0,
+        });
+      };
+      expect(await run('holderLost')).to.equal(false);
+      expect(groupIn(log)).to.deep.include({
+        primary: undefined,
+        promoting: 'b',
+      });
+    });
+  });
+
   describe('when the primary is draining', () => {
     it('promotes a replica that has caught up with it', async () => {
       await reportMember(log, 'a', 'draining', 2);
--- a/packages/control/src/control_log.ts
+++ b/packages/control/src/control_log.ts
@@ -70,4 +70,15 @@
   abstract propose(
     command: ControlCommand,
   ): Promise<Either<ControlError, CommandAnswer>>;
+
+  /**
+   * Appends a command only in a term in which this process leads, and waits
+   * until it has been applied. For decisions of the leader: what it has observed
+   * says nothing once another VM has led, so such a command is never forwarded
+   * to a successor or repeated in a later term.
+   */
+  abstract proposeInTerm(
+    command: ControlCommand,
+    leadingTerm: number,
+  ): Promise<Either<ControlError, CommandAnswer>>;
 }
--- a/packages/control/src/replicated_control_log.ts
+++ b/packages/control/src/replicated_control_log.ts
@@ -164,6 +164,17 @@
     }
   }
 
+  override async proposeInTerm(
+    command: ControlCommand,
+    leadingTerm: number,
+  ): Promise<Outcome> {
+    if (this.leadingTerm !== leadingTerm) {
+      const reason = 'the term of the decision is over';
+      return Left({kind: 'unavailable', reason});
+    }
+    return this.proposeLocally(command);
+  }
+
   override get leadingTerm(): number | undefined {
     return this.establishedLeadership()?.firstPosition.term;
   }
--- a/packages/control/src/single_node_control_log.ts
+++ b/packages/control/src/single_node_control_log.ts
@@ -1,4 +1,4 @@
-import {Either, Right} from 'purify-ts';
+import {Either, Left, Right} from 'purify-ts';
 import {Observable} from '@apricotlock/flow';
 import {applyCommand} from './apply_command.js';
 import {CommandAnswer, ControlCommand} from './control_command.js';
@@ -24,13 +24,18 @@
     return new SingleNodeControlLog(self);
   }
 
-  /** Always 1: a log without other nodes always leads, in its only term. */
-  override get leadingTerm(): number {
-    return 1;
+  /** 1 until {@link loseLead} is called. */
+  override get leadingTerm(): number | undefined {
+    return this.leading.current ? 1 : undefined;
   }
 
   override get isCertainlyLeading(): boolean {
-    return true;
+    return this.leading.current;
+  }
+
+  /** Ends the lead of this process. Another one accepts commands from then on. */
+  loseLead(): void {
+    this.leading.set(false);
   }
 
   override async confirmLeading(): Promise<boolean> {
@@ -49,6 +54,14 @@
     };
   }
 
+  override async proposeInTerm(
+    command: ControlCommand,
+    leadingTerm: number,
+  ): Promise<Either<ControlError, CommandAnswer>> {
+    if (this.leadingTerm === leadingTerm) return this.propose(command);
+    return Left({kind: 'unavailable', reason: 'the term is over'});
+  }
+
   override async propose(
     command: ControlCommand,
   ): Promise<Either<ControlError, CommandAnswer>> {
--- a/packages/control/test/replicated_control_log_test.ts
+++ b/packages/control/test/replicated_control_log_test.ts
@@ -145,6 +145,27 @@
       expect(cluster.versionAt(newLeader)).to.equal(1);
     });
 
+    // Guards against a decision of a former leader, made before its successor
+    // took over, that the successor's log accepts.
+    it('accepts no decision of a term that is over', async () => {
+      cluster = await ControlCluster.start(3);
+      const former = await cluster.waitForLeader();
+      const term = cluster.log(former).leadingTerm as number;
+      cluster.network.isolate(cluster.portOf(former));
+      await cluster.waitForLeader([former]);
+      cluster.network.heal();
+      const log = cluster.log(former);
+      await cluster.waitUntil('a new leader', () => {
+        const {current} = log.leader;
+        return current !== undefined && current !== former;
+      });
+      const decided = await log.proposeInTerm(catalogueEdit('late', 0), term);
+      expect(decided.isLeft()).to.equal(true);
+      expect(log.isCertainlyLeading).to.equal(false);
+      const forwarded = await log.propose(catalogueEdit('edit', 0));
+      expect(forwarded.extract()).to.include({kind: 'accepted'});
+    });
+
     it('accepts only one of three concurrent edits of the same version', async () => {
       cluster = await ControlCluster.start(3);
       await cluster.waitForLeader();
