Assign no primary of a term that is over

Suspected: shown by a test, not by a run on real processes.

Cause: a failover that found just one member in reach, which acted as a primary, assigned it, although the control log had assigned another member since. A member that was cut off while it was replaced leads its former term until it reaches its successor, and lacks the commits that the successor has acknowledged.

Change: while a term has no primary, the view names the last one. A report of another member that acts as a primary is left out when a primary is selected, unless the last one was removed: it may have passed its log and role on to a new member. A view of an earlier version lacks the field, and nothing is left out then.

Measured: the new test fails before the change (the former primary is assigned), and passes after it; all tests of the two packages pass.

--- a/packages/appointment/src/primary_failover.ts
+++ b/packages/appointment/src/primary_failover.ts
@@ -170,7 +170,8 @@
       this.cause === 'primaryLost'
         ? members.filter(({name}) => name !== formerPrimary)
         : members;
-    const reports = await memberAdmin.reports(queried);
+    const reported = await memberAdmin.reports(queried);
+    const reports = reported.filter(each => !isOutdatedPrimary(each, group));
     const primary = findPrimary(reports);
     const mayKeepPrimary =
       this.cause === 'noPrimary' || this.cause === 'holderLost';
@@ -478,3 +479,17 @@
 function isActive({member}: MemberWithReport): boolean {
   return member.state === 'active';
 }
+
+/**
+ * Returns whether a member leads a term that is over: it acts as a primary, but
+ * another member was assigned last. It may not know of that one's commits. A
+ * member that has been removed may have passed its log and role on.
+ */
+function isOutdatedPrimary(
+  {member, report}: MemberWithReport,
+  group: DatabaseGroup,
+): boolean {
+  const former = findMember(group, group.formerPrimary ?? '');
+  if (former === undefined || former.state === 'removed') return false;
+  return report.role === 'primary' && member.name !== former.name;
+}
--- a/packages/appointment/test/primary_failover_test.ts
+++ b/packages/appointment/test/primary_failover_test.ts
@@ -138,6 +138,24 @@
     });
   });
 
+  describe('when a primary of an earlier term is the only member in reach', () => {
+    // Guards against reads and writes on a member that was cut off while its
+    // successor acknowledged commits.
+    it('assigns no primary', async () => {
+      a.cutOff = true;
+      expect(await run('primaryLost')).to.equal(true);
+      a.cutOff = false;
+      a.formerTerm = 1;
+      b.reachable = false;
+      c.reachable = false;
+      expect(await run('primaryLost')).to.equal(false);
+      expect(await run('noPrimary')).to.equal(false);
+      b.reachable = true;
+      expect(await run('noPrimary')).to.equal(true);
+      expect(groupIn(log).primary).to.equal('b');
+    });
+  });
+
   describe('when commits stall and too few other members are reachable', () => {
     it('keeps the primary and assigns it again', async () => {
       b.reachable = false;
--- a/packages/control/src/term_change.ts
+++ b/packages/control/src/term_change.ts
@@ -15,7 +15,13 @@
   if (group.term !== expectedTerm || term <= group.term) {
     return {kind: 'conflict'};
   }
-  return changeGroup(view, {...group, term, primary: undefined});
+  const formerPrimary = group.primary ?? group.formerPrimary;
+  return changeGroup(view, {
+    ...group,
+    term,
+    primary: undefined,
+    ...(formerPrimary !== undefined && {formerPrimary}),
+  });
 }
 
 /** Records the member that is about to be promoted. */
@@ -60,6 +66,7 @@
   const {
     holder: _previousHolder,
     promoting: _completedPromotion,
+    formerPrimary: _replacedPrimary,
     ...rest
   } = group;
   const holderField = holder === undefined ? {} : {holder};
--- a/packages/topology/src/database_group.ts
+++ b/packages/topology/src/database_group.ts
@@ -46,6 +46,11 @@
   readonly term: number;
   /** The primary of the term; `undefined` until one is assigned. */
   readonly primary: string | undefined;
+  /**
+   * The last primary of earlier terms, while the term has none. A view of an
+   * earlier version of the product lacks it.
+   */
+  readonly formerPrimary?: string | undefined;
   /**
    * The lease holder: the entry VM that may use the primary of the term. While
    * the term has no primary, the VM that may still hold the previous lease.
