Move the request of a promotion out of the failover

What requests an ordered promotion and observes its effect is a class of its own now; the failover keeps the selection of the primary. No change of behaviour.

--- a/packages/appointment/src/primary_failover.ts
+++ b/packages/appointment/src/primary_failover.ts
@@ -1,8 +1,6 @@
-import {ControlCommand, ControlLog} from '@apricotlock/control';
+import {ControlCommand} from '@apricotlock/control';
 import {Observable} from '@apricotlock/flow';
-import {Logger} from '@apricotlock/logging';
 import {PeerNetwork} from '@apricotlock/peer';
-import {TimerService} from '@apricotlock/timer';
 import {
   DatabaseGroup,
   findGroup,
@@ -15,8 +13,11 @@
 import {holderRanking, selectLeaseHolder} from './holder_selection.js';
 import {LeaseGrantor} from './lease_grantor.js';
 import {LeaseRevocation} from './lease_revocation.js';
-import {MemberWithReport, MemberAdminClient} from './member_admin_client.js';
-import {PromotionClient} from './promotion_client.js';
+import {MemberWithReport} from './member_admin_client.js';
+import {
+  OrderedPromotion,
+  OrderedPromotionOptions,
+} from './ordered_promotion.js';
 import {restoreReplication} from './replication_repair.js';
 import {
   requiredFencedCount,
@@ -27,11 +28,6 @@
   presentMembers,
 } from './replication_state.js';
 
-/** Time for an ordered promotion to be accepted and take effect. */
-const PROMOTION_TIMEOUT_MILLISECONDS = 4_000;
-const PROMOTION_POLL_INTERVAL_MILLISECONDS = 40;
-const PROMOTION_RETRY_INTERVAL_MILLISECONDS = 200;
-
 /** Why a failover is started. */
 export type FailoverCause =
   /** The group has no primary, or the outcome of the last failover is unknown. */
@@ -43,25 +39,15 @@
   /** The primary is unreachable, or no replica confirms its commits. */
   | 'primaryLost';
 
-/** Result of a request to promote a member. */
-type PromotionRequestOutcome = 'accepted' | 'notRunning' | 'notAccepted';
-
 /** Dependencies of a primary failover. */
-export interface PrimaryFailoverOptions {
+export interface PrimaryFailoverOptions extends OrderedPromotionOptions {
   readonly self: string;
-  /** The name by which outside systems know this VM. */
-  readonly publicName: string;
-  readonly log: ControlLog;
   readonly network: PeerNetwork;
-  readonly memberAdmin: MemberAdminClient;
-  readonly promotions: PromotionClient;
   readonly grantor: LeaseGrantor;
   readonly deadlines: DrainDeadlines;
   /** The entry VMs that may become the lease holder. */
   readonly holderCandidates: () => readonly VirtualMachine[];
   readonly machines: Observable<readonly VirtualMachine[]>;
-  readonly timer: TimerService;
-  readonly logger: Logger;
 }
 
 /**
@@ -266,31 +252,19 @@
    * taken effect.
    */
   private async runPromotion(group: DatabaseGroup): Promise<boolean> {
-    const {timer, memberAdmin} = this.options;
     const member = findMember(group, group.promoting ?? '');
     if (member === undefined) return false;
-    const deadline = timer.now() + PROMOTION_TIMEOUT_MILLISECONDS;
-    let ordered = false;
-    while (timer.now() < deadline) {
-      const outcome: PromotionRequestOutcome = ordered
-        ? 'accepted'
-        : await this.requestPromotion(member);
-      // A member that isn't running can't be promoted by an earlier request.
-      if (outcome === 'notRunning') break;
-      ordered = outcome === 'accepted';
-      const report = await memberAdmin.report(member);
-      if (report.toMaybe().extract()?.role === 'primary') {
-        void this.restoreReplication(group, member, report.unsafeCoerce().term);
-        return this.usePromoted(group, member);
-      }
-      await timer.sleep(
-        ordered
-          ? PROMOTION_POLL_INTERVAL_MILLISECONDS
-          : PROMOTION_RETRY_INTERVAL_MILLISECONDS,
-      );
-    }
-    this.logInfo('promotion did not take effect', {member: member.name});
-    return this.abandonPromotion(group);
+    const {term, leadingTerm} = this;
+    const isInForce = () => this.currentGroup()?.promoting === member.name;
+    const promotion = OrderedPromotion.of(
+      {member, term, leadingTerm, isInForce},
+      this.options,
+    );
+    const report = await promotion.run();
+    if (promotion.mayTakeEffect) this.mayHavePromoted = true;
+    if (report === undefined) return this.abandonPromotion(group);
+    void this.restoreReplication(group, member, report.term);
+    return this.usePromoted(group, member);
   }
 
   /**
@@ -335,40 +309,6 @@
     return this.fenceAndPromote(group, usable);
   }
 
-  private async requestPromotion(
-    member: Member,
-  ): Promise<PromotionRequestOutcome> {
-    const {log, promotions, publicName} = this.options;
-    const {leadingTerm: fencingToken} = this;
-    // A VM that can't confirm that it still leads control must not promote.
-    const isLeader = await log.confirmLeading();
-    if (!isLeader || log.leadingTerm !== fencingToken) return 'notAccepted';
-    const isCurrent = () =>
-      log.isCertainlyLeading &&
-      log.leadingTerm === fencingToken &&
-      this.currentGroup()?.promoting === member.name;
-    const answer = await promotions.promote(this.database, member.name, {
-      holder: publicName,
-      fencingToken,
-      isCurrent,
-    });
-    return answer.caseOf({
-      Left: ({kind}) => {
-        if (kind === 'unavailable') this.mayHavePromoted = true;
-        const {name} = member;
-        this.logInfo('promotion request was not accepted', {
-          member: name,
-          failure: kind,
-        });
-        return kind === 'notRunning' ? kind : 'notAccepted';
-      },
-      Right: () => {
-        this.mayHavePromoted = true;
-        return 'accepted';
-      },
-    });
-  }
-
   private async assignLeaseHolder(primary: Member): Promise<boolean> {
     const {database, term} = this;
     await this.revocation;
