--- a/packages/appointment/src/ordered_promotion.ts
+++ b/packages/appointment/src/ordered_promotion.ts
@@ -101,8 +101,13 @@
     const {database, name} = member;
     const answer = await promotions.promote(database, name, authority);
     return answer.caseOf<PromotionRequestOutcome>({
-      Left: ({kind}) => {
-        this.logInfo('promotion request was not accepted', {failure: kind});
+      Left: error => {
+        const {kind} = error;
+        this.logInfo('promotion request was not accepted', {
+          failure: kind,
+          fencingToken,
+          ...('reason' in error && {reason: error.reason}),
+        });
         if (kind === 'unavailable') this.mayBeAccepted = true;
         return kind === 'notRunning' ? kind : 'notAccepted';
       },
@@ -115,7 +120,7 @@
 
   private logInfo(
     message: string,
-    fields: Readonly<Record<string, string>>,
+    fields: Readonly<Record<string, string | number>>,
   ): void {
     const {term, member} = this.order;
     const {database, name} = member;
--- a/packages/appointment/src/primary_failover.ts
+++ b/packages/appointment/src/primary_failover.ts
@@ -221,8 +221,13 @@
       {fenced: fenced.map(({member}) => member.name).join(' '), needed},
     );
     await this.releaseAll(fenced);
-    if (primary === undefined || this.mayHavePromoted) return false;
-    return this.assignLeaseHolder(primary.member);
+    if (primary === undefined) return false;
+    if (!this.mayHavePromoted) return this.assignLeaseHolder(primary.member);
+    this.logInfo('old primary not assigned: another may have been promoted', {
+      primary: primary.member.name,
+      ordered: group.promoting,
+    });
+    return false;
   }
 
   private async promote(
