Take a primary that another member follows for a current one

The rule that leaves out a primary of an earlier term also left out one that leads a later term than the control log knows, so that a group could stay without a primary until the one assigned last was back.

Change: a primary other than the last one is left out only if no other member reports its term. All members but one are fenced before a promotion, so that a member of an earlier term has no follower in reach.

Measured: the new test fails with the rule as it was (no primary is assigned), and passes now; the 59 tests of the package pass.

--- a/packages/appointment/src/primary_failover.ts
+++ b/packages/appointment/src/primary_failover.ts
@@ -157,7 +157,7 @@
         ? members.filter(({name}) => name !== formerPrimary)
         : members;
     const reported = await memberAdmin.reports(queried);
-    const reports = reported.filter(each => !isOutdatedPrimary(each, group));
+    const reports = withoutOutdatedPrimary(reported, group);
     const primary = findPrimary(reports);
     const mayKeepPrimary =
       this.cause === 'noPrimary' || this.cause === 'holderLost';
@@ -429,15 +429,22 @@
 }
 
 /**
- * Returns whether a member leads a term that is over: it acts as a primary, but
- * another member was assigned last. It may not know of that one's commits. A
- * member that has been removed may have passed its log and role on.
+ * Returns the reports without that of a member whose term may be over: it acts as
+ * a primary, but another member was assigned last, and none reports its term. It
+ * may lack the commits of its successor. A member that was assigned and has been
+ * removed may have passed its log and role on.
  */
-function isOutdatedPrimary(
-  {member, report}: MemberWithReport,
+function withoutOutdatedPrimary(
+  reported: readonly MemberWithReport[],
   group: DatabaseGroup,
-): boolean {
+): readonly MemberWithReport[] {
   const former = findMember(group, group.formerPrimary ?? '');
-  if (former === undefined || former.state === 'removed') return false;
-  return report.role === 'primary' && member.name !== former.name;
+  if (former === undefined || former.state === 'removed') return reported;
+  return reported.filter(({member, report}) => {
+    const isFollowed = reported.some(
+      other => other.member !== member && other.report.term === report.term,
+    );
+    const isFormer = member.name === former.name;
+    return report.role !== 'primary' || isFormer || isFollowed;
+  });
 }
--- a/packages/appointment/test/primary_failover_test.ts
+++ b/packages/appointment/test/primary_failover_test.ts
@@ -154,6 +154,15 @@
       expect(await run('noPrimary')).to.equal(true);
       expect(groupIn(log).primary).to.equal('b');
     });
+
+    // Guards against a group without a primary although one leads it.
+    it('assigns it if another member follows it', async () => {
+      expect(await run('primaryLost')).to.equal(true);
+      b.reachable = false;
+      promotions.complete(c);
+      expect(await run('primaryLost')).to.equal(true);
+      expect(groupIn(log).primary).to.equal('c');
+    });
   });
 
   describe('when commits stall and too few other members are reachable', () => {
