Order promotions without a round trip if the lead is certain already

The failover waited for a confirmation by a quorum, up to a heartbeat interval, and then, on a platform that ignores `Expect`, 250 ms once in the life of each control process. What is asked in the step that writes the order already proves more than the confirmation before it.

Change: the confirmation is only requested if the last contact with a quorum is too old for the order to be sent.

The tests of the package and of the client pass (68).

--- a/packages/appointment/src/ordered_promotion.ts
+++ b/packages/appointment/src/ordered_promotion.ts
@@ -92,9 +92,11 @@
   private async request(): Promise<PromotionRequestOutcome> {
     const {log, promotions, publicName: holder} = this.options;
     const {member, leadingTerm: fencingToken, isInForce} = this.order;
-    // A VM that can't confirm that it still leads control must not promote.
-    const isLeader = await log.confirmLeading();
-    if (!isLeader || log.leadingTerm !== fencingToken) return 'notAccepted';
+    // The order is only sent while this VM is certain to lead. A round trip to
+    // renew the contact with a quorum would delay the failover, so it is made
+    // only if the last contact is too old.
+    const leads = log.isCertainlyLeading || (await log.confirmLeading());
+    if (!leads || log.leadingTerm !== fencingToken) return 'notAccepted';
     const isCurrent = () =>
       log.isCertainlyLeading && log.leadingTerm === fencingToken && isInForce();
     const authority = {holder, fencingToken, isCurrent};
