--- a/packages/control/test/replicated_control_log_test.ts
+++ b/packages/control/test/replicated_control_log_test.ts
@@ -21,7 +21,7 @@
 const REPORT: MemberReport = {
   name: 'i-1',
   database: 'ledger',
-  dataCentre: 'catania',
+  dataCentre: 'here',
   address: {host: '10.0.0.9', port: 8_080},
   incarnation: 1,
   state: 'active',
