Log the load of each member once a second

The logs could not tell a member that is busy from one whose slots are idle while messages are under way: a refusal said only that the member was overloaded. Each VM now logs for each member that it worked on in the last second what it started, ended and refused there, its connections and those opened, and the means of the wait, of the time that a slot was held and of a round trip without a slot.

--- a/packages/work/src/member_worker.ts
+++ b/packages/work/src/member_worker.ts
@@ -10,6 +10,7 @@
 import {ConnectionLimits} from './connection_limits.js';
 import {ConnectionPool} from './connection_pool.js';
 import {Symptom} from './lease_messages.js';
+import {MemberLoad} from './member_load.js';
 import {MemberReachability} from './member_reachability.js';
 import {OpenTransactions} from './open_transactions.js';
 import {StatementRunner} from './statement_runner.js';
@@ -71,6 +72,7 @@
   private readonly transactions: OpenTransactions;
   private readonly writeSlots: WriteSlots;
   private readonly reachability: MemberReachability;
+  private readonly load: MemberLoad;
   private lastUsedAt: number;
   private lastOrganisation: string | undefined;
   private runningCount = 0;
@@ -78,6 +80,7 @@
   private constructor(private readonly options: MemberWorkerOptions) {
     const {target, connector, timer, slots} = options;
     this.lastUsedAt = timer.now();
+    this.load = MemberLoad.create(timer);
     this.reachability = MemberReachability.create({
       ...options,
       onUnreachable: () => this.handleUnreachable(),
@@ -92,6 +95,7 @@
       slots,
       onOpened: () => {
         options.observer.onConnectionEvent('opened');
+        this.load.recordOpened();
         this.reachability.recordOpened();
       },
       onReplaced: connection => this.recordReplaced(connection),
@@ -117,6 +121,7 @@
       },
       probe: () => this.reachability.probe(),
       onDeadConnection: () => void this.connections.checkIdle(),
+      onRoundTrip: milliseconds => this.load.recordRoundTrip(milliseconds),
     });
     this.connections.setLimits(options.connections);
   }
@@ -151,6 +156,30 @@
     return this.busy ? 0 : this.options.timer.now() - this.lastUsedAt;
   }
 
+  /** Logs what the queue did since the last call, if it did anything. */
+  logLoad(): void {
+    const report = this.load.endPeriod();
+    if (report === undefined) return;
+    const {target, slots, logger} = this.options;
+    const {started, ended, refused, opened} = report;
+    const roundTrip = report.meanRoundTripMilliseconds;
+    logger.info('load of a member', {
+      member: target.name,
+      database: target.database,
+      period: Math.round(report.periodMilliseconds),
+      started,
+      ended,
+      refused,
+      waiting: this.queue.waitingCount,
+      slots,
+      connections: this.connections.count,
+      opened,
+      meanWait: roundMilliseconds(report.meanWaitMilliseconds),
+      meanHeld: roundMilliseconds(report.meanHeldMilliseconds),
+      meanRoundTrip: roundTrip && roundMilliseconds(roundTrip),
+    });
+  }
+
   /** Sets the limits of the connection pool. */
   setConnections(limits: ConnectionLimits): void {
     this.connections.setLimits(limits);
@@ -201,6 +230,7 @@
       return this.refuse(channel, reason, refusal.expectedWaitMilliseconds);
     }
     const connection = admission.unsafeCoerce();
+    this.load.recordStart(timer.now() - since);
     // The lease may have expired, or the member have announced that it is
     // draining, while the work was queued.
     const laterObstacle = this.obstacleTo(request);
@@ -285,7 +315,8 @@
     next: WorkStatement,
   ): Promise<boolean> {
     const {timer} = this.options;
-    const deadline = timer.now() + next.timeoutMilliseconds;
+    const since = timer.now();
+    const deadline = since + next.timeoutMilliseconds;
     const hasWriteSlot = await this.acquireWriteSlot(
       request,
       next.timeoutMilliseconds,
@@ -300,6 +331,7 @@
       this.connections.discard(connection);
       return false;
     }
+    this.load.recordStart(timer.now() - since);
     if (!this.options.mayUse(request.primaryTerm)) {
       this.releaseWriteSlot(request);
       this.queue.releaseSlot(0);
@@ -321,7 +353,11 @@
     const outcome = await this.statements.run(connection, statement);
     this.runningCount -= 1;
     this.releaseWriteSlot(request);
-    const releaseSlot = () => this.queue.releaseSlot(timer.now() - startedAt);
+    const releaseSlot = () => {
+      const heldMilliseconds = timer.now() - startedAt;
+      this.load.recordEnd(heldMilliseconds);
+      this.queue.releaseSlot(heldMilliseconds);
+    };
     // With organisations, the connection is returned first, so that the next
     // work of its organisation does not lose its turn to later work.
     const returnsFirst = this.connections.servesOrganisations;
@@ -418,6 +454,7 @@
     retryAfterMilliseconds = UNREACHABLE_RETRY_MILLISECONDS,
   ): void {
     this.options.observer.onRefusal(reason);
+    this.load.recordRefusal();
     channel.send({kind: 'refused', refusal: {reason, retryAfterMilliseconds}});
   }
 
@@ -429,6 +466,11 @@
   }
 }
 
+/** Rounds a duration to a tenth of a millisecond. */
+function roundMilliseconds(milliseconds: number): number {
+  return Math.round(milliseconds * 10) / 10;
+}
+
 /** Returns whether work may write, alone or in a transaction. */
 function mayWrite({primaryTerm, first}: WorkRequest): boolean {
   return primaryTerm > 0 && !first.repeatable;
--- a/packages/work/src/statement_runner.ts
+++ b/packages/work/src/statement_runner.ts
@@ -28,6 +28,8 @@
   readonly probe: () => Promise<boolean>;
   /** Called when a connection to the reachable member was found dead. */
   readonly onDeadConnection: () => void;
+  /** Receives the time to the answer of a command that needs no slot. */
+  readonly onRoundTrip: (milliseconds: number) => void;
   readonly onSymptom: (symptom: Symptom) => void;
 }
 
@@ -69,7 +71,10 @@
     }
     const readOnly = opens === 'readOnlyTransaction';
     const begin: MemberCommand = {kind: 'begin', readOnly, floor};
+    const {timer, onRoundTrip} = this.options;
+    const beganAt = timer.now();
     const replies = await member.run([...commands, begin], timeoutMilliseconds);
+    replies.ifRight(() => onRoundTrip(timer.now() - beganAt));
     // A statement after a failed BEGIN would run outside of a transaction.
     const beginAnswer = replies.map(lastAnswer);
     if (replies.map(preparationFailed).orDefault(false)) connection.taint();
--- a/packages/work/src/work_queue.ts
+++ b/packages/work/src/work_queue.ts
@@ -112,6 +112,11 @@
     return this.expectedWait(ifLate, request.organisation);
   }
 
+  /** The number of statements that wait for a slot. */
+  get waitingCount(): number {
+    return this.waiting.size;
+  }
+
   /** The mean duration of a statement, in milliseconds. */
   get meanStatementMilliseconds(): number {
     return this.meanMilliseconds;
--- a/packages/work/src/work_service.ts
+++ b/packages/work/src/work_service.ts
@@ -41,7 +41,7 @@
 
 /** A worker is closed after this time without work. */
 const UNUSED_WORKER_TIMEOUT_MILLISECONDS = 5_000;
-const UNUSED_CHECK_INTERVAL_MILLISECONDS = 1_000;
+const WORKER_CHECK_INTERVAL_MILLISECONDS = 1_000;
 /** A revocation checks at this interval whether work has finished. */
 const REVOCATION_POLL_INTERVAL_MILLISECONDS = 5;
 /** The pause between attempts to read the position of a new primary. */
@@ -122,8 +122,8 @@
       service.updateWorkers();
     });
     options.machines.subscribe(() => service.updateWorkers());
-    options.timer.every(UNUSED_CHECK_INTERVAL_MILLISECONDS, () =>
-      service.closeUnusedWorkers(),
+    options.timer.every(WORKER_CHECK_INTERVAL_MILLISECONDS, () =>
+      service.checkWorkers(),
     );
     return service;
   }
@@ -196,8 +196,10 @@
     }
   }
 
-  private closeUnusedWorkers(): void {
+  /** Logs the load of the workers, and closes the unused ones. */
+  private checkWorkers(): void {
     for (const worker of this.workers.values()) {
+      worker.logLoad();
       const unused = worker.unusedMilliseconds;
       if (unused > UNUSED_WORKER_TIMEOUT_MILLISECONDS) this.closeWorker(worker);
     }
