Keep the slots of a member busy during the round trip

Callers saw reads of their own writes refused, or unanswered, in groups whose replicas lag, although the primary had room for them.

Cause: a member's slot counted as taken from the moment a statement was sent until its answer was processed, and no more statements were under way than slots. With 9 ms of work and 8 ms on the way, a slot works for half of the time, so that the VM refuses what the member could do. Reads of own writes are refused first: they have the lowest priority and, unlike reads with a staleness bound, often no replica.

Change: as many statements are under way as keep the slots busy, the slots times the whole time of a statement over its time at the member, at most twice the slots. The round trip is that of BEGIN, which takes no slot. If statements queue at the member, their time there grows and the window shrinks. For a second after the member refused a statement, the window is its slots.

--- a/packages/work/src/member_worker.ts
+++ b/packages/work/src/member_worker.ts
@@ -1,10 +1,12 @@
 import {Logger} from '@apricotlock/logging';
 import {
+  AnswerEnd,
   ConnectionError,
   LogPosition,
   MemberConnector,
   MemberTarget,
   StatementAnswer,
+  wasNotRun,
 } from '@apricotlock/statement';
 import {TimerService} from '@apricotlock/timer';
 import {ConnectionLimits} from './connection_limits.js';
@@ -14,6 +16,7 @@
 import {MemberReachability} from './member_reachability.js';
 import {OpenTransactions} from './open_transactions.js';
 import {StatementRunner} from './statement_runner.js';
+import {StatementWindow} from './statement_window.js';
 import {WorkConnection} from './work_connection.js';
 import {
   WorkServerMessage,
@@ -73,6 +76,7 @@
   private readonly writeSlots: WriteSlots;
   private readonly reachability: MemberReachability;
   private readonly load: MemberLoad;
+  private readonly window: StatementWindow;
   private lastUsedAt: number;
   private lastOrganisation: string | undefined;
   private runningCount = 0;
@@ -81,6 +85,7 @@
     const {target, connector, timer, slots} = options;
     this.lastUsedAt = timer.now();
     this.load = MemberLoad.create(timer);
+    this.window = StatementWindow.create({slots, timer});
     this.reachability = MemberReachability.create({
       ...options,
       onUnreachable: () => this.handleUnreachable(),
@@ -121,7 +126,10 @@
       },
       probe: () => this.reachability.probe(),
       onDeadConnection: () => void this.connections.checkIdle(),
-      onRoundTrip: milliseconds => this.load.recordRoundTrip(milliseconds),
+      onRoundTrip: milliseconds => {
+        this.load.recordRoundTrip(milliseconds);
+        this.window.recordRoundTrip(milliseconds);
+      },
     });
     this.connections.setLimits(options.connections);
   }
@@ -172,6 +180,7 @@
       refused,
       waiting: this.queue.waitingCount,
       slots,
+      window: this.window.size,
       connections: this.connections.count,
       opened,
       meanWait: roundMilliseconds(report.meanWaitMilliseconds),
@@ -353,19 +362,17 @@
     const outcome = await this.statements.run(connection, statement);
     this.runningCount -= 1;
     this.releaseWriteSlot(request);
-    const releaseSlot = () => {
-      const heldMilliseconds = timer.now() - startedAt;
-      this.load.recordEnd(heldMilliseconds);
-      this.queue.releaseSlot(heldMilliseconds);
-    };
+    const heldMilliseconds = timer.now() - startedAt;
+    this.load.recordEnd(heldMilliseconds);
+    outcome.ifRight(({end}) => this.updateWindow(end, heldMilliseconds));
+    const releaseSlot = () => this.queue.releaseSlot(heldMilliseconds);
     // With organisations, the connection is returned first, so that the next
     // work of its organisation does not lose its turn to later work.
     const returnsFirst = this.connections.servesOrganisations;
     if (!returnsFirst) releaseSlot();
     if (outcome.isLeft()) {
       const {reason} = outcome.extract() as ConnectionError;
-      const elapsedMilliseconds = timer.now() - startedAt;
-      const timedOut = elapsedMilliseconds >= statement.timeoutMilliseconds;
+      const timedOut = heldMilliseconds >= statement.timeoutMilliseconds;
       this.sendLost(channel, {mayHaveRun: true, timedOut, reason});
       this.connections.discard(connection);
       if (returnsFirst) releaseSlot();
@@ -386,6 +393,16 @@
     return isIdle ? 'finished' : 'continue';
   }
 
+  /** Updates how many statements may be under way, after one was answered. */
+  private updateWindow(end: AnswerEnd, heldMilliseconds: number): void {
+    if (end.kind === 'error' && wasNotRun(end.error)) {
+      if (end.error.kind === 'busy') this.window.recordShed();
+    } else {
+      this.window.recordStatement(heldMilliseconds);
+    }
+    this.queue.setSlots(this.window.size);
+  }
+
   /** Resolves to whether a statement that may write may take a slot. */
   private async acquireWriteSlot(
     request: WorkRequest,
--- a/packages/work/src/work_queue.ts
+++ b/packages/work/src/work_queue.ts
@@ -122,8 +122,9 @@
     return this.meanMilliseconds;
   }
 
-  /** Sets the number of statements that the member runs at once. */
+  /** Sets the number of statements that are under way at once. */
   setSlots(slots: number): void {
+    if (slots === this.slots) return;
     this.slots = slots;
     this.dispatch();
   }
