Refuse reads at once while replicas lag and the primary is full

Callers of reads of their own writes waited for 680 ms, 0.85 of their time limit, and were refused only then, although the replicas were known to lag by seconds and the primary had announced a wait that is longer than a statement may wait.

Cause: a read is refused early only if each member announced a wait. A replica that is behind announces none, so one such replica was enough to hold the read.

Change: the time until a replica has caught up counts as its announced wait. While the group has no primary, reads are held as before.

--- a/packages/dispatch/src/read_round.ts
+++ b/packages/dispatch/src/read_round.ts
@@ -46,7 +46,6 @@
   private last = retryable('the database has no member that accepts work');
   /** The answer of the first member that failed the statement. */
   private failed: AnsweredAttempt | undefined;
-  private anyTried = false;
   /** Whether each attempt so far was refused with an announced wait. */
   private allAnnounced = true;
   /** The first replica that was not tried because it is behind. */
@@ -74,13 +73,14 @@
       const catchUpMilliseconds = this.catchUpMilliseconds(name);
       if (!this.mayWaitFor(name, catchUpMilliseconds)) continue;
       if (catchUpMilliseconds > 0) await timer.sleep(catchUpMilliseconds);
-      this.anyTried = true;
       const attempt = await this.tryMember(name);
       if (attempt.kind === 'retryable') {
         if (attempt.behind === true) {
           members = this.primaryFirst(members, index + 1);
+          this.recordFailure(this.behindFailure(name, attempt.reason));
+        } else {
+          this.recordFailure(attempt);
         }
-        this.recordFailure(attempt);
       } else {
         const outcome = this.outcomeOf(attempt);
         if (outcome !== undefined) return outcome;
@@ -129,15 +129,47 @@
   }
 
   /**
-   * Tries a replica that was known to be behind, if nothing else could be
-   * tried: a read is then the only way to notice that it has caught up.
+   * Tries a replica that was known to be behind, if no other member could run
+   * the read: a read is then the only way to notice that it has caught up.
    */
   private async tryLastResort(): Promise<Attempt> {
-    const {last, anyTried, allAnnounced, skipped} = this;
+    const {skipped} = this;
     const {estimates} = this.options.attempts;
-    if (anyTried) return {...last, allAnnounced};
-    if (skipped === undefined || !estimates.isLagProbeDue(skipped)) return last;
-    return this.tryMember(skipped);
+    if (
+      this.mayTryLastResort() &&
+      skipped !== undefined &&
+      estimates.isLagProbeDue(skipped)
+    ) {
+      const attempt = await this.tryMember(skipped);
+      if (attempt.kind !== 'retryable') return attempt;
+      this.recordFailure(
+        attempt.behind === true
+          ? this.behindFailure(skipped, attempt.reason)
+          : attempt,
+      );
+    }
+    return {...this.last, allAnnounced: this.allAnnounced};
+  }
+
+  /** Returns whether time and the budget of retries allow another attempt. */
+  private mayTryLastResort(): boolean {
+    const {statement, timer} = this.options;
+    const left = timeLeft(statement, timer.now());
+    return left >= MINIMUM_ATTEMPT_MILLISECONDS && this.mayTryAnother();
+  }
+
+  /**
+   * Returns the failure of a read on a replica that is behind. The time until
+   * it has caught up is as good as an announced wait, so that a read that no
+   * member can serve in time is refused at once. Without a primary, one that
+   * is appointed may serve it sooner.
+   */
+  private behindFailure(member: string, reason: string): RetryableFailure {
+    const catchUpMilliseconds = this.catchUpMilliseconds(member);
+    const isKnown =
+      catchUpMilliseconds > 0 && this.options.group.primary !== undefined;
+    const wait = isKnown ? catchUpMilliseconds : undefined;
+    return {...retryable(reason, false, wait), allAnnounced: isKnown};
   }
 
   /** Returns how long a member needs to catch up with the requirement. */
@@ -169,7 +201,7 @@
     observer.onRouting('behindSkipped');
     this.skipped ??= member;
     const reason = `${member} is behind the required log position`;
-    this.recordFailure(retryable(reason));
+    this.recordFailure(this.behindFailure(member, reason));
     return false;
   }
 
--- a/packages/dispatch/test/replica_lag_test.ts
+++ b/packages/dispatch/test/replica_lag_test.ts
@@ -18,6 +18,13 @@
   },
   afterMilliseconds: 1,
 };
+const UNREACHABLE: Reply = {
+  message: {
+    kind: 'refused',
+    refusal: {reason: 'unreachable', retryAfterMilliseconds: 200},
+  },
+  afterMilliseconds: 1,
+};
 
 /** A report without any delay. */
 function at(time: number) {
@@ -66,6 +73,7 @@
   let group: ReplayedGroup;
   let lagMilliseconds: number;
   let isPrimaryFull: boolean;
+  let isPrimaryLost: boolean;
 
   /** The primary writes steadily; replicas have its log of some time ago. */
   function numberAt(time: number): number {
@@ -73,6 +81,7 @@
   }
 
   function reply({member, first}: WorkRequest): Reply {
+    if (member === 'primary' && isPrimaryLost) return UNREACHABLE;
     if (member === 'primary' && isPrimaryFull) return OVERLOADED;
     const lag = member === 'primary' ? 0 : lagMilliseconds;
     const position = {term: 1, number: numberAt(group.timer.now() - lag)};
@@ -105,6 +114,7 @@
   beforeEach(async () => {
     lagMilliseconds = 150;
     isPrimaryFull = false;
+    isPrimaryLost = false;
     group = new ReplayedGroup(TERMS, reply);
     await group.timer.advanceAsync(10_000);
   });
@@ -136,6 +146,37 @@
     );
   });
 
+  // Guards against reads that are held until their time is over, although the
+  // replicas are known to lag by seconds and the primary announces a long wait.
+  it('are refused at once if no member can serve them in time', async () => {
+    lagMilliseconds = 6_000;
+    await replay(10, 1_000);
+    isPrimaryFull = true;
+    const terms = {...TERMS, statementMilliseconds: 800};
+    for (let count = 0; count < 10; count++) {
+      const at = group.timer.now() - 1_000;
+      const position = {term: 1, number: numberAt(at)};
+      const ownWrite = {position, at};
+      const {outcome, milliseconds} = await group.read({terms, ownWrite});
+      expect(outcome.kind).to.equal('notRun');
+      expect(milliseconds).to.be.below(50);
+      await group.timer.advanceAsync(20);
+    }
+  });
+
+  // A new primary serves them sooner than a replica that lags.
+  it('are held while the group has no primary', async () => {
+    lagMilliseconds = 6_000;
+    await replay(10, 1_000);
+    isPrimaryLost = true;
+    group.removePrimary();
+    const at = group.timer.now() - 1_000;
+    const ownWrite = {position: {term: 1, number: numberAt(at)}, at};
+    const terms = {...TERMS, statementMilliseconds: 800};
+    const {milliseconds} = await group.read({terms, ownWrite});
+    expect(milliseconds).to.be.above(600);
+  });
+
   it('try a replica from time to time if no other member can serve', async () => {
     lagMilliseconds = 3_000;
     await replay(4, 1_000);
--- a/packages/dispatch/test/support/replayed_group.ts
+++ b/packages/dispatch/test/support/replayed_group.ts
@@ -5,6 +5,7 @@
 import {ManualTimerService} from '@apricotlock/timer';
 import {
   CatalogueEntry,
+  ClusterView,
   DatabaseGroup,
   EMPTY_VIEW,
   Member,
@@ -90,6 +91,7 @@
   readonly requests: WorkRequest[] = [];
   readonly observer = new CountingObserver();
   readonly router: StatementRouter;
+  private readonly view: Observable<ClusterView>;
   /** The newest sample of the position of the primary. */
   sample: PositionSample = {
     term: 1,
@@ -116,10 +118,12 @@
       checkLiveness: async () => true,
       recordUnreachable: () => undefined,
     };
+    const groups = [createGroup(members)];
+    this.view = Observable.of<ClusterView>({...EMPTY_VIEW, groups});
     this.router = StatementRouter.create({
       self,
       dataCentre: 'here',
-      view: Observable.of({...EMPTY_VIEW, groups: [createGroup(members)]}),
+      view: this.view,
       dispatcher: dispatcher as WorkDispatcher,
       primaryPositions: tracker as PrimaryPositionTracker,
       isIsolated: () => false,
@@ -156,6 +160,16 @@
     return {outcome, milliseconds: this.timer.now() - startedAt};
   }
 
+  /** Takes the group's primary from the view, as when a failover begins. */
+  removePrimary(): void {
+    const {current} = this.view;
+    const groups = current.groups.map(group => ({
+      ...group,
+      primary: undefined,
+    }));
+    this.view.set({...current, groups});
+  }
+
   /** Returns how many requests a member has received. */
   requestsTo(member: string): number {
     return this.requests.filter(request => request.member === member).length;
