Let three VMs work on a member that none of them can reach

While members crash or go down and up, they reset thousands of connections that are over their limit. Each reset costs the statement on it, and each opening 12 ms of one of the member's slots.

Cause: the limits of a VM stand for itself. Once the first three VMs of a replica's ranking had reported it as unreachable, each VM tried for itself, with up to three connections: 85 VMs, where the member accepts 26 connections.

Change: a VM works on a replica outside of the ranking only while none of the VMs in the ranking responds. Where they respond and can't reach the member, it is most likely down. A data centre with less than three VMs gets candidates from elsewhere.

--- a/packages/dispatch/src/work_dispatcher.ts
+++ b/packages/dispatch/src/work_dispatcher.ts
@@ -16,7 +16,7 @@
 } from '@apricotlock/work';
 import {VirtualMachineHealth} from './virtual_machine_health.js';
 
-/** How many VMs are considered for the work on one replica, besides this one. */
+/** How many VMs are considered for the work on one replica. */
 const MAXIMUM_CANDIDATES = 3;
 /** How long a VM that can't reach a member is avoided for that member. */
 const UNREACHABLE_AVOIDANCE_MILLISECONDS = 1_000;
@@ -103,23 +103,37 @@
       const holder = machines.current.find(({name}) => name === group.holder);
       return holder && health.isResponsive(holder.name) ? holder : undefined;
     }
-    const dataCentre = findMember(group, member)?.dataCentre ?? '';
-    const ranking = ownerRanking(
-      member,
-      dataCentre,
-      machines.current,
-      MAXIMUM_CANDIDATES,
+    const responsive = this.candidatesFor(group, member).filter(({name}) =>
+      health.isResponsive(name),
     );
-    const own = machines.current.filter(({name}) => name === self);
-    return [...ranking, ...own].find(({name}) =>
-      this.isCandidate(name, member),
+    // Where candidates respond but can't reach the member, it is most likely
+    // down. If every VM tried for itself, all of them would connect to it at
+    // once when it is back, which is more than it accepts.
+    return responsive.length === 0
+      ? machines.current.find(({name}) => name === self)
+      : responsive.find(({name}) => !this.isAvoided(name, member));
+  }
+
+  /**
+   * Returns the VMs that may work on a replica, the preferred one first: those
+   * in its data centre, and if they are too few, others.
+   */
+  private candidatesFor(
+    group: DatabaseGroup,
+    member: string,
+  ): readonly VirtualMachine[] {
+    const machines = this.options.machines.current;
+    const dataCentre = findMember(group, member)?.dataCentre ?? '';
+    const [near, all] = [dataCentre, ''].map(place =>
+      ownerRanking(member, place, machines, MAXIMUM_CANDIDATES),
     );
+    const ranking = new Set([...(near ?? []), ...(all ?? [])]);
+    return [...ranking].slice(0, MAXIMUM_CANDIDATES);
   }
 
-  private isCandidate(machine: string, member: string): boolean {
-    const {health, timer} = this.options;
+  private isAvoided(machine: string, member: string): boolean {
     const until = this.avoidUntil.get(pathKey(machine, member)) ?? -Infinity;
-    return health.isResponsive(machine) && timer.now() >= until;
+    return this.options.timer.now() < until;
   }
 }
 
