Send reads on a primary to its lease holder

Cause: reads that any member may run went to the first VM in the ranking of the member also where the member is the primary. After a failover or a restart of VMs that is often not the lease holder, and such a VM may open one connection to the primary only. Reads that only the primary can serve then waited for that connection.

Change: the lease holder is the first candidate for reads on its primary.

Measured: work_dispatcher_test.ts, "sends reads on a primary to its lease holder": all went to another VM before. What it is worth on a deployment was not measured.

--- a/packages/dispatch/src/work_dispatcher.ts
+++ b/packages/dispatch/src/work_dispatcher.ts
@@ -16,7 +16,7 @@
 } from '@apricotlock/work';
 import {VirtualMachineHealth} from './virtual_machine_health.js';
 
-/** How many VMs are considered for the work on one replica. */
+/** How many VMs are considered for the reads on one member. */
 const MAXIMUM_CANDIDATES = 3;
 /** How long a VM that can't reach a member is avoided for that member. */
 const UNREACHABLE_AVOIDANCE_MILLISECONDS = 1_000;
@@ -115,8 +115,9 @@
   }
 
   /**
-   * Returns the VMs that may work on a replica, the preferred one first: those
-   * in its data centre, and if they are too few, others.
+   * Returns the VMs that may run reads on a member, the preferred one first: on
+   * a primary its lease holder, which has its connections; then those in the
+   * member's data centre, and if they are too few, others.
    */
   private candidatesFor(
     group: DatabaseGroup,
@@ -127,7 +128,11 @@
     const [near, all] = [dataCentre, ''].map(place =>
       ownerRanking(member, place, machines, MAXIMUM_CANDIDATES),
     );
-    const ranking = new Set([...(near ?? []), ...(all ?? [])]);
+    const holder =
+      member === group.primary
+        ? machines.filter(({name}) => name === group.holder)
+        : [];
+    const ranking = new Set([...holder, ...(near ?? []), ...(all ?? [])]);
     return [...ranking].slice(0, MAXIMUM_CANDIDATES);
   }
 
--- a/packages/dispatch/test/work_dispatcher_test.ts
+++ b/packages/dispatch/test/work_dispatcher_test.ts
@@ -88,6 +88,18 @@
     expect(Math.min(...requests.values())).to.equal(2 * MACHINE_COUNT);
   });
 
+  // Guards against reads that wait for the one connection that other VMs than
+  // the lease holder may open to a primary.
+  it('sends reads on a primary to its lease holder', () => {
+    const held = {...group, primary: 'm', holder: 'vm-50'};
+    for (const dispatcher of dispatchers) dispatcher.dispatch(held, REQUEST);
+    expect(requests).to.deep.equal(new Map([['vm-50', MACHINE_COUNT]]));
+    unresponsive.add('vm-50');
+    expect(dispatchers[1]?.dispatch(held, REQUEST)?.machine).not.to.equal(
+      'vm-50',
+    );
+  });
+
   it('uses this VM while none of the others responds', () => {
     for (const {name} of machines.current) unresponsive.add(name);
     unresponsive.delete('vm-7');
