Hold no more connections to a member than can be used

Cause: a VM opened a connection for each waiting statement, up to 18 of the 26 that a member accepts, although the statements waited for slots; and a VM that had been the lease holder or owner kept its idle connections for 20 s beside those of its successor, so that the member reset what was over its limit.

Change: no more connections are ready than statements can be under way, and idle connections beyond a lower maximum are closed at once.

Measured: connection_pool_test.ts, both new tests failed before: 18 connections for a backlog of 40 statements on 3 slots, now 6; a former holder kept 6, now 1.

--- a/packages/work/src/connection_pool.ts
+++ b/packages/work/src/connection_pool.ts
@@ -14,6 +14,7 @@
   PoolFacts,
 } from './connection_choice.js';
 import {ConnectionLimits} from './connection_limits.js';
+import {LARGEST_WINDOW_FACTOR} from './statement_window.js';
 import {WorkConnection} from './work_connection.js';
 
 const CONNECT_TIMEOUT_MILLISECONDS = 350;
@@ -132,11 +133,15 @@
   }
 
   /**
-   * Sets the limits. Connections in excess of a lower maximum are closed when
-   * they are checked in or have been idle too long.
+   * Sets the limits. Connections in excess of a lower maximum are closed at once
+   * if they are idle, and otherwise when they are checked in: another VM may
+   * open as many from now on.
    */
   setLimits(limits: ConnectionLimits): void {
     this.limits = limits;
+    const excess = Math.max(0, this.count - limits.maximum);
+    for (const {member} of this.idle.slice(0, excess)) member.close();
+    this.idle = this.idle.slice(excess);
     this.openMore();
   }
 
@@ -260,7 +265,12 @@
     if (servesOrganisations) {
       return demands.length === 0 ? WAIT : this.chooseForOrganisation();
     }
-    const requested = demands[0]?.waiting ?? 0;
+    // Work waits for a slot as well. More connections than statements that are
+    // under way at once would not be used.
+    const requested = Math.min(
+      demands[0]?.waiting ?? 0,
+      this.options.slots * LARGEST_WINDOW_FACTOR,
+    );
     const ready = idle.length + opening.length;
     const isEnough = ready >= requested && this.count >= limits.warm;
     return this.isFull || isEnough ? WAIT : OPEN_FOR_NONE;
--- a/packages/work/src/statement_window.ts
+++ b/packages/work/src/statement_window.ts
@@ -7,7 +7,7 @@
  * in the order of its arrival there, whatever its priority, so that only a
  * round trip of work may be under way in advance.
  */
-const LARGEST_FACTOR = 2;
+export const LARGEST_WINDOW_FACTOR = 2;
 /** For this long after the member refused a statement, no more than its slots. */
 const SHED_PAUSE_MILLISECONDS = 1_000;
 
@@ -49,8 +49,8 @@
     if (timer.now() < this.shedUntil) return slots;
     const atMember = statementMilliseconds - roundTripMilliseconds;
     const factor =
-      atMember > 0 ? statementMilliseconds / atMember : LARGEST_FACTOR;
-    return Math.round(slots * Math.min(LARGEST_FACTOR, factor));
+      atMember > 0 ? statementMilliseconds / atMember : LARGEST_WINDOW_FACTOR;
+    return Math.round(slots * Math.min(LARGEST_WINDOW_FACTOR, factor));
   }
 
   /** Records the time to the answer of a command that needs no slot. */
--- a/packages/work/test/connection_pool_test.ts
+++ b/packages/work/test/connection_pool_test.ts
@@ -83,6 +83,29 @@
 
 describe('ConnectionPool', () => {
   describe('without organisations', () => {
+    // Guards against a backlog that opens every connection that the member
+    // accepts, each of which takes a slot, although slots are what it waits for.
+    it('opens no more than statements can be under way', async () => {
+      const fixture = new Fixture({maximum: 18, warm: 3});
+      fixture.request(undefined, 40);
+      while (fixture.connector.openingCount > 0) await fixture.connector.open();
+      expect(fixture.pool.count).to.equal(6);
+    });
+
+    // Guards against a member that resets connections because the former and the
+    // present lease holder keep theirs.
+    it('closes idle ones beyond a lower maximum at once', async () => {
+      const fixture = new Fixture({maximum: 18, warm: 6});
+      while (fixture.connector.openingCount > 0) await fixture.connector.open();
+      const used = fixture.pool.checkOut(undefined) as WorkConnection;
+      const limits = {maximum: 1, warm: 0, byOrganisation: false};
+      fixture.pool.setLimits(limits);
+      expect(fixture.pool.count).to.equal(1);
+      expect(used.member.usable).to.equal(true);
+      fixture.pool.checkIn(used);
+      expect(fixture.pool.count).to.equal(1);
+    });
+
     it('opens warm connections ahead of work, two at a time', async () => {
       const fixture = new Fixture({maximum: 5, warm: 3});
       expect(fixture.connector.openingCount).to.equal(2);
