Admit a member only once it answered to its name

Cause: a heartbeat of any name with any address was recorded. An unknown name at the address of a member removed that member, and each such name counted for the majority of its group: one such report left a group without writes after the next crash, three of them at once (seen by the maintainers' lead on real processes).

Change: a report that adds a member to a group, brings a removed one back or moves one is recorded only after the process at its address has accepted a connection under that name; members refuse a connection for another name. 409 if another member answers, 503 if none does, so that the member reports again.

--- a/packages/appointment/src/index.ts
+++ b/packages/appointment/src/index.ts
@@ -17,6 +17,11 @@
 export {DrainDeadlines, type DrainDeadlinesOptions} from './drain_deadlines.js';
 export {LEASE_MILLISECONDS} from './lease_duration.js';
 export {LeaseGrantor, type LeaseGrantorOptions} from './lease_grantor.js';
+export {
+  MemberAdmission,
+  type AdmissionRefusal,
+  type MemberAdmissionOptions,
+} from './member_admission.js';
 export {
   MemberAdminClient,
   type MemberWithReport,
