--- a/packages/member/src/announcement.ts
+++ b/packages/member/src/announcement.ts
@@ -1,11 +1,16 @@
 import {z} from 'zod';
-import {Address, Member, parseAddress} from '@apricotlock/topology';
+import {
+  Address,
+  isConnectable,
+  Member,
+  parseAddress,
+} from '@apricotlock/topology';
 
 const NAME_PATTERN = /^[a-z][a-z0-9-]{0,62}$/;
 
 const addressSchema = z.string().transform((text, context): Address => {
-  const address = parseAddress(text);
-  if (address.isLeft()) {
+  const address = parseAddress(text).toMaybe().filter(isConnectable);
+  if (address.isNothing()) {
     context.addIssue({code: 'custom', message: 'invalid address'});
   }
   return address.orDefault({host: '', port: 0});
--- a/packages/topology/src/address.ts
+++ b/packages/topology/src/address.ts
@@ -1,3 +1,4 @@
+import {isIP} from 'node:net';
 import {Either, Left, Right} from 'purify-ts';
 
 const ADDRESS_PATTERN = /^([0-9a-fA-F.:]+):([0-9]{1,5})$/;
@@ -35,3 +36,11 @@
   const host = address.host.includes(':') ? `[${address.host}]` : address.host;
   return `${host}:${address.port}`;
 }
+
+/**
+ * Returns whether a connection to an address can be opened: its host is an IP
+ * address, and its port is in range and not 0.
+ */
+export function isConnectable({host, port}: Address): boolean {
+  return isIP(host) !== 0 && port > 0 && port <= MAXIMUM_PORT;
+}
--- a/packages/topology/src/index.ts
+++ b/packages/topology/src/index.ts
@@ -6,6 +6,7 @@
  */
 export {
   formatAddress,
+  isConnectable,
   parseAddress,
   type Address,
   type AddressError,
