--- a/packages/peer/test/peer_frame_test.ts
+++ b/packages/peer/test/peer_frame_test.ts
@@ -31,6 +31,14 @@
     );
   });
 
+  // Guards against a process that ends by a stack overflow.
+  it('returns undefined for a deeply nested message, and does not throw', () => {
+    for (const first of [0x91, 0x81]) {
+      const nested = Buffer.alloc(100_000, first);
+      expect(decodeFrames(nested)).to.equal(undefined);
+    }
+  });
+
   it('allocates little for a message with a huge declared length', () => {
     // The headers of an array, a map, bytes and a string with a declared length
     // of four billion.
