Move the admission of writes and the log of load out of the member worker

What decides whether work takes a write slot is in write_admission.ts, the line on a member's load in member_load.ts. No change of behaviour.

--- a/packages/work/src/member_load.ts
+++ b/packages/work/src/member_load.ts
@@ -1,3 +1,4 @@
+import {Logger} from '@apricotlock/logging';
 import {TimerService} from '@apricotlock/timer';
 
 /** What one VM's queue for a member did in one period; means are in ms. */
@@ -108,3 +109,43 @@
     };
   }
 }
+
+/** The state of a VM's queue and connections to a member. */
+export interface MemberLoadState {
+  readonly member: string;
+  readonly database: string;
+  /** How many statements the member runs at once. */
+  readonly slots: number;
+  /** How many this VM has under way to it at once. */
+  readonly window: number;
+  /** How many wait for a slot. */
+  readonly waiting: number;
+  /** Connections that are open or being opened. */
+  readonly connections: number;
+}
+
+/** Logs the report of a period, if there is one, and the state at its end. */
+export function logMemberLoad(
+  logger: Logger,
+  report: MemberLoadReport | undefined,
+  state: MemberLoadState,
+): void {
+  if (report === undefined) return;
+  const {started, ended, refused, opened} = report;
+  const roundTrip = report.meanRoundTripMilliseconds;
+  logger.info('load of a member', {
+    ...state,
+    period: Math.round(report.periodMilliseconds),
+    started,
+    ended,
+    refused,
+    opened,
+    meanWait: roundToTenth(report.meanWaitMilliseconds),
+    meanHeld: roundToTenth(report.meanHeldMilliseconds),
+    meanRoundTrip: roundTrip && roundToTenth(roundTrip),
+  });
+}
+
+function roundToTenth(value: number): number {
+  return Math.round(value * 10) / 10;
+}
--- a/packages/work/src/member_worker.ts
+++ b/packages/work/src/member_worker.ts
@@ -12,7 +12,7 @@
 import {ConnectionLimits} from './connection_limits.js';
 import {ConnectionPool} from './connection_pool.js';
 import {Symptom} from './lease_messages.js';
-import {MemberLoad} from './member_load.js';
+import {logMemberLoad, MemberLoad} from './member_load.js';
 import {MemberReachability} from './member_reachability.js';
 import {OpenTransactions} from './open_transactions.js';
 import {StatementRunner} from './statement_runner.js';
@@ -27,7 +27,7 @@
 import {WorkInbox, WorkServerChannel} from './work_inbox.js';
 import {WorkObserver} from './work_observer.js';
 import {WorkQueue} from './work_queue.js';
-import {WriteSlots} from './write_slots.js';
+import {WriteAdmission} from './write_admission.js';
 
 const REPORT_TIMEOUT_MILLISECONDS = 300;
 const UNREACHABLE_RETRY_MILLISECONDS = 200;
@@ -73,7 +73,7 @@
   private readonly queue: WorkQueue<WorkConnection>;
   private readonly statements: StatementRunner;
   private readonly transactions: OpenTransactions;
-  private readonly writeSlots: WriteSlots;
+  private readonly writes: WriteAdmission;
   private readonly reachability: MemberReachability;
   private readonly load: MemberLoad;
   private readonly window: StatementWindow;
@@ -117,11 +117,11 @@
       requestConnections: (demands, meanMilliseconds) =>
         this.connections.requestConnections(demands, meanMilliseconds),
     });
-    this.writeSlots = WriteSlots.create({slots, timer});
+    this.writes = WriteAdmission.create({slots, timer});
     this.statements = StatementRunner.create({
       ...options,
       onSymptom: symptom => {
-        if (symptom === 'commitsStall') this.writeSlots.recordStall();
+        if (symptom === 'commitsStall') this.writes.recordStall();
         options.onSymptom(symptom);
       },
       probe: () => this.reachability.probe(),
@@ -166,26 +166,14 @@
 
   /** Logs what the queue did since the last call, if it did anything. */
   logLoad(): void {
-    const report = this.load.endPeriod();
-    if (report === undefined) return;
     const {target, slots, logger} = this.options;
-    const {started, ended, refused, opened} = report;
-    const roundTrip = report.meanRoundTripMilliseconds;
-    logger.info('load of a member', {
+    logMemberLoad(logger, this.load.endPeriod(), {
       member: target.name,
       database: target.database,
-      period: Math.round(report.periodMilliseconds),
-      started,
-      ended,
-      refused,
-      waiting: this.queue.waitingCount,
       slots,
       window: this.window.size,
+      waiting: this.queue.waitingCount,
       connections: this.connections.count,
-      opened,
-      meanWait: roundMilliseconds(report.meanWaitMilliseconds),
-      meanHeld: roundMilliseconds(report.meanHeldMilliseconds),
-      meanRoundTrip: roundTrip && roundMilliseconds(roundTrip),
     });
   }
 
@@ -215,11 +203,11 @@
     this.lastUsedAt = since;
     this.lastOrganisation = request.organisation;
     const {waitMilliseconds} = request;
-    if (!(await this.acquireWriteSlot(request, waitMilliseconds))) {
+    if (!(await this.writes.acquire(request, waitMilliseconds))) {
       return this.refuse(channel, 'commitsStall');
     }
     if (!this.reachability.isReachable) {
-      this.releaseWriteSlot(request);
+      this.writes.release(request);
       // A connection opened in the background detects recovery.
       this.requestRecovery();
       return this.refuse(channel, 'unreachable');
@@ -231,7 +219,7 @@
       inbox.abandoned,
     );
     if (admission.isLeft()) {
-      this.releaseWriteSlot(request);
+      this.writes.release(request);
       const reason = this.reachability.isReachable
         ? 'overloaded'
         : 'unreachable';
@@ -244,7 +232,7 @@
     // draining, while the work was queued.
     const laterObstacle = this.obstacleTo(request);
     if (laterObstacle !== undefined) {
-      this.releaseWriteSlot(request);
+      this.writes.release(request);
       this.queue.releaseSlot(0);
       this.connections.checkIn(connection);
       return this.refuse(channel, laterObstacle);
@@ -326,7 +314,7 @@
     const {timer} = this.options;
     const since = timer.now();
     const deadline = since + next.timeoutMilliseconds;
-    const hasWriteSlot = await this.acquireWriteSlot(
+    const hasWriteSlot = await this.writes.acquire(
       request,
       next.timeoutMilliseconds,
     );
@@ -334,7 +322,7 @@
       ? await this.queue.acquireTransactionSlot(deadline - timer.now(), request)
       : undefined;
     if (slot === undefined || slot.isLeft()) {
-      if (hasWriteSlot) this.releaseWriteSlot(request);
+      if (hasWriteSlot) this.writes.release(request);
       const reason = 'no slot became free within the statement timeout';
       this.sendLost(channel, {mayHaveRun: false, timedOut: true, reason});
       this.connections.discard(connection);
@@ -342,7 +330,7 @@
     }
     this.load.recordStart(timer.now() - since);
     if (!this.options.mayUse(request.primaryTerm)) {
-      this.releaseWriteSlot(request);
+      this.writes.release(request);
       this.queue.releaseSlot(0);
       const reason = 'this VM no longer holds the primary lease';
       this.sendLost(channel, {mayHaveRun: false, timedOut: false, reason});
@@ -361,7 +349,7 @@
     this.runningCount += 1;
     const outcome = await this.statements.run(connection, statement);
     this.runningCount -= 1;
-    this.releaseWriteSlot(request);
+    this.writes.release(request);
     const heldMilliseconds = timer.now() - startedAt;
     this.load.recordEnd(heldMilliseconds);
     outcome.ifRight(({end}) => this.updateWindow(end, heldMilliseconds));
@@ -381,7 +369,7 @@
     const answer = outcome.unsafeCoerce();
     this.options.onAnswer(answer);
     this.reportIfNotPrimary(request, answer);
-    this.recordConfirmation(request, answer);
+    this.writes.recordAnswer(request, answer);
     const isIdle = answer.state === 'idle';
     // The connection is returned before the answer is sent. Otherwise another
     // connection would be opened for queued work.
@@ -403,31 +391,6 @@
     this.queue.setSlots(this.window.size);
   }
 
-  /** Resolves to whether a statement that may write may take a slot. */
-  private async acquireWriteSlot(
-    request: WorkRequest,
-    waitMilliseconds: number,
-  ): Promise<boolean> {
-    if (!mayWrite(request)) return true;
-    return this.writeSlots.acquire(request.primaryTerm, waitMilliseconds);
-  }
-
-  /** Records what an answer says of whether replicas confirm commits. */
-  private recordConfirmation(
-    request: WorkRequest,
-    {end, state}: StatementAnswer,
-  ): void {
-    const isEnd = state === 'idle' && end.kind === 'complete';
-    if (!isEnd || !mayWrite(request)) return;
-    const {primaryTerm, first} = request;
-    if (first.opens === 'none') this.writeSlots.recordWrite(primaryTerm);
-    else this.writeSlots.recordTransactionEnd(primaryTerm);
-  }
-
-  private releaseWriteSlot(request: WorkRequest): void {
-    if (mayWrite(request)) this.writeSlots.release();
-  }
-
   private recordReplaced({organisation, openedAt}: WorkConnection): void {
     const {timer, logger, target, observer} = this.options;
     observer.onConnectionEvent('replaced');
@@ -482,13 +445,3 @@
     channel.send({kind: 'lost', ...loss});
   }
 }
-
-/** Rounds a duration to a tenth of a millisecond. */
-function roundMilliseconds(milliseconds: number): number {
-  return Math.round(milliseconds * 10) / 10;
-}
-
-/** Returns whether work may write, alone or in a transaction. */
-function mayWrite({primaryTerm, first}: WorkRequest): boolean {
-  return primaryTerm > 0 && !first.repeatable;
-}
