--- a/packages/work/src/statement_window.ts
+++ b/packages/work/src/statement_window.ts
@@ -3,9 +3,9 @@
 /** The weight of the newest duration in a moving average. */
 const MEAN_WEIGHT = 0.1;
 /**
- * The window in relation to the slots. Work that waits at the member is served
- * in the order of its arrival there, whatever its priority, so that only a
- * round trip of work may be under way in advance.
+ * The largest window, as a multiple of the slots. Work that waits at the member
+ * is served in the order of its arrival there, whatever its priority, so that
+ * only about a round trip of work may be sent in advance.
  */
 export const LARGEST_WINDOW_FACTOR = 2;
 /** For this long after the member refused a statement, no more than its slots. */
