Spread members over entry VMs so that none owns two while others own none

Callers' reads were refused although their members had room: the VM that worked on the member had no processor time.

Cause: the VM that works on a member was the first of the member's rendezvous hash, for each member by itself. With 18 members on 85 VMs some VMs get two, while more than sixty get none, and one VM's processor then limits two busy members.

Change: members are assigned in the order of their names, each to the first VM of its ranking with the fewest members. Connection limits, dispatch and the selection of lease holders use the one function.

--- a/packages/appointment/src/holder_selection.ts
+++ b/packages/appointment/src/holder_selection.ts
@@ -1,5 +1,11 @@
 import {PeerNetwork} from '@apricotlock/peer';
-import {Member, ownerRanking, VirtualMachine} from '@apricotlock/topology';
+import {
+  assignedOwner,
+  DatabaseGroup,
+  Member,
+  ownerRanking,
+  VirtualMachine,
+} from '@apricotlock/topology';
 import {PING} from '@apricotlock/work';
 
 /** The VMs that are asked for a sign of life before one becomes the holder. */
@@ -10,12 +16,16 @@
 
 /**
  * Returns the entry VMs that may become the lease holder of a primary, the
- * preferred one first: those in the primary's data centre, and then some others.
+ * preferred one first: its owner among all members, so that no VM works on two
+ * members while others work on none; then those in the primary's data centre, and
+ * then some others.
  */
 export function holderRanking(
   {name, dataCentre}: Member,
   machines: readonly VirtualMachine[],
+  groups: readonly DatabaseGroup[],
 ): readonly VirtualMachine[] {
+  const owner = assignedOwner(groups, machines, name);
   const preferred = ownerRanking(
     name,
     dataCentre,
@@ -27,7 +37,10 @@
       machine.dataCentre !== dataCentre && !preferred.includes(machine),
   );
   const others = ownerRanking(name, '', elsewhere, MAXIMUM_REMOTE_CANDIDATES);
-  return [...preferred, ...others];
+  const ranking = [...preferred, ...others];
+  return owner === undefined
+    ? ranking
+    : [owner, ...ranking.filter(machine => machine !== owner)];
 }
 
 /**
--- a/packages/appointment/src/primary_failover.ts
+++ b/packages/appointment/src/primary_failover.ts
@@ -323,8 +323,9 @@
       });
       return false;
     }
-    const {network, holderCandidates} = this.options;
-    const ranking = holderRanking(primary, holderCandidates());
+    const {network, holderCandidates, log} = this.options;
+    const {groups} = log.state.current.view;
+    const ranking = holderRanking(primary, holderCandidates(), groups);
     const selected = await selectLeaseHolder(ranking, network);
     const holder = selected?.name;
     if (holder === undefined) {
--- a/packages/dispatch/src/work_dispatcher.ts
+++ b/packages/dispatch/src/work_dispatcher.ts
@@ -2,6 +2,8 @@
 import {createChannelPair, PeerChannel, PeerNetwork} from '@apricotlock/peer';
 import {TimerService} from '@apricotlock/timer';
 import {
+  assignedOwner,
+  ClusterView,
   DatabaseGroup,
   findMember,
   ownerRanking,
@@ -30,6 +32,7 @@
 /** Dependencies of the work dispatcher. */
 export interface WorkDispatcherOptions {
   readonly self: string;
+  readonly view: Observable<ClusterView>;
   /** The VMs that work on members. */
   readonly machines: Observable<readonly VirtualMachine[]>;
   readonly network: PeerNetwork;
@@ -47,8 +50,8 @@
 /**
  * Dispatches work to the VM that works on a member. One VM works on each
  * member, so that few connections suffice: for a primary its lease holder, for
- * a replica the first responsive VM by rendezvous hash. VMs needn't agree on
- * which of them works on a replica.
+ * a replica its owner, or another VM while that does not respond. VMs needn't
+ * agree on which of them works on a replica.
  */
 export class WorkDispatcher {
   private readonly avoidUntil = new Map<string, number>();
@@ -116,14 +119,16 @@
 
   /**
    * Returns the VMs that may run reads on a member, the preferred one first: on
-   * a primary its lease holder, which has its connections; then those in the
-   * member's data centre, and if they are too few, others.
+   * a primary its lease holder, which has its connections; then its owner, others
+   * in the member's data centre, and if they are too few, any.
    */
   private candidatesFor(
     group: DatabaseGroup,
     member: string,
   ): readonly VirtualMachine[] {
+    const {view} = this.options;
     const machines = this.options.machines.current;
+    const owner = assignedOwner(view.current.groups, machines, member);
     const dataCentre = findMember(group, member)?.dataCentre ?? '';
     const [near, all] = [dataCentre, ''].map(place =>
       ownerRanking(member, place, machines, MAXIMUM_CANDIDATES),
@@ -132,7 +137,12 @@
       member === group.primary
         ? machines.filter(({name}) => name === group.holder)
         : [];
-    const ranking = new Set([...holder, ...(near ?? []), ...(all ?? [])]);
+    const ranking = new Set([
+      ...holder,
+      ...(owner === undefined ? [] : [owner]),
+      ...(near ?? []),
+      ...(all ?? []),
+    ]);
     return [...ranking].slice(0, MAXIMUM_CANDIDATES);
   }
 
--- a/packages/dispatch/test/work_dispatcher_test.ts
+++ b/packages/dispatch/test/work_dispatcher_test.ts
@@ -2,7 +2,12 @@
 import {Observable} from '@apricotlock/flow';
 import {PeerNetwork} from '@apricotlock/peer';
 import {ManualTimerService} from '@apricotlock/timer';
-import {DatabaseGroup, Member, VirtualMachine} from '@apricotlock/topology';
+import {
+  DatabaseGroup,
+  EMPTY_VIEW,
+  Member,
+  VirtualMachine,
+} from '@apricotlock/topology';
 import {WorkRequest, WorkService} from '@apricotlock/work';
 import {VirtualMachineHealth, WorkDispatcher} from '../src/index.js';
 
@@ -50,6 +55,7 @@
     };
     return WorkDispatcher.create({
       self,
+      view: Observable.of({...EMPTY_VIEW, groups: [group]}),
       machines,
       network: network as PeerNetwork,
       work: work as WorkService,
--- a/packages/topology/src/index.ts
+++ b/packages/topology/src/index.ts
@@ -47,6 +47,7 @@
 } from './organisation.js';
 export {validateOrganisations} from './organisation_edit.js';
 export {type CatalogueValidationError} from './catalogue_validation_error.js';
+export {assignedOwner} from './owner_assignment.js';
 export {ownerOf, ownerRanking, rendezvousWeight} from './rendezvous.js';
 export {
   type VirtualMachine,
--- a/packages/work/src/connection_limits.ts
+++ b/packages/work/src/connection_limits.ts
@@ -1,8 +1,8 @@
 import {
+  assignedOwner,
   ClusterView,
   DatabaseGroup,
   Member,
-  ownerOf,
   VirtualMachine,
 } from '@apricotlock/topology';
 
@@ -60,7 +60,7 @@
       ? {maximum: shareOf(LEASE_HOLDER_SHARE), warm: needed, byOrganisation}
       : {maximum: 1, warm: 0, byOrganisation};
   }
-  const owner = ownerOf(member.name, member.dataCentre, machines);
+  const owner = assignedOwner(view.groups, machines, member.name);
   return owner?.name === self
     ? {maximum: shareOf(REPLICA_OWNER_SHARE), warm: needed, byOrganisation}
     : {maximum: needed, warm: 0, byOrganisation};
