Log what the sessions of a stopping entry VM do when their connections end

A connection that ends while the VM stops and isn't idle is now logged with its activity, since when, and its last request; "drained" and the new line "exiting" count the sessions of each activity and the work for other VMs. No logic changed.

--- a/packages/dispatch/src/session_host.ts
+++ b/packages/dispatch/src/session_host.ts
@@ -7,7 +7,7 @@
 import {Authenticator} from './authenticator.js';
 import {SessionObserver} from './session_observer.js';
 import {StatementRouter} from './statement_router.js';
-import {StatementSession} from './statement_session.js';
+import {SessionActivity, StatementSession} from './statement_session.js';
 import {ViewFreshness} from './view_freshness.js';
 
 const DRAIN_POLL_MILLISECONDS = 20;
@@ -25,6 +25,9 @@
   readonly quota?: OperationQuota | undefined;
 }
 
+/** How many sessions there are of each activity. */
+export type SessionCounts = Readonly<Partial<Record<SessionActivity, number>>>;
+
 /** Runs the sessions of the callers of this VM. */
 export class SessionHost {
   private readonly sessions = new Set<StatementSession>();
@@ -53,6 +56,7 @@
       link,
     });
     this.sessions.add(session);
+    void link.ended.then(() => this.recordConnectionEnd(session));
     if (this.draining) void session.drain();
     try {
       await session.run();
@@ -96,6 +100,33 @@
     return this.busyCount;
   }
 
+  /** Returns how many sessions there are of each activity. */
+  countActivities(): SessionCounts {
+    const counts: Partial<Record<SessionActivity, number>> = {};
+    for (const session of this.sessions) {
+      const {activity} = session.snapshot();
+      counts[activity] = (counts[activity] ?? 0) + 1;
+    }
+    return counts;
+  }
+
+  /**
+   * Logs what the session was doing if its connection ends while this VM stops.
+   * Idle sessions are only counted, as a VM may have thousands.
+   */
+  private recordConnectionEnd(session: StatementSession): void {
+    if (!this.draining) return;
+    const {activity, forMilliseconds, ageMilliseconds, lastRequest} =
+      session.snapshot();
+    if (activity === 'idle' || activity === 'ended') return;
+    this.options.logger.warn('a connection ended while this VM stops', {
+      activity,
+      for: forMilliseconds,
+      age: ageMilliseconds,
+      request: lastRequest,
+    });
+  }
+
   private get busyCount(): number {
     return [...this.sessions].filter(({busy}) => busy).length;
   }
--- a/packages/dispatch/src/statement_session.ts
+++ b/packages/dispatch/src/statement_session.ts
@@ -53,13 +53,32 @@
   readonly quota?: OperationQuota | undefined;
 }
 
+/** What a session is doing; `idle` is between two requests. */
+export type SessionActivity =
+  'starting' | 'idle' | 'awaitingAnswer' | 'inTransaction' | 'ended';
+
+/** A session's activity, for the log. */
+export interface SessionSnapshot {
+  readonly activity: SessionActivity;
+  /** For how long it has been doing this, in milliseconds. */
+  readonly forMilliseconds: number;
+  /** The time since the caller connected, in milliseconds. */
+  readonly ageMilliseconds: number;
+  /** The identifier of the last request that was received. */
+  readonly lastRequest: string | undefined;
+}
+
 /** The session of one caller, from its first message to its last. */
 export class StatementSession {
   private caller: SessionCaller;
   private context = SessionContext.EMPTY;
   private transaction: SessionTransaction = NO_TRANSACTION;
   private ownWrite: OwnWrite | undefined;
+  private stage: 'starting' | 'started' | 'ended' = 'starting';
   private processing = false;
+  private lastRequest: string | undefined;
+  /** When the session last began or ended to do something. */
+  private activeSince: number;
   /** Whether an idle transaction was ended and the caller not yet informed. */
   private rolledBackWhileIdle = false;
   private draining = false;
@@ -71,6 +90,7 @@
 
   private constructor(private readonly options: StatementSessionOptions) {
     this.begunAt = options.timer.now();
+    this.activeSince = this.begunAt;
     this.catalogue = CatalogueLookup.of(options.view, options.timer);
     this.recorder = RequestRecorder.create(options);
     const {authenticator} = options;
@@ -87,8 +107,33 @@
     return this.processing || this.transaction.kind !== 'none';
   }
 
+  /** Returns what the session is doing now. */
+  snapshot(): SessionSnapshot {
+    const now = this.options.timer.now();
+    return {
+      activity: this.activity,
+      forMilliseconds: Math.round(now - this.activeSince),
+      ageMilliseconds: Math.round(now - this.begunAt),
+      lastRequest: this.lastRequest,
+    };
+  }
+
+  private get activity(): SessionActivity {
+    if (this.stage !== 'started') return this.stage;
+    if (this.processing) return 'awaitingAnswer';
+    return this.transaction.kind === 'none' ? 'idle' : 'inTransaction';
+  }
+
   /** Serves the caller until it disconnects. */
   async run(): Promise<void> {
+    try {
+      await this.serve();
+    } finally {
+      this.stage = 'ended';
+    }
+  }
+
+  private async serve(): Promise<void> {
     const {link, timer} = this.options;
     const start = await withTimeout(
       timer,
@@ -115,6 +160,8 @@
       return link.reject(refusal);
     }
     link.accept();
+    this.stage = 'started';
+    this.activeSince = timer.now();
     try {
       await this.serveRequests();
     } finally {
@@ -141,8 +188,10 @@
     for (;;) {
       const request = await this.nextRequest();
       if (request === undefined) return;
-      this.processing = true;
       const receivedAt = this.options.timer.now();
+      this.processing = true;
+      this.lastRequest = request.id;
+      this.activeSince = receivedAt;
       const answer = await this.processRequest(request, receivedAt);
       this.recorder.recordAnswer(request, answer, receivedAt, {
         database: this.caller.database,
@@ -151,6 +200,7 @@
       });
       this.options.link.answer(answer);
       this.processing = false;
+      this.activeSince = this.options.timer.now();
       if (isUnauthenticated(answer)) return;
       if (this.draining && !this.busy) return;
     }
--- a/packages/peer/src/web_socket_peer_network.ts
+++ b/packages/peer/src/web_socket_peer_network.ts
@@ -136,12 +136,18 @@
   ): Promise<number> {
     const {timer} = this.options;
     const deadline = timer.now() + timeoutMilliseconds;
-    const getActiveCount = () =>
-      this.activeConversations.get(conversation.name) ?? 0;
-    while (getActiveCount() > 0 && timer.now() < deadline) {
+    const getCount = () => this.countConversations(conversation);
+    while (getCount() > 0 && timer.now() < deadline) {
       await timer.sleep(CONVERSATION_POLL_INTERVAL_MILLISECONDS);
     }
-    return getActiveCount();
+    return getCount();
+  }
+
+  /** Returns how many conversations of this type are being handled. */
+  countConversations<Opening, ClientMessage, ServerMessage>({
+    name,
+  }: PeerConversation<Opening, ClientMessage, ServerMessage>): number {
+    return this.activeConversations.get(name) ?? 0;
   }
 
   override closeIdleLink(to: Address): void {
--- a/packages/program/src/entry_program.ts
+++ b/packages/program/src/entry_program.ts
@@ -158,9 +158,17 @@
       RUN_WORK,
       remainingMilliseconds(),
     );
-    logger.info('drained', {interruptedSessions, interruptedWork});
+    logger.info('drained', {
+      interruptedSessions,
+      interruptedWork,
+      ...this.host.countActivities(),
+    });
     await membership.leave();
     this.work.stop();
+    logger.info('exiting', {
+      ...this.host.countActivities(),
+      work: network.countConversations(RUN_WORK),
+    });
   }
 
   private async listen(
