Begin nothing for callers after a stopping VM has looked for the last time

Cause: whether anything was under way was looked at once, but what could begin was not closed. The listener for callers stayed open to the exit, so that a session that came with its first request after "drained", or while others were waited for, was served and cut; a stream of such callers kept the VM from ever becoming idle. A session that was still starting, or had a request read but not received, counted as idle; closing it didn't keep it from passing on what had been read.

Change: the listener is closed before the drain. A session is busy while its caller is identified and while a read request waits, is ended in the same step in which it was found idle, and receives nothing after that; a caller that has sent no request is refused as not run instead. The exit waits until callers have closed their connections (at most 300 ms, longer for unsent answers), as unread bytes turn the close into a reset that discards answers.

--- a/packages/dispatch/src/session_host.ts
+++ b/packages/dispatch/src/session_host.ts
@@ -6,11 +6,18 @@
 import {ClusterView} from '@apricotlock/topology';
 import {Authenticator} from './authenticator.js';
 import {SessionObserver} from './session_observer.js';
+import {SessionActivity} from './session_progress.js';
 import {StatementRouter} from './statement_router.js';
-import {SessionActivity, StatementSession} from './statement_session.js';
+import {StatementSession} from './statement_session.js';
 import {ViewFreshness} from './view_freshness.js';
 
 const DRAIN_POLL_MILLISECONDS = 20;
+/**
+ * How long callers have to close connections that this VM has closed. A caller
+ * that has sent more in the meantime could otherwise lose its last answer to a
+ * reset of the connection.
+ */
+const LINGER_MILLISECONDS = 300;
 
 /** Dependencies of the session host. */
 export interface SessionHostOptions {
@@ -31,6 +38,8 @@
 /** Runs the sessions of the callers of this VM. */
 export class SessionHost {
   private readonly sessions = new Set<StatementSession>();
+  /** Connections that have not ended; their sessions may have. */
+  private readonly connections = new Set<CallerConnection>();
   private draining = false;
   private readonly authenticator: Authenticator;
 
@@ -56,7 +65,11 @@
       link,
     });
     this.sessions.add(session);
-    void link.ended.then(() => this.recordConnectionEnd(session));
+    this.connections.add(link);
+    void link.ended.then(() => {
+      this.connections.delete(link);
+      this.recordConnectionEnd(session);
+    });
     if (this.draining) void session.drain();
     try {
       await session.run();
@@ -88,6 +101,7 @@
   /**
    * Ends idle sessions, and the others as they become idle. Resolves to the
    * number of busy sessions once there are none or the time limit has passed.
+   * No connection may be served after the call, except those served already.
    */
   async drain(milliseconds: number): Promise<number> {
     const {timer} = this.options;
@@ -97,7 +111,29 @@
     while (this.busyCount > 0 && timer.now() < deadline) {
       await timer.sleep(DRAIN_POLL_MILLISECONDS);
     }
-    return this.busyCount;
+    const interrupted = this.busyCount;
+    await this.waitForConnectionsToEnd(deadline);
+    return interrupted;
+  }
+
+  /**
+   * Waits until callers have closed the connections that this VM has closed,
+   * for a short time; until `deadline` if answers are still unsent.
+   */
+  private async waitForConnectionsToEnd(deadline: number): Promise<void> {
+    const {timer} = this.options;
+    const lingersUntil = timer.now() + LINGER_MILLISECONDS;
+    while (this.connections.size > 0) {
+      const limit = this.hasUnsentAnswers
+        ? Math.max(lingersUntil, deadline)
+        : lingersUntil;
+      if (timer.now() >= limit) return;
+      await timer.sleep(DRAIN_POLL_MILLISECONDS);
+    }
+  }
+
+  private get hasUnsentAnswers(): boolean {
+    return [...this.connections].some(({hasUnsentAnswer}) => hasUnsentAnswer);
   }
 
   /** Returns how many sessions there are of each activity. */
--- a/packages/dispatch/src/statement_session.ts
+++ b/packages/dispatch/src/statement_session.ts
@@ -26,6 +26,7 @@
 import {OwnWrite, RoutedStatement} from './routed_statement.js';
 import {SessionCaller} from './session_caller.js';
 import {SessionObserver} from './session_observer.js';
+import {SessionProgress, SessionSnapshot} from './session_progress.js';
 import {
   NO_TRANSACTION,
   opensFor,
@@ -38,6 +39,12 @@
 /** Time for a caller to send its start-up message after it has connected. */
 const START_UP_TIMEOUT_MILLISECONDS = 5_000;
 
+const STOPPING: CallerFailure = {
+  kind: 'notRun',
+  reason: 'this VM does not accept new sessions',
+  retryAfterMilliseconds: 0,
+};
+
 const NOT_STARTED: SessionStart = {database: '', credential: undefined};
 
 /** Dependencies of a session. */
@@ -53,44 +60,22 @@
   readonly quota?: OperationQuota | undefined;
 }
 
-/** What a session is doing; `idle` is between two requests. */
-export type SessionActivity =
-  'starting' | 'idle' | 'awaitingAnswer' | 'inTransaction' | 'ended';
-
-/** A session's activity, for the log. */
-export interface SessionSnapshot {
-  readonly activity: SessionActivity;
-  /** For how long it has been doing this, in milliseconds. */
-  readonly forMilliseconds: number;
-  /** The time since the caller connected, in milliseconds. */
-  readonly ageMilliseconds: number;
-  /** The identifier of the last request that was received. */
-  readonly lastRequest: string | undefined;
-}
-
 /** The session of one caller, from its first message to its last. */
 export class StatementSession {
   private caller: SessionCaller;
   private context = SessionContext.EMPTY;
   private transaction: SessionTransaction = NO_TRANSACTION;
   private ownWrite: OwnWrite | undefined;
-  private stage: 'starting' | 'started' | 'ended' = 'starting';
-  private processing = false;
-  private lastRequest: string | undefined;
-  /** When the session last began or ended to do something. */
-  private activeSince: number;
   /** Whether an idle transaction was ended and the caller not yet informed. */
   private rolledBackWhileIdle = false;
   private draining = false;
 
-  /** When the caller connected, on the timer's clock. */
-  readonly begunAt: number;
+  private readonly progress: SessionProgress;
   private readonly catalogue: CatalogueLookup;
   private readonly recorder: RequestRecorder;
 
   private constructor(private readonly options: StatementSessionOptions) {
-    this.begunAt = options.timer.now();
-    this.activeSince = this.begunAt;
+    this.progress = SessionProgress.create(options.timer);
     this.catalogue = CatalogueLookup.of(options.view, options.timer);
     this.recorder = RequestRecorder.create(options);
     const {authenticator} = options;
@@ -102,26 +87,27 @@
     return new StatementSession(options);
   }
 
-  /** Whether a request is being processed or a transaction is open. */
+  /**
+   * Whether a request was read and not answered, a transaction is open, or the
+   * caller awaits the confirmation of its start.
+   */
   get busy(): boolean {
-    return this.processing || this.transaction.kind !== 'none';
+    return (
+      this.progress.processing ||
+      this.progress.identifying ||
+      this.transaction.kind !== 'none' ||
+      this.options.link.hasPendingRequest
+    );
   }
 
-  /** Returns what the session is doing now. */
-  snapshot(): SessionSnapshot {
-    const now = this.options.timer.now();
-    return {
-      activity: this.activity,
-      forMilliseconds: Math.round(now - this.activeSince),
-      ageMilliseconds: Math.round(now - this.begunAt),
-      lastRequest: this.lastRequest,
-    };
+  /** When the caller connected, on the timer's clock. */
+  get begunAt(): number {
+    return this.progress.begunAt;
   }
 
-  private get activity(): SessionActivity {
-    if (this.stage !== 'started') return this.stage;
-    if (this.processing) return 'awaitingAnswer';
-    return this.transaction.kind === 'none' ? 'idle' : 'inTransaction';
+  /** Returns what the session is doing now, for the log. */
+  snapshot(): SessionSnapshot {
+    return this.progress.snapshot(this.transaction.kind !== 'none');
   }
 
   /** Serves the caller until it disconnects. */
@@ -129,7 +115,7 @@
     try {
       await this.serve();
     } finally {
-      this.stage = 'ended';
+      this.progress.end();
     }
   }
 
@@ -142,6 +128,7 @@
     );
     // Silent connections would use up the file descriptors of this VM.
     if (start === undefined || start === TIMED_OUT) return link.close();
+    this.progress.beginIdentification();
     const {database} = start;
     await this.catalogue.waitForCatalogue();
     if (this.catalogue.lacksDatabase(database)) {
@@ -159,9 +146,12 @@
       this.recorder.recordRefusedStart(database, refusal.kind);
       return link.reject(refusal);
     }
+    if (this.draining) {
+      await link.readArrived();
+      if (!link.hasPendingRequest) return link.reject(STOPPING);
+    }
     link.accept();
-    this.stage = 'started';
-    this.activeSince = timer.now();
+    this.progress.confirmStart();
     try {
       await this.serveRequests();
     } finally {
@@ -175,6 +165,7 @@
    * Ends the session as soon as no request or transaction is in progress.
    * Resolves once it has ended, or is known to be busy. A request that has
    * arrived but was not read yet, because this VM is slow, is answered first.
+   * No request is received after the session was found not to be busy.
    */
   async drain(): Promise<void> {
     const {link} = this.options;
@@ -189,9 +180,7 @@
       const request = await this.nextRequest();
       if (request === undefined) return;
       const receivedAt = this.options.timer.now();
-      this.processing = true;
-      this.lastRequest = request.id;
-      this.activeSince = receivedAt;
+      this.progress.beginRequest(request.id);
       const answer = await this.processRequest(request, receivedAt);
       this.recorder.recordAnswer(request, answer, receivedAt, {
         database: this.caller.database,
@@ -199,8 +188,7 @@
         organisation: this.caller.organisation?.name,
       });
       this.options.link.answer(answer);
-      this.processing = false;
-      this.activeSince = this.options.timer.now();
+      this.progress.endRequest();
       if (isUnauthenticated(answer)) return;
       if (this.draining && !this.busy) return;
     }
--- a/packages/dispatch/test/statement_session_test.ts
+++ b/packages/dispatch/test/statement_session_test.ts
@@ -22,8 +22,13 @@
 class SilentConnection extends CallerConnection {
   private readonly closing = Deferred.create<void>();
   override readonly ended = this.closing.promise;
+  override readonly hasUnsentAnswer = false;
   closed = false;
 
+  override get hasPendingRequest(): boolean {
+    return false;
+  }
+
   override async start(): Promise<SessionStart | undefined> {
     await this.ended;
     return undefined;
@@ -60,6 +65,11 @@
   readonly answers: CallerAnswer[] = [];
   private readonly arrived = Deferred.create<CallerRequest | undefined>();
   private received = false;
+  private pending = false;
+
+  override get hasPendingRequest(): boolean {
+    return this.pending;
+  }
 
   override async start(): Promise<SessionStart | undefined> {
     return {database: 'writes', credential: undefined};
@@ -72,10 +82,13 @@
   override async receive(): Promise<CallerRequest | undefined> {
     if (this.received) return this.ended.then(() => undefined);
     this.received = true;
-    return this.arrived.promise;
+    const request = await this.arrived.promise;
+    this.pending = false;
+    return request;
   }
 
   override async readArrived(): Promise<void> {
+    this.pending = !this.received;
     this.arrived.resolve({
       id: 'q1',
       statement: Right({kind: 'setValue', name: 'zone', value: 'akl'}),
--- a/packages/dispatch/test/support/session_bench.ts
+++ b/packages/dispatch/test/support/session_bench.ts
@@ -69,6 +69,7 @@
   rejection: CallerFailure | undefined;
   private readonly closing = Deferred.create<void>();
   override readonly ended = this.closing.promise;
+  override hasUnsentAnswer = false;
   private readonly requests: CallerRequest[] = [];
   private arrived = Deferred.create<void>();
 
@@ -76,6 +77,10 @@
     super();
   }
 
+  override get hasPendingRequest(): boolean {
+    return !this.closed && this.requests.length > 0;
+  }
+
   send(statement: Statement): void {
     const id = `q${this.answers.length + 1}`;
     this.requests.push({id, statement: Right(statement)});
@@ -99,7 +104,7 @@
       this.arrived = Deferred.create<void>();
       await this.arrived.promise;
     }
-    return this.requests.shift();
+    return this.closed ? undefined : this.requests.shift();
   }
 
   override answer(answer: CallerAnswer): void {
@@ -219,6 +224,8 @@
   readonly quota = new FakeQuota();
   /** The exceptions with which sessions ended. */
   readonly crashes: unknown[] = [];
+  /** The sessions, in the order in which they were started. */
+  readonly sessions: StatementSession[] = [];
   readonly observer = new RecordingObserver();
   private readonly authenticator: Authenticator;
 
@@ -237,6 +244,13 @@
     credential: string | undefined,
     database = KEYED,
   ): Promise<ScriptedConnection> {
+    const link = this.begin(credential, database);
+    await this.pass(20);
+    return link;
+  }
+
+  /** Begins a session, of which nothing has happened yet. */
+  begin(credential: string | undefined, database = KEYED): ScriptedConnection {
     const link = new ScriptedConnection({database, credential});
     const {view, timer, observer, authenticator, logger, quota} = this;
     const router = this.router as unknown as StatementRouter;
@@ -244,8 +258,8 @@
       ...{link, view, timer, observer, authenticator, logger, quota},
       router,
     });
+    this.sessions.push(session);
     void session.run().catch(failure => this.crashes.push(failure));
-    await this.pass(20);
     return link;
   }
 
--- a/packages/program/src/entry_program.ts
+++ b/packages/program/src/entry_program.ts
@@ -64,6 +64,7 @@
  */
 export class EntryProgram implements RunningProgram {
   private draining = false;
+  private callerServer: Server | undefined;
 
   private constructor(
     private readonly context: ProgramContext,
@@ -139,8 +140,8 @@
 
   /**
    * Drains this VM and ends its services: announces it as draining, waits for
-   * the balancer to stop sending callers, and lets sessions and the work of
-   * other VMs end. Requests are interrupted only if they exceed the grace
+   * the balancer to stop sending callers, stops accepting them, and lets
+   * sessions and the work of other VMs end. Requests are interrupted only if they exceed the grace
    * period.
    */
   async stop(): Promise<void> {
@@ -149,6 +150,9 @@
     this.draining = true;
     membership.announce('draining');
     await timer.sleep(BALANCER_DELAY_MILLISECONDS);
+    // The balancer falls back to VMs that aren't ready where too few are, so
+    // that callers may come until the listener is closed.
+    this.callerServer?.close();
     const drainMilliseconds =
       settings.graceMilliseconds - SHUTDOWN_RESERVE_MILLISECONDS;
     const remainingMilliseconds = () =>
@@ -182,7 +186,7 @@
         'settings of an entry VM lack the address for callers or readiness',
       );
     }
-    await listenForCallers(callerAddress, socket => {
+    this.callerServer = await listenForCallers(callerAddress, socket => {
       void this.host.serve(platform.createCallerConnection(socket));
     });
     await HttpListener.start({
--- a/packages/statement/src/caller_connection.ts
+++ b/packages/statement/src/caller_connection.ts
@@ -66,6 +66,12 @@
   /** Resolves once the connection has ended. */
   abstract readonly ended: Promise<void>;
 
+  /** Whether a request has been read that was not received yet. */
+  abstract get hasPendingRequest(): boolean;
+
+  /** Whether an answer has not been handed to the operating system yet. */
+  abstract get hasUnsentAnswer(): boolean;
+
   /**
    * Waits for the start of the session. Resolves to what the caller names, or
    * `undefined` if it names no database.
@@ -90,6 +96,9 @@
    */
   abstract readArrived(): Promise<void>;
 
-  /** Closes the connection after all answers have been sent. */
+  /**
+   * Closes the connection after all answers have been sent. Requests that were
+   * not received by then are discarded, as they could not be answered.
+   */
   abstract close(): void;
 }
