Answer what is under way when the grace period of a stopping VM ends

Callers saw connections end without an answer while a statement of their open transaction ran on a member: 3 in 1 of 1 run of stop_test with transactions that go on until one of their statements fails.

Cause: 5.3 s after SIGTERM the process went on to its end whatever was under way, and a session that was still identifying its caller could begin a request then.

Change: a statement begins only if its time limit ends before the process does, or in the first half of the grace period, which open transactions may use. Later ones are refused as rolled back or not run, and the connection is closed after that answer. What is under way at the end of the limits, and was begun within the promised time, is answered as of unknown outcome, its session ended and its connection flushed.

--- a/packages/dispatch/src/caller_failure.ts
+++ b/packages/dispatch/src/caller_failure.ts
@@ -1,4 +1,4 @@
-import {CallerFailure} from '@apricotlock/statement';
+import {CallerAnswer, CallerFailure} from '@apricotlock/statement';
 import {RouteOutcome} from './attempt.js';
 import {WorkResult} from './work_handle.js';
 
@@ -22,3 +22,8 @@
   if (!committing || !mayHaveRun) return {kind: 'rolledBack', reason};
   return {kind: result.timedOut ? 'timeout' : 'unknown', reason};
 }
+
+/** Returns whether an answer says that the caller's key is not valid. */
+export function isUnauthenticated(answer: CallerAnswer): boolean {
+  return answer.kind === 'failure' && answer.failure.kind === 'unauthenticated';
+}
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -53,6 +53,7 @@
 export {retryPause, type FailedAttempts} from './retry_pause.js';
 export {type OwnWrite, type RoutedStatement} from './routed_statement.js';
 export {SessionContext, type ForwardedStatement} from './session_context.js';
+export {type DrainLimits} from './session_drain.js';
 export {SessionHost, type SessionHostOptions} from './session_host.js';
 export {SessionObserver, type RoutingEvent} from './session_observer.js';
 export {
--- a/packages/dispatch/src/session_host.ts
+++ b/packages/dispatch/src/session_host.ts
@@ -5,6 +5,7 @@
 import {TimerService} from '@apricotlock/timer';
 import {ClusterView} from '@apricotlock/topology';
 import {Authenticator} from './authenticator.js';
+import {DrainLimits} from './session_drain.js';
 import {SessionObserver} from './session_observer.js';
 import {SessionActivity} from './session_progress.js';
 import {StatementRouter} from './statement_router.js';
@@ -40,7 +41,7 @@
   private readonly sessions = new Set<StatementSession>();
   /** Connections that have not ended; their sessions may have. */
   private readonly connections = new Set<CallerConnection>();
-  private draining = false;
+  private limits: DrainLimits | undefined;
   private readonly authenticator: Authenticator;
 
   private constructor(private readonly options: SessionHostOptions) {
@@ -70,7 +71,7 @@
       this.connections.delete(link);
       this.recordConnectionEnd(session);
     });
-    if (this.draining) void session.drain();
+    if (this.limits !== undefined) void session.drain(this.limits);
     try {
       await session.run();
     } catch (failure) {
@@ -99,20 +100,20 @@
   }
 
   /**
-   * Ends idle sessions, and the others as they become idle. Resolves to the
-   * number of busy sessions once there are none or the time limit has passed.
-   * No connection may be served after the call, except those served already.
+   * Ends idle sessions, and the others as they become idle or at the end of the
+   * limits. Resolves to the number of sessions that were busy then. No
+   * connection may be served after the call, except those served already.
    */
-  async drain(milliseconds: number): Promise<number> {
+  async drain(limits: DrainLimits): Promise<number> {
     const {timer} = this.options;
-    this.draining = true;
-    const deadline = timer.now() + milliseconds;
-    await Promise.all([...this.sessions].map(session => session.drain()));
-    while (this.busyCount > 0 && timer.now() < deadline) {
+    this.limits = limits;
+    await Promise.all([...this.sessions].map(session => session.drain(limits)));
+    while (this.busyCount > 0 && timer.now() < limits.endsAt) {
       await timer.sleep(DRAIN_POLL_MILLISECONDS);
     }
     const interrupted = this.busyCount;
-    await this.waitForConnectionsToEnd(deadline);
+    for (const session of this.sessions) session.abandon();
+    await this.waitForConnectionsToEnd(limits.endsAt);
     return interrupted;
   }
 
@@ -151,7 +152,7 @@
    * Idle sessions are only counted, as a VM may have thousands.
    */
   private recordConnectionEnd(session: StatementSession): void {
-    if (!this.draining) return;
+    if (this.limits === undefined) return;
     const {activity, forMilliseconds, ageMilliseconds, lastRequest} =
       session.snapshot();
     if (activity === 'idle' || activity === 'ended') return;
--- a/packages/dispatch/src/session_transaction.ts
+++ b/packages/dispatch/src/session_transaction.ts
@@ -36,6 +36,13 @@
 /** No transaction is open. */
 export const NO_TRANSACTION: SessionTransaction = {kind: 'none'};
 
+/** Returns whether a transaction has been opened on a member. */
+export function isStarted(
+  transaction: SessionTransaction,
+): transaction is StartedTransaction {
+  return transaction.kind === 'open' || transaction.kind === 'failed';
+}
+
 /** Returns which transaction the first statement on a member opens there. */
 export function opensFor(transaction: UnstartedTransaction): TransactionStart {
   if (transaction.kind === 'none') return 'none';
--- a/packages/dispatch/src/statement_session.ts
+++ b/packages/dispatch/src/statement_session.ts
@@ -13,10 +13,14 @@
   StatementAnswer,
 } from '@apricotlock/statement';
 import {TimerService} from '@apricotlock/timer';
-import {ClusterView, Consistency, ServiceTerms} from '@apricotlock/topology';
+import {ClusterView, ServiceTerms} from '@apricotlock/topology';
 import {RouteOutcome} from './attempt.js';
 import {Authenticator} from './authenticator.js';
-import {toCallerFailure, toTransactionFailure} from './caller_failure.js';
+import {
+  isUnauthenticated,
+  toCallerFailure,
+  toTransactionFailure,
+} from './caller_failure.js';
 import {ForwardedStatement, SessionContext} from './session_context.js';
 import {StatementRouter} from './statement_router.js';
 import {CatalogueLookup, DEFAULT_TERMS} from './catalogue_lookup.js';
@@ -25,9 +29,17 @@
 import {RequestRecorder} from './request_recorder.js';
 import {OwnWrite, RoutedStatement} from './routed_statement.js';
 import {SessionCaller} from './session_caller.js';
+import {
+  ABANDONED_AT_STOP,
+  DrainLimits,
+  failureAtStop,
+  NOT_BEGUN_AT_STOP,
+  SessionDrain,
+} from './session_drain.js';
 import {SessionObserver} from './session_observer.js';
 import {SessionProgress, SessionSnapshot} from './session_progress.js';
 import {
+  isStarted,
   NO_TRANSACTION,
   opensFor,
   SessionTransaction,
@@ -39,12 +51,6 @@
 /** Time for a caller to send its start-up message after it has connected. */
 const START_UP_TIMEOUT_MILLISECONDS = 5_000;
 
-const STOPPING: CallerFailure = {
-  kind: 'notRun',
-  reason: 'this VM does not accept new sessions',
-  retryAfterMilliseconds: 0,
-};
-
 const NOT_STARTED: SessionStart = {database: '', credential: undefined};
 
 /** Dependencies of a session. */
@@ -68,7 +74,9 @@
   private ownWrite: OwnWrite | undefined;
   /** Whether an idle transaction was ended and the caller not yet informed. */
   private rolledBackWhileIdle = false;
-  private draining = false;
+  private readonly ending = SessionDrain.create();
+  /** Whether the request in progress was answered without its outcome. */
+  private abandoned = false;
 
   private readonly progress: SessionProgress;
   private readonly catalogue: CatalogueLookup;
@@ -146,9 +154,9 @@
       this.recorder.recordRefusedStart(database, refusal.kind);
       return link.reject(refusal);
     }
-    if (this.draining) {
+    if (this.ending.draining) {
       await link.readArrived();
-      if (!link.hasPendingRequest) return link.reject(STOPPING);
+      if (!link.hasPendingRequest) return link.reject(NOT_BEGUN_AT_STOP);
     }
     link.accept();
     this.progress.confirmStart();
@@ -165,16 +173,31 @@
    * Ends the session as soon as no request or transaction is in progress.
    * Resolves once it has ended, or is known to be busy. A request that has
    * arrived but was not read yet, because this VM is slow, is answered first.
-   * No request is received after the session was found not to be busy.
+   * No request is received after the session was found not to be busy, and none
+   * is begun that could take longer than the limits.
    */
-  async drain(): Promise<void> {
+  async drain(limits?: DrainLimits): Promise<void> {
     const {link} = this.options;
-    this.draining = true;
+    this.ending.begin(limits);
     if (this.busy) return;
     await link.readArrived();
     if (!this.busy) link.close();
   }
 
+  /**
+   * Ends the session at once. A request in progress is answered as of unknown
+   * outcome, and an open transaction is rolled back.
+   */
+  abandon(): void {
+    const {link} = this.options;
+    if (this.progress.processing) {
+      this.abandoned = true;
+      link.answer(this.fail(ABANDONED_AT_STOP));
+    }
+    this.endTransaction();
+    link.close();
+  }
+
   private async serveRequests(): Promise<void> {
     for (;;) {
       const request = await this.nextRequest();
@@ -182,15 +205,16 @@
       const receivedAt = this.options.timer.now();
       this.progress.beginRequest(request.id);
       const answer = await this.processRequest(request, receivedAt);
+      if (this.abandoned) return;
       this.recorder.recordAnswer(request, answer, receivedAt, {
         database: this.caller.database,
-        consistency: this.consistency,
+        consistency: this.terms.consistency,
         organisation: this.caller.organisation?.name,
       });
       this.options.link.answer(answer);
       this.progress.endRequest();
       if (isUnauthenticated(answer)) return;
-      if (this.draining && !this.busy) return;
+      if (this.ending.draining && !this.busy) return;
     }
   }
 
@@ -213,9 +237,7 @@
 
   private idleLimitMilliseconds(): number | undefined {
     const {transaction} = this;
-    if (transaction.kind !== 'open' && transaction.kind !== 'failed') {
-      return undefined;
-    }
+    if (!isStarted(transaction)) return undefined;
     return transaction.terms.idleTransactionMilliseconds;
   }
 
@@ -230,6 +252,10 @@
         reason: 'the transaction exceeded its idle time limit',
       });
     }
+    const {statementMilliseconds} = this.terms;
+    if (!this.ending.permits(receivedAt, statementMilliseconds)) {
+      return this.refuseAtStop();
+    }
     const refusal = await this.checkCaller();
     if (refusal !== undefined) return this.fail(refusal);
     if (statement.isLeft()) {
@@ -278,7 +304,7 @@
     this.context = context;
     if (transaction.kind === 'none') this.endTransaction();
     this.transaction = transaction;
-    return this.done();
+    return {kind: 'done', state: this.state};
   }
 
   private forwardToMember(
@@ -287,7 +313,7 @@
     receivedAt: number,
   ): Promise<CallerAnswer> {
     const {transaction} = this;
-    return transaction.kind === 'open' || transaction.kind === 'failed'
+    return isStarted(transaction)
       ? this.continueTransaction(id, statement, transaction, receivedAt)
       : this.routeStatement(id, statement, transaction, receivedAt);
   }
@@ -409,15 +435,11 @@
 
   private endTransaction(): void {
     const {transaction} = this;
-    if (transaction.kind === 'open' || transaction.kind === 'failed') {
-      transaction.handle.end();
-    }
+    if (isStarted(transaction)) transaction.handle.end();
   }
 
-  private get consistency(): Consistency {
-    const terms =
-      this.catalogue.entryOf(this.caller.database)?.terms ?? DEFAULT_TERMS;
-    return terms.consistency;
+  private get terms(): ServiceTerms {
+    return this.catalogue.entryOf(this.caller.database)?.terms ?? DEFAULT_TERMS;
   }
 
   private get state(): SessionState {
@@ -431,15 +453,15 @@
     }
   }
 
-  private done(): CallerAnswer {
-    return {kind: 'done', state: this.state};
+  /** Refuses a request that could take longer than this VM has to stop. */
+  private refuseAtStop(): CallerAnswer {
+    const {transaction} = this;
+    this.endTransaction();
+    this.transaction = NO_TRANSACTION;
+    return this.fail(failureAtStop(transaction));
   }
 
   private fail(failure: CallerFailure): CallerAnswer {
     return {kind: 'failure', failure, state: this.state, position: undefined};
   }
 }
-
-function isUnauthenticated(answer: CallerAnswer): boolean {
-  return answer.kind === 'failure' && answer.failure.kind === 'unauthenticated';
-}
--- a/packages/dispatch/test/session_drain_test.ts
+++ b/packages/dispatch/test/session_drain_test.ts
@@ -1,11 +1,17 @@
 import {expect} from 'chai';
+import {Statement} from '@apricotlock/statement';
 import {
+  BEGIN,
   organisation,
   READ,
   SessionBench,
   viewOf,
 } from './support/session_bench.js';
 
+const TRANSACTION_MILLISECONDS = 3_000;
+const DRAIN_MILLISECONDS = 5_000;
+/** The time limit of statements in the catalogue of the session bench. */
+const STATEMENT_MILLISECONDS = 800;
 const KEY = 'an example key';
 
 /** Begins a session whose caller is identified only after some time. */
@@ -66,4 +72,47 @@
       expect(link.closed).to.equal(true);
     });
   });
+
+  // Guards against statements that are under way when the process ends.
+  describe('near the end of its grace period', () => {
+    /** A session in the state that the end of the limits finds it in. */
+    async function beginDrain(statements: readonly Statement[]) {
+      const bench = new SessionBench([organisation('one', KEY)]);
+      const link = await bench.start(KEY);
+      for (const statement of statements) await bench.ask(link, statement);
+      const now = bench.timer.now();
+      const [session] = bench.sessions;
+      if (session === undefined) throw new Error('no session was begun');
+      void session.drain({
+        transactionsUntil: now + TRANSACTION_MILLISECONDS,
+        endsAt: now + DRAIN_MILLISECONDS,
+      });
+      return {bench, link, session};
+    }
+
+    it('begins each statement of a transaction for as long as was promised', async () => {
+      const {bench, link} = await beginDrain([BEGIN, READ]);
+      await bench.pass(TRANSACTION_MILLISECONDS - 100);
+      expect(await bench.ask(link)).to.equal('member');
+      expect(link.closed).to.equal(false);
+    });
+
+    it('rolls back a transaction whose next statement could take too long', async () => {
+      const {bench, link} = await beginDrain([BEGIN, READ]);
+      await bench.pass(DRAIN_MILLISECONDS - STATEMENT_MILLISECONDS);
+      expect(await bench.ask(link)).to.equal('rolledBack');
+      expect(bench.router.continued).to.equal(0);
+      expect(bench.router.endedTransactions).to.equal(1);
+      expect(link.closed).to.equal(true);
+    });
+
+    it('answers what is in progress at the end as of unknown outcome', async () => {
+      const {bench, link, session} = await beginDrain([BEGIN]);
+      bench.router.silent = true;
+      expect(await bench.ask(link)).to.equal('none');
+      session.abandon();
+      expect(link.answers.at(-1)).to.deep.include({kind: 'failure'});
+      expect(link.closed).to.equal(true);
+    });
+  });
 });
--- a/packages/dispatch/test/support/session_bench.ts
+++ b/packages/dispatch/test/support/session_bench.ts
@@ -129,9 +129,12 @@
   continued = 0;
   endedTransactions = 0;
   refusal: RouteOutcome | undefined;
+  /** Whether members never answer. */
+  silent = false;
 
   async route(statement: RoutedStatement): Promise<RouteOutcome> {
     this.statements.push(statement);
+    if (this.silent) await new Promise(() => undefined);
     if (this.refusal !== undefined) return this.refusal;
     const opened = statement.opens !== 'none';
     const handle = {
--- a/packages/program/src/entry_program.ts
+++ b/packages/program/src/entry_program.ts
@@ -3,6 +3,7 @@
 import {
   Connectivity,
   ContactAges,
+  DrainLimits,
   IsolationDetector,
   PeerContact,
   PeerContactOptions,
@@ -141,8 +142,7 @@
   /**
    * Drains this VM and ends its services: announces it as draining, waits for
    * the balancer to stop sending callers, stops accepting them, and lets
-   * sessions and the work of other VMs end. Requests are interrupted only if they exceed the grace
-   * period.
+
    */
   async stop(): Promise<void> {
     const {timer, membership, settings, network, logger} = this.context;
@@ -153,14 +153,11 @@
     // The balancer falls back to VMs that aren't ready where too few are, so
     // that callers may come until the listener is closed.
     this.callerServer?.close();
-    const drainMilliseconds =
-      settings.graceMilliseconds - SHUTDOWN_RESERVE_MILLISECONDS;
-    const remainingMilliseconds = () =>
-      Math.max(0, drainMilliseconds - (timer.now() - startedAt));
-    const interruptedSessions = await this.host.drain(remainingMilliseconds());
+    const limits = drainLimits(startedAt, settings);
+    const interruptedSessions = await this.host.drain(limits);
     const interruptedWork = await network.waitUntilIdle(
       RUN_WORK,
-      remainingMilliseconds(),
+      Math.max(0, limits.endsAt - timer.now()),
     );
     logger.info('drained', {
       interruptedSessions,
@@ -251,6 +248,17 @@
   }
 }
 
+/** Returns the times of the sessions of a VM that began to stop at a time. */
+function drainLimits(
+  startedAt: number,
+  {graceMilliseconds}: ProgramSettings,
+): DrainLimits {
+  return {
+    transactionsUntil: startedAt + graceMilliseconds / 2,
+    endsAt: startedAt + graceMilliseconds - SHUTDOWN_RESERVE_MILLISECONDS,
+  };
+}
+
 /** Starts to detect whether this VM is isolated. */
 function startIsolationDetector(
   shared: Omit<PeerContactOptions, 'ages'>,
