Refuse work of other VMs once a stopping VM has looked for the last time

Suspected from the code; no run of real processes has shown it.

The number of conversations was looked at once, but new ones were accepted until the exit.

Change: before that look, the VM refuses work that has not begun, as not run and with a reason of its own, upon which the other VM avoids it. Its workers are closed before it leaves the membership, so that those who wait for work that outlasts the grace period are told that it is lost.

--- a/packages/dispatch/src/member_attempts.ts
+++ b/packages/dispatch/src/member_attempts.ts
@@ -277,6 +277,9 @@
         organisation,
       );
       this.estimates.recordRefusal(member, retryAfterMilliseconds);
+    } else if (reason === 'stopping') {
+      // Another VM can reach the member, of which this says nothing.
+      this.options.dispatcher.recordUnreachable(handle.machine, member);
     } else if (reason === 'unreachable') {
       this.options.dispatcher.recordUnreachable(handle.machine, member);
       this.estimates.recordFailure(member);
--- a/packages/program/src/entry_program.ts
+++ b/packages/program/src/entry_program.ts
@@ -155,6 +155,7 @@
     this.callerServer?.close();
     const limits = drainLimits(startedAt, settings);
     const interruptedSessions = await this.host.drain(limits);
+    this.work.refuseNewWork();
     const interruptedWork = await network.waitUntilIdle(
       RUN_WORK,
       Math.max(0, limits.endsAt - timer.now()),
@@ -164,8 +165,8 @@
       interruptedWork,
       ...this.host.countActivities(),
     });
-    await membership.leave();
     this.work.stop();
+    await membership.leave();
     logger.info('exiting', {
       ...this.host.countActivities(),
       work: network.countConversations(RUN_WORK),
--- a/packages/work/src/work_messages.ts
+++ b/packages/work/src/work_messages.ts
@@ -63,7 +63,9 @@
   /** No replica confirms the commits of the primary, which limits writes. */
   | 'commitsStall'
   /** The member is removed or unknown to this VM. */
-  | 'unknownMember';
+  | 'unknownMember'
+  /** This VM is about to end, so that other VMs have to do the work. */
+  | 'stopping';
 
 /** A refusal, with the time after which to retry. */
 export interface WorkRefusal {
--- a/packages/work/src/work_service.ts
+++ b/packages/work/src/work_service.ts
@@ -33,6 +33,7 @@
   CURRENT_POSITION,
   PING,
   RUN_WORK,
+  WorkRefusal,
   WorkServerMessage,
   WorkRequest,
   WorkClientMessage,
@@ -82,6 +83,7 @@
 export class WorkService {
   private readonly workers = new Map<string, MemberWorker>();
   private readonly heldPrimaries = new Map<string, HeldPrimary>();
+  private stopping = false;
   private readonly leases: PrimaryLeases;
   private readonly renewer: LeaseRenewer;
   private readonly draining: DrainingMembers;
@@ -128,8 +130,20 @@
     return service;
   }
 
-  /** Stops lease renewal and closes all workers; work in progress is lost. */
+  /**
+   * Refuses work that has not begun from now on, so that no work begins after it
+   * was seen that none is in progress. Transactions in progress continue.
+   */
+  refuseNewWork(): void {
+    this.stopping = true;
+  }
+
+  /**
+   * Stops lease renewal and closes all workers. Those who wait for work in
+   * progress are told that it is lost.
+   */
   stop(): void {
+    this.refuseNewWork();
     this.renewer.stop();
     for (const worker of this.workers.values()) worker.close();
   }
@@ -144,20 +158,30 @@
     request: WorkRequest,
     channel: PeerChannel<WorkServerMessage, WorkClientMessage>,
   ): Promise<void> {
+    if (this.stopping) {
+      return this.refuse(channel, {
+        reason: 'stopping',
+        retryAfterMilliseconds: 0,
+      });
+    }
     const worker = this.findOrCreateWorker(request.database, request.member);
     if (worker === undefined) {
-      const retryAfterMilliseconds = UNKNOWN_MEMBER_RETRY_MILLISECONDS;
-      const refusal = {
+      return this.refuse(channel, {
         reason: 'unknownMember',
-        retryAfterMilliseconds,
-      } as const;
-      this.options.observer.onRefusal(refusal.reason);
-      channel.send({kind: 'refused', refusal});
-      return;
+        retryAfterMilliseconds: UNKNOWN_MEMBER_RETRY_MILLISECONDS,
+      });
     }
     await worker.serve(request, channel);
   }
 
+  private refuse(
+    channel: PeerChannel<WorkServerMessage, WorkClientMessage>,
+    refusal: WorkRefusal,
+  ): void {
+    this.options.observer.onRefusal(refusal.reason);
+    channel.send({kind: 'refused', refusal});
+  }
+
   /**
    * Returns a log position that includes all writes acknowledged by the group
    * so far. Returns `undefined` if this VM does not hold the lease of the term
--- a/packages/work/test/work_service_test.ts
+++ b/packages/work/test/work_service_test.ts
@@ -165,4 +165,40 @@
       expect((await channel.receive())?.kind).to.equal('answer');
     });
   });
+
+  // Guards against work that begins after a VM that stops has looked whether
+  // any is in progress, and is cut by the end of the process.
+  describe('of a VM that stops', () => {
+    it('refuses new work, which other VMs can do', async () => {
+      const fixture = new Fixture();
+      fixture.service.refuseNewWork();
+      const channel = fixture.start(READ_REQUEST);
+      await fixture.settle();
+      expect(fixture.answers).to.have.length(0);
+      expect(refusalIn(await channel.receive())).to.equal('stopping');
+    });
+
+    it('continues the work in progress', async () => {
+      const fixture = new Fixture();
+      const opens = 'readOnlyTransaction' as const;
+      const channel = fixture.start({...READ_REQUEST, first: {...READ, opens}});
+      await fixture.settle();
+      fixture.service.refuseNewWork();
+      fixture.answers[0]?.resolve(complete('transaction'));
+      expect((await channel.receive())?.kind).to.equal('answer');
+      channel.send({...READ, requestId: 'r2'});
+      await fixture.settle();
+      fixture.answers[1]?.resolve(complete());
+      expect((await channel.receive())?.kind).to.equal('answer');
+    });
+
+    it('tells those who wait at the end that their work is lost', async () => {
+      const fixture = new Fixture();
+      const channel = fixture.start(READ_REQUEST);
+      await fixture.settle();
+      fixture.service.stop();
+      await fixture.settle();
+      expect((await channel.receive())?.kind).to.equal('lost');
+    });
+  });
 });
