--- a/packages/dispatch/src/session_drain.ts
+++ b/packages/dispatch/src/session_drain.ts
@@ -4,7 +4,7 @@
 /** The failure of a request that a VM that stops does not begin. */
 export const NOT_BEGUN_AT_STOP: CallerFailure = {
   kind: 'notRun',
-  reason: 'this VM stops',
+  reason: 'this VM begins no more requests',
   retryAfterMilliseconds: 0,
 };
 
