Schedule the steps of a stop within the grace period, however short

With a grace period of 3 s or less, callers would see their requests cut by SIGKILL: the VM waited 2.3 s for the balancer, and kept 700 ms in reserve, whatever the period was, so that no time was left to drain.

The times are now in one function without input and output: callers are accepted for at most half of the period, and the reserve is at most a quarter of it. With 6 s nothing changes.

--- a/packages/program/src/entry_program.ts
+++ b/packages/program/src/entry_program.ts
@@ -3,7 +3,6 @@
 import {
   Connectivity,
   ContactAges,
-  DrainLimits,
   IsolationDetector,
   PeerContact,
   PeerContactOptions,
@@ -27,20 +26,11 @@
 import {ProgramSettings} from './program_settings.js';
 import {RunningProgram} from './run_program.js';
 import {SessionMetrics} from './session_metrics.js';
+import {scheduleStop} from './stop_schedule.js';
 
 const LISTEN_BACKLOG = 1_024;
 const MILLISECONDS_PER_SECOND = 1_000;
 const MAXIMUM_PROBE_BODY_BYTES = 64 << 10;
-/**
- * The load balancer may still send callers for this long after the readiness
- * probe has begun to fail.
- */
-const BALANCER_DELAY_MILLISECONDS = 2_300;
-/**
- * The part of the grace period that draining may not use: it is reserved for
- * the handover to other VMs and for ending the process.
- */
-const SHUTDOWN_RESERVE_MILLISECONDS = 700;
 const IDLE_CHECK_INTERVAL_MILLISECONDS = 100;
 /** Short, so that an isolated VM soon detects that its view is outdated. */
 const VIEW_FETCH_INTERVAL_MILLISECONDS = 300;
@@ -142,23 +132,25 @@
   /**
    * Drains this VM and ends its services: announces it as draining, waits for
    * the balancer to stop sending callers, stops accepting them, and lets
-
+   * sessions and the work of other VMs end. Each step first closes what could
+   * begin, then waits for what is in progress, so that nothing is in progress
+   * when the process ends, unless it exceeds the grace period.
    */
   async stop(): Promise<void> {
     const {timer, membership, settings, network, logger} = this.context;
-    const startedAt = timer.now();
+    const schedule = scheduleStop(timer.now(), settings.graceMilliseconds);
+    const remainingUntil = (time: number) => Math.max(0, time - timer.now());
     this.draining = true;
     membership.announce('draining');
-    await timer.sleep(BALANCER_DELAY_MILLISECONDS);
+    await timer.sleep(remainingUntil(schedule.acceptsCallersUntil));
     // The balancer falls back to VMs that aren't ready where too few are, so
     // that callers may come until the listener is closed.
     this.callerServer?.close();
-    const limits = drainLimits(startedAt, settings);
-    const interruptedSessions = await this.host.drain(limits);
+    const interruptedSessions = await this.host.drain(schedule);
     this.work.refuseNewWork();
     const interruptedWork = await network.waitUntilIdle(
       RUN_WORK,
-      Math.max(0, limits.endsAt - timer.now()),
+      remainingUntil(schedule.endsAt),
     );
     logger.info('drained', {
       interruptedSessions,
@@ -249,17 +241,6 @@
   }
 }
 
-/** Returns the times of the sessions of a VM that began to stop at a time. */
-function drainLimits(
-  startedAt: number,
-  {graceMilliseconds}: ProgramSettings,
-): DrainLimits {
-  return {
-    transactionsUntil: startedAt + graceMilliseconds / 2,
-    endsAt: startedAt + graceMilliseconds - SHUTDOWN_RESERVE_MILLISECONDS,
-  };
-}
-
 /** Starts to detect whether this VM is isolated. */
 function startIsolationDetector(
   shared: Omit<PeerContactOptions, 'ages'>,
