Answer the calls under way when a control VM stops

Operators and members whose calls a stopping control VM had read lost their connection without a response: the HTTP listener stayed open until the exit of the process, and nothing looked at the calls under way.

The listener now makes each response the last one of its connection from the signal on. After the handover of the leadership and 300 ms it is closed, and the VM leaves the membership once all calls have a response. Calls without one 700 ms before the end of the grace period get 503, counted in `drained`.

--- a/packages/program/src/control_program.ts
+++ b/packages/program/src/control_program.ts
@@ -40,8 +40,16 @@
  */
 const ELECTION_MINIMUM_MILLISECONDS = SHORTEST_ELECTION_MILLISECONDS;
 const ELECTION_MAXIMUM_MILLISECONDS = 450;
-/** Time for calls in progress to end before this VM leaves the membership. */
+/**
+ * Time for callers to learn with an answer that they have to call another VM,
+ * and for the new control leader to become known here.
+ */
 const LEAVE_DELAY_MILLISECONDS = 300;
+/**
+ * The part of the grace period that calls may not use: it is reserved for
+ * leaving the membership and for ending the process.
+ */
+const SHUTDOWN_RESERVE_MILLISECONDS = 700;
 const VIEW_FETCH_INTERVAL_MILLISECONDS = 300;
 /**
  * A view that was confirmed within this time needs no fetch. Heartbeats of the
@@ -74,6 +82,7 @@
   private constructor(
     private readonly context: ProgramContext,
     private readonly log: ReplicatedControlLog,
+    private readonly listener: HttpListener,
   ) {}
 
   /**
@@ -105,7 +114,7 @@
         'settings of a control VM lack the address for members and operators',
       );
     }
-    await HttpListener.start({
+    const listener = await HttpListener.start({
       address: settings.controlAddress,
       maximumBodyBytes: MAXIMUM_DOCUMENT_BYTES,
       handler: platform.createApiHandler(control, context),
@@ -113,7 +122,7 @@
     });
     const gauges = createGauges(log, timer);
     await startMetricsListener(context, () => renderGauges(gauges));
-    return new ControlProgram(context, log);
+    return new ControlProgram(context, log, listener);
   }
 
   applySettings({seeds}: ProgramSettings): void {
@@ -122,13 +131,19 @@
 
   /**
    * Announces that this VM is draining, hands control leadership over if this
-   * VM has it, and leaves the membership.
+   * VM has it, answers the calls that are under way, and leaves the membership.
+   * The calls are answered through the new leader, so the handover comes first.
    */
   async stop(): Promise<void> {
-    const {membership, timer} = this.context;
+    const {membership, timer, settings, logger} = this.context;
+    const endsAt =
+      timer.now() + settings.graceMilliseconds - SHUTDOWN_RESERVE_MILLISECONDS;
     membership.announce('draining');
+    this.listener.announceClose();
     await this.log.stop();
     await timer.sleep(LEAVE_DELAY_MILLISECONDS);
+    const refusedCalls = await this.listener.close(timer, endsAt - timer.now());
+    logger.info('drained', {refusedCalls});
     await membership.leave();
   }
 }
