Let no PostgreSQL caller in after a stopping VM has looked for sessions

What callers saw: one that was still authenticating when the drain began was let in, and its session was cut by the exit.

Cause: `CallerListener.drain` counted only sessions and ended as soon as there was none. The check of `draining` came before the authentication and was not repeated after it.

Change: a caller that has authenticated after the drain began is refused with 57P03 instead of ReadyForQuery. The drain counts connecting callers and cancel requests too, without a gap to the session that follows, and closes those that are still connecting after half a second, so that a silent one doesn't hold it up.

--- a/packages/proxy/src/caller_listener.ts
+++ b/packages/proxy/src/caller_listener.ts
@@ -34,8 +34,9 @@
 /** Interval at which `drain` checks which sessions have ended. */
 const DRAIN_POLL_INTERVAL_MILLISECONDS = 20;
 /**
- * Time that idle sessions get at shutdown to send one more request, after which
- * they are closed without one.
+ * Time that idle sessions get at shutdown to send one more request, and callers
+ * to authenticate. After it, idle sessions are closed without a request, and
+ * callers that are still connecting without an answer.
  */
 const IDLE_SESSION_GRACE_MILLISECONDS = 500;
 const SHUTTING_DOWN = errorResponse({
@@ -74,7 +75,8 @@
   /** Open sessions by process id. */
   private readonly sessions = new Map<number, OpenSession>();
   private readonly cleaner: IdempotencyCleaner;
-  private connectingCount = 0;
+  /** Callers that have no session yet, and cancel requests in progress. */
+  private readonly connecting = new Set<Socket>();
   private draining = false;
 
   private constructor(
@@ -125,8 +127,9 @@
   /**
    * Stops accepting callers and ends the sessions. Most sessions end with their
    * next answer, because a session that is closed while idle may have a request
-   * in transit. Returns the number of sessions still open at the timeout, which
-   * are closed forcibly.
+   * in transit. Callers that are still connecting are refused once they have
+   * authenticated, so that no session begins. Returns the number of sessions
+   * still open at the timeout, which are closed forcibly.
    */
   async drain(timeoutMilliseconds: number): Promise<number> {
     this.draining = true;
@@ -139,7 +142,7 @@
       timeoutMilliseconds,
     );
     for (const {session} of this.sessions.values()) session.endWhenIdle();
-    while (this.sessions.size > 0 && timer.now() < deadline) {
+    while (this.callerCount > 0 && timer.now() < deadline) {
       if (timer.now() - startedAt >= idleGraceMilliseconds) this.endIdle();
       await timer.sleep(DRAIN_POLL_INTERVAL_MILLISECONDS);
     }
@@ -148,7 +151,12 @@
     return destroyedCount;
   }
 
+  private get callerCount(): number {
+    return this.sessions.size + this.connecting.size;
+  }
+
   private endIdle(): void {
+    for (const socket of this.connecting) socket.destroy();
     for (const {session, socket} of this.sessions.values()) {
       session.endWhenIdle();
       if (session.idle) socket.end(SHUTTING_DOWN);
@@ -168,16 +176,22 @@
     socket.on('error', () => socket.destroy());
     const processId = this.options.cancelRouter.allocateProcessId();
     const secret = randomInt(SECRET_LIMIT);
+    this.connecting.add(socket);
+    socket.once('close', () => this.connecting.delete(socket));
     const accepted = await this.accept(socket, processId, secret);
     if (accepted.isLeft()) {
       const error = accepted.extract() as AcceptError;
       if (error.kind === 'cancelRequest') {
         await this.options.cancelRouter.cancel(error.request);
       }
+      this.connecting.delete(socket);
       socket.end();
       return;
     }
-    await this.serveCaller(accepted.unsafeCoerce(), processId, secret);
+    const served = this.serveCaller(accepted.unsafeCoerce(), processId, secret);
+    // The session is counted by now, so that a drain always counts the caller.
+    this.connecting.delete(socket);
+    await served;
   }
 
   private async accept(
@@ -189,7 +203,6 @@
       START_UP_TIMEOUT_MILLISECONDS,
       () => socket.destroy(),
     );
-    this.connectingCount += 1;
     const accepted = await acceptCaller(socket, {
       maximumMessageBytes: MAXIMUM_MESSAGE_BYTES,
       serverVersion: SERVER_VERSION,
@@ -199,7 +212,6 @@
       authenticate: parameters => this.authenticate(parameters),
       authorize: parameters => this.authorize(parameters),
     });
-    this.connectingCount -= 1;
     cancelTimeout();
     return accepted;
   }
@@ -227,6 +239,7 @@
       observer,
     });
     this.sessions.set(processId, {session, socket: stream.socket, secret});
+    if (this.draining) session.endWhenIdle();
     try {
       await session.run();
     } finally {
@@ -242,7 +255,7 @@
     parameters: StartUpParameters,
   ): Either<AcceptError, CallerAuthentication> {
     if (this.draining) return Left({kind: 'draining'});
-    if (this.sessions.size + this.connectingCount > MAXIMUM_SESSIONS) {
+    if (this.callerCount > MAXIMUM_SESSIONS) {
       return Left({kind: 'tooManySessions'});
     }
     return this.authenticator.authenticate(parameters);
@@ -251,6 +264,7 @@
   private authorize(
     parameters: StartUpParameters,
   ): Either<AcceptError, unknown> {
+    if (this.draining) return Left({kind: 'draining'});
     const {user} = parameters;
     const database = parameters['database'] ?? user;
     return this.authenticator
--- /dev/null
+++ b/packages/proxy/test/caller_listener_test.ts
@@ -0,0 +1,154 @@
+import {expect} from 'chai';
+import {connect, Socket} from 'node:net';
+import {Client} from 'pg';
+import {serialize} from 'pg-protocol';
+import {LeaseOwnerMessage} from '@apricotlock/backend';
+import {Deferred, Observable} from '@apricotlock/flow';
+import {Logger} from '@apricotlock/logging';
+import {SilentPeerNetwork} from '@apricotlock/peer';
+import {testPort} from '@apricotlock/testing';
+import {SystemTimerService} from '@apricotlock/timer';
+import {ClusterView} from '@apricotlock/topology';
+import {
+  commandComplete,
+  createScramVerifier,
+  readyForQuery,
+  TransactionStatus,
+} from '@apricotlock/wire';
+import {CallerListener} from '../src/caller_listener.js';
+import {CancelRouter} from '../src/cancel_router.js';
+import {Router} from '../src/router.js';
+import {
+  ENTRY,
+  FakeLeaseClient,
+  FakeOwner,
+  finished,
+  VIEW,
+} from './fake_lease_client.js';
+
+const FIRST_PORT = 4_300;
+const PASSWORD = 'an example password';
+const DRAIN_MILLISECONDS = 2_000;
+/** More than idle sessions and connecting callers get at shutdown. */
+const AFTER_GRACE_MILLISECONDS = 800;
+
+/** Returns a complete answer. */
+function answered(status: TransactionStatus = 'idle'): LeaseOwnerMessage {
+  const parts = [commandComplete('SELECT 1'), readyForQuery(status)];
+  return finished(Buffer.concat(parts), {status});
+}
+
+describe('CallerListener', () => {
+  const timer = SystemTimerService.create();
+  const host = '127.0.0.1';
+  const sockets: Socket[] = [];
+  let port = testPort(FIRST_PORT);
+
+  afterEach(() => {
+    for (const socket of sockets.splice(0)) socket.destroy();
+    port += 1;
+  });
+
+  async function start(owner: FakeOwner, password?: string) {
+    const leaseClient = new FakeLeaseClient(owner);
+    const verifier =
+      password === undefined ? undefined : await createScramVerifier(password);
+    const entry = {...ENTRY, verifier};
+    const catalogue = {version: 1, entries: [entry]};
+    const view = Observable.of<ClusterView>({...VIEW, catalogue});
+    const listener = await CallerListener.start({
+      self: 'vm',
+      listen: {host, port},
+      view,
+      router: Router.create('palermo', view, leaseClient, timer),
+      timer,
+      logger: Logger.silent(),
+      observer: {
+        now: () => timer.now(),
+        onServed: () => undefined,
+        onFailure: () => undefined,
+      },
+      secureContext: undefined,
+      cancelRouter: CancelRouter.start({
+        self: 'vm',
+        machines: Observable.of([]),
+        network: new SilentPeerNetwork(),
+      }),
+    });
+    return {listener, leaseClient};
+  }
+
+  function createClient(password?: () => Promise<string>): Client {
+    const {name: user, database} = ENTRY;
+    const client = new Client({host, port, user, database, password});
+    client.on('error', () => undefined);
+    return client;
+  }
+
+  /** Returns the SQLSTATE of a failure, `undefined` without one. */
+  function codeOf(work: Promise<unknown>): Promise<string | undefined> {
+    return work.then(
+      () => undefined,
+      (failure: {code?: string}) => failure.code ?? String(failure),
+    );
+  }
+
+  describe('drain', () => {
+    it('lets no caller in that authenticates after it has begun', async () => {
+      // Guards against: a session that begins after the drain found none.
+      const {listener} = await start(() => [answered()], PASSWORD);
+      const asked = Deferred.create<void>();
+      const password = Deferred.create<string>();
+      const client = createClient(() => {
+        asked.resolve();
+        return password.promise;
+      });
+      const code = codeOf(client.connect());
+      await asked.promise;
+      const drained = listener.drain(DRAIN_MILLISECONDS);
+      password.resolve(PASSWORD);
+      expect(await drained).to.equal(0);
+      expect(await code).to.equal('57P03');
+    });
+
+    it('does not wait for callers that send nothing', async () => {
+      // Guards against: a silent connection that holds up the drain.
+      const {listener} = await start(() => [answered()]);
+      const socket = connect(port, host);
+      sockets.push(socket);
+      const closed = new Promise(resolve => socket.once('close', resolve));
+      socket.resume();
+      await new Promise(resolve => socket.once('connect', resolve));
+      await timer.sleep(20);
+      const startedAt = timer.now();
+      expect(await listener.drain(DRAIN_MILLISECONDS)).to.equal(0);
+      expect(timer.now() - startedAt).to.be.lessThan(AFTER_GRACE_MILLISECONDS);
+      await closed;
+    });
+
+    it('waits for the request that a caller sends with its start', async () => {
+      // Guards against: an exit while a caller that was let in has no session.
+      const {listener, leaseClient} = await start(async () => {
+        await timer.sleep(100);
+        return [answered()];
+      });
+      const socket = connect(port, host);
+      sockets.push(socket);
+      const received: Buffer[] = [];
+      const closed = new Promise(resolve => socket.once('close', resolve));
+      socket.on('data', (bytes: Buffer) => received.push(bytes));
+      const {name: user, database} = ENTRY;
+      const startUp = serialize.startup({user, database}) as Buffer;
+      const query = serialize.query('SELECT 1') as Buffer;
+      socket.write(Buffer.concat([startUp, query]));
+      // The drain begins in the turn in which the caller was let in.
+      await new Promise(resolve => socket.once('data', resolve));
+      await listener.drain(DRAIN_MILLISECONDS);
+      await closed;
+      const text = Buffer.concat(received).toString('latin1');
+      const wasRun = leaseClient.requests.length > 0;
+      expect(text.includes('SELECT 1')).to.equal(wasRun);
+      expect(wasRun || /C57P0[13]/.test(text)).to.equal(true);
+    });
+  });
+});
