Run nothing for a PostgreSQL session that a stopping VM has ended

What callers saw: a request that reached the VM just after its idle session had been ended with 57P01 was passed on and run, and its answer was dropped, though the documentation says that it has not run. A caller that had sent a part of a request, or several at once, was ended in between.

Cause: `endIdle` half-closed the socket, and the session went on reading from it and running what it read. A session counted as idle while it had parts of a request or further whole requests in its buffers, and bytes that the kernel had were not looked for.

Change: a session isn't idle while anything of a request is buffered. Before the drain ends idle sessions it lets the event loop read what has arrived, and a session that has ended reads nothing more: later bytes are discarded, so that they don't turn the end of the connection into a reset either.

--- a/packages/proxy/src/batch_collector.ts
+++ b/packages/proxy/src/batch_collector.ts
@@ -32,6 +32,11 @@
     return new BatchCollector();
   }
 
+  /** Whether a batch has begun and is not complete. */
+  get collecting(): boolean {
+    return this.frames.length > 0;
+  }
+
   /** Adds the next message. */
   push(frame: Frame): CollectedStep {
     switch (frame.type) {
--- a/packages/proxy/src/caller_listener.ts
+++ b/packages/proxy/src/caller_listener.ts
@@ -143,7 +143,9 @@
     );
     for (const {session} of this.sessions.values()) session.endWhenIdle();
     while (this.callerCount > 0 && timer.now() < deadline) {
-      if (timer.now() - startedAt >= idleGraceMilliseconds) this.endIdle();
+      if (timer.now() - startedAt >= idleGraceMilliseconds) {
+        await this.endIdle();
+      }
       await timer.sleep(DRAIN_POLL_INTERVAL_MILLISECONDS);
     }
     const destroyedCount = this.sessions.size;
@@ -155,12 +157,12 @@
     return this.sessions.size + this.connecting.size;
   }
 
-  private endIdle(): void {
+  private async endIdle(): Promise<void> {
     for (const socket of this.connecting) socket.destroy();
-    for (const {session, socket} of this.sessions.values()) {
-      session.endWhenIdle();
-      if (session.idle) socket.end(SHUTTING_DOWN);
-    }
+    // All sockets with data are read between two of these callbacks.
+    await nextLoopTurn();
+    await nextLoopTurn();
+    for (const {session} of this.sessions.values()) session.endIfIdle();
   }
 
   /** Cancels the statement of a session; returns `false` if there is none. */
@@ -272,3 +274,7 @@
       .chain(() => readStartUpSettings(parameters, database));
   }
 }
+
+function nextLoopTurn(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
--- a/packages/proxy/src/caller_session.ts
+++ b/packages/proxy/src/caller_session.ts
@@ -18,8 +18,9 @@
   withoutReady,
   withParameterStatus,
 } from './answer.js';
-import {BatchCollector, CollectedStep} from './batch_collector.js';
+import {CollectedStep} from './batch_collector.js';
 import {failureFromBatchError, planBatch} from './batch_plan.js';
+import {CallerInput} from './caller_input.js';
 import {IdempotencyCleaner} from './idempotency_cleaner.js';
 import {beginKeyed, KeyedOutcome, KeyedRequest} from './keyed_request.js';
 import {ConnectionLease, RunRequest, RunResult} from './connection_lease.js';
@@ -79,7 +80,7 @@
   /** The connection lease on which a batch is running. */
   private runningLease: ConnectionLease | undefined;
   private readonly reader: BatchReader;
-  private readonly collector = BatchCollector.create();
+  private readonly input: CallerInput;
   private answering = false;
   private endRequested = false;
   private callerDisconnected = false;
@@ -91,6 +92,7 @@
   private constructor(private readonly options: CallerSessionOptions) {
     this.reader = BatchReader.create(options.classifier);
     this.settings = options.settings;
+    this.input = CallerInput.create(options.caller);
     options.caller.stream.socket.once('close', () => this.handleDisconnect());
   }
 
@@ -99,9 +101,12 @@
     return new CallerSession(options);
   }
 
-  /** Whether no batch is running and no transaction is open. */
+  /**
+   * Whether no batch is running or has arrived, not even in part, and no
+   * transaction is open.
+   */
   get idle(): boolean {
-    return !this.answering && this.status === 'idle';
+    return !this.answering && this.status === 'idle' && !this.input.pending;
   }
 
   /** Ends the session after the next answer that leaves it idle. */
@@ -109,6 +114,11 @@
     this.endRequested = true;
   }
 
+  /** Ends an idle session. What arrives from now on is not run. */
+  endIfIdle(): void {
+    if (this.idle) this.input.end();
+  }
+
   /** Cancels the running statement, if there is one. */
   cancel(): void {
     this.runningLease?.cancel();
@@ -118,35 +128,22 @@
   async run(): Promise<void> {
     try {
       for (;;) {
-        const frame = await this.nextFrame();
-        if (frame === undefined) return;
-        const step = this.collector.push(frame);
-        if (step.kind === 'incomplete') continue;
+        const next = await this.input.next();
+        if (next.isLeft()) {
+          return this.rejectStream('a message is too long or malformed');
+        }
+        const step = next.unsafeCoerce();
+        if (step === undefined) return;
         if (!(await this.handleStep(step))) return;
         if (this.endRequested && this.idle) return;
       }
     } finally {
+      this.input.end();
       this.lease?.release();
       this.keyedRequest?.release();
     }
   }
 
-  private async nextFrame(): Promise<Frame | undefined> {
-    const {stream, splitter} = this.options.caller;
-    for (;;) {
-      const next = splitter.takeFrame();
-      if (next.isLeft()) {
-        this.rejectStream('a message is too long or malformed');
-        return undefined;
-      }
-      const frame = next.extract() as Frame | undefined;
-      if (frame !== undefined) return frame;
-      const chunk = await stream.read();
-      if (chunk === undefined) return undefined;
-      splitter.push(chunk);
-    }
-  }
-
   private async handleStep(step: CollectedStep): Promise<boolean> {
     switch (step.kind) {
       case 'batch':
@@ -219,7 +216,7 @@
    */
   private async answerFlush(frames: readonly Frame[]): Promise<Buffer> {
     if (executes(frames)) {
-      this.collector.skipToSync();
+      this.input.skipToSync();
       const failure: Failure = {
         kind: 'notPossible',
         code: SqlState.FEATURE_NOT_SUPPORTED,
@@ -228,7 +225,7 @@
       return withoutReady(this.fail(failure));
     }
     const answer = await this.answerBatch([...frames, SYNC_FRAME]);
-    if (hasAnyError(answer)) this.collector.skipToSync();
+    if (hasAnyError(answer)) this.input.skipToSync();
     this.deliveredMessages = countMessages(frames);
     return withoutReady(answer);
   }
--- a/packages/proxy/test/caller_listener_test.ts
+++ b/packages/proxy/test/caller_listener_test.ts
@@ -150,5 +150,68 @@
       expect(text.includes('SELECT 1')).to.equal(wasRun);
       expect(wasRun || /C57P0[13]/.test(text)).to.equal(true);
     });
+
+    it('passes on nothing that arrives after an idle session ended', async () => {
+      // Guards against: a request that runs and whose caller was told to leave.
+      const {listener, leaseClient} = await start(() => [answered()]);
+      const socket = connect({host, port, allowHalfOpen: true});
+      sockets.push(socket);
+      const text = () => Buffer.concat(received).toString('latin1');
+      const received: Buffer[] = [];
+      socket.on('data', (bytes: Buffer) => {
+        received.push(bytes);
+        if (bytes.includes('C57P01')) socket.write(query);
+      });
+      const {name: user, database} = ENTRY;
+      const query = serialize.query('UPDATE t SET a = 1') as Buffer;
+      socket.write(serialize.startup({user, database}) as Buffer);
+      await timer.sleep(100);
+      await listener.drain(DRAIN_MILLISECONDS);
+      await timer.sleep(100);
+      expect(text()).to.include('C57P01');
+      expect(leaseClient.requests).to.have.length(0);
+    });
+
+    it('answers a request of which a part arrived in time', async () => {
+      // Guards against: an idle session ended in the middle of a request.
+      const {listener, leaseClient} = await start(() => [answered()]);
+      const client = createClient();
+      await client.connect();
+      const {stream} = client.connection;
+      const write = stream.write.bind(stream);
+      const text = Buffer.from(serialize.query('UPDATE t SET a = 1') as Buffer);
+      let isFirst = true;
+      stream.write = (bytes: Buffer) => {
+        if (!isFirst) return write(bytes);
+        isFirst = false;
+        expect(bytes.equals(text)).to.equal(true);
+        void timer
+          .sleep(AFTER_GRACE_MILLISECONDS)
+          .then(() => write(bytes.subarray(9)));
+        return write(bytes.subarray(0, 9));
+      };
+      const code = codeOf(client.query('UPDATE t SET a = 1'));
+      expect(await listener.drain(DRAIN_MILLISECONDS)).to.equal(0);
+      expect(await code).to.equal(undefined);
+      expect(leaseClient.requests).to.have.length(1);
+    });
+
+    it('answers all requests that arrived together', async () => {
+      // Guards against: an end after the first of several requests that were read.
+      const {listener, leaseClient} = await start(async () => {
+        await timer.sleep(50);
+        return [answered()];
+      });
+      const client = createClient();
+      await client.connect();
+      const query = serialize.query('UPDATE t SET a = 1') as Buffer;
+      const answers: unknown[] = [];
+      client.connection.on('readyForQuery', answer => answers.push(answer));
+      client.connection.stream.write(Buffer.concat([query, query, query]));
+      await timer.sleep(20);
+      await listener.drain(DRAIN_MILLISECONDS);
+      expect(leaseClient.requests).to.have.length(3);
+      expect(answers).to.have.length(3);
+    });
   });
 });
--- a/packages/wire/src/byte_stream.ts
+++ b/packages/wire/src/byte_stream.ts
@@ -7,7 +7,7 @@
  */
 export class ByteStream {
   private readonly chunks = AsyncQueue.create<Buffer>();
-  private bufferedBytes = 0;
+  private bufferedByteCount = 0;
 
   private constructor(
     readonly socket: Socket,
@@ -34,11 +34,27 @@
   async read(): Promise<Buffer | undefined> {
     const chunk = await this.chunks.take();
     if (chunk === undefined) return undefined;
-    this.bufferedBytes -= chunk.length;
-    if (this.bufferedBytes < this.maximumBufferedBytes) this.socket.resume();
+    this.bufferedByteCount -= chunk.length;
+    if (this.bufferedByteCount < this.maximumBufferedBytes) {
+      this.socket.resume();
+    }
     return chunk;
   }
 
+  /** The number of bytes that were received and not yet read. */
+  get bufferedBytes(): number {
+    return this.bufferedByteCount;
+  }
+
+  /**
+   * Ends reading: what arrives from now on is discarded. Unread bytes would turn
+   * the end of the connection into a reset, which can discard what was written.
+   */
+  endReading(): void {
+    this.chunks.close();
+    this.socket.resume();
+  }
+
   /**
    * Writes bytes. Returns `false` if the socket is closed or its send buffer is
    * full. If it is full, await {@link ByteStream.waitForDrain} before writing
@@ -66,8 +82,10 @@
   }
 
   private handleChunk(chunk: Buffer): void {
-    this.bufferedBytes += chunk.length;
-    this.chunks.push(chunk);
-    if (this.bufferedBytes >= this.maximumBufferedBytes) this.socket.pause();
+    if (!this.chunks.push(chunk)) return;
+    this.bufferedByteCount += chunk.length;
+    if (this.bufferedByteCount >= this.maximumBufferedBytes) {
+      this.socket.pause();
+    }
   }
 }
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -58,6 +58,11 @@
     return successor;
   }
 
+  /** The number of bytes that were appended and not yet removed. */
+  get bufferedBytes(): number {
+    return this.byteCount;
+  }
+
   /** Sets the header format of the messages that follow. */
   setFormat(format: FrameFormat): void {
     this.format = format;
