Find the worker of a revoked lease by the primary of its term

Callers saw ERROR ABORTED "this VM no longer holds the primary lease" at once when the lease of an entry VM was revoked, although open transactions have a grace of 250 ms. The revocation looked for the worker by the primary in the view, which has none once the next term has begun, so that it waited for nothing and closed no worker.

The VM now keeps the primary of each term whose lease it received, as it was when the lease was requested. The revocation waits for work on that member, until the grace is over or the lease of the former term isn't held any more, and closes its worker, also if the same member is the primary of a later term that was granted meanwhile; the lease of that term stays. Positions of answers within the grace are recorded too.

--- a/packages/work/src/lease_renewer.ts
+++ b/packages/work/src/lease_renewer.ts
@@ -17,6 +17,11 @@
 const URGENT_RENEWAL_INTERVAL_MILLISECONDS = 100;
 const URGENT_REMAINING_MILLISECONDS = 600;
 
+/** The primary of a term of which this VM was assigned as lease holder. */
+export interface AssignedPrimary extends GroupTerm {
+  readonly primary: string;
+}
+
 /** Options of the lease renewal task. */
 export interface LeaseRenewerOptions {
   readonly self: string;
@@ -26,7 +31,7 @@
   readonly timer: TimerService;
   readonly logger: Logger;
   /** Called when a lease was granted or extended. */
-  readonly onRenewed: (database: string, term: number) => void;
+  readonly onRenewed: (assigned: AssignedPrimary) => void;
 }
 
 /** A task that renews the primary leases of this VM before they expire. */
@@ -78,11 +83,13 @@
   }
 
   /** Returns the groups with a primary of which this VM is the lease holder. */
-  private assignedGroups(): readonly GroupTerm[] {
+  private assignedGroups(): readonly AssignedPrimary[] {
     const {view, self} = this.options;
-    return view.current.groups
-      .filter(({primary, holder}) => primary !== undefined && holder === self)
-      .map(({database, term}) => ({database, term}));
+    return view.current.groups.flatMap(({database, term, primary, holder}) =>
+      primary !== undefined && holder === self
+        ? [{database, term, primary}]
+        : [],
+    );
   }
 
   private async renew(): Promise<void> {
@@ -93,14 +100,20 @@
     const start = leases.startRenewal();
     const answer = await leader.call(
       RENEW_LEASES,
-      {holder: self, groups},
+      {
+        holder: self,
+        groups: groups.map(({database, term}) => ({database, term})),
+      },
       RENEWAL_TIMEOUT_MILLISECONDS,
     );
     answer.ifRight(({granted, leaseMilliseconds}) => {
-      for (const group of granted) {
-        leases.recordRenewal(group, start, leaseMilliseconds);
-        if (leases.holds(group.database, group.term)) {
-          onRenewed(group.database, group.term);
+      for (const {database, term} of granted) {
+        leases.recordRenewal({database, term}, start, leaseMilliseconds);
+        const assigned = groups.find(
+          group => group.database === database && group.term === term,
+        );
+        if (assigned !== undefined && leases.holds(database, term)) {
+          onRenewed(assigned);
         }
       }
     });
--- a/packages/work/src/work_service.ts
+++ b/packages/work/src/work_service.ts
@@ -25,7 +25,7 @@
 import {ControlLeaderClient} from './control_leader_client.js';
 import {DrainingMembers} from './draining_members.js';
 import {REVOKE_LEASE} from './lease_messages.js';
-import {LeaseRenewer} from './lease_renewer.js';
+import {AssignedPrimary, LeaseRenewer} from './lease_renewer.js';
 import {MemberWorker} from './member_worker.js';
 import {PrimaryFailureReporter} from './primary_failure_reporter.js';
 import {PrimaryLeases} from './primary_leases.js';
@@ -71,6 +71,8 @@
 /** A primary whose lease this VM received, and its last known position. */
 interface HeldPrimary {
   readonly term: number;
+  /** The primary of the term; the view may be of a later term already. */
+  readonly primary: string;
   readonly position: LogPosition | undefined;
 }
 
@@ -96,7 +98,7 @@
     this.renewer = LeaseRenewer.start({
       ...options,
       leases,
-      onRenewed: (database, term) => this.recordHeldLease(database, term),
+      onRenewed: assigned => this.recordHeldLease(assigned),
     });
   }
 
@@ -207,7 +209,8 @@
 
   private closeWorker(worker: MemberWorker): void {
     worker.close();
-    this.workers.delete(worker.target.name);
+    const {name} = worker.target;
+    if (this.workers.get(name) === worker) this.workers.delete(name);
   }
 
   private findOrCreateWorker(
@@ -266,11 +269,10 @@
     member: string,
     {position}: StatementAnswer,
   ): void {
-    const group = findGroup(this.options.view.current, database);
     const held = this.heldPrimaries.get(database);
-    if (group?.primary !== member || held?.term !== group.term) return;
+    if (held?.primary !== member) return;
     this.heldPrimaries.set(database, {
-      term: held.term,
+      ...held,
       position: laterPosition(held.position, position),
     });
   }
@@ -295,12 +297,9 @@
     onDrainingWork(primaryTerm > 0 ? 'primary' : 'replica');
   }
 
-  private recordHeldLease(database: string, term: number): void {
+  private recordHeldLease({database, term, primary}: AssignedPrimary): void {
     if (this.heldPrimaries.get(database)?.term === term) return;
-    this.heldPrimaries.set(database, {term, position: undefined});
-    const group = findGroup(this.options.view.current, database);
-    const primary = group?.primary;
-    if (primary === undefined) return;
+    this.heldPrimaries.set(database, {term, primary, position: undefined});
     void this.fetchInitialPosition(database, term, primary);
   }
 
@@ -325,6 +324,7 @@
         const known = this.heldPrimaries.get(database)?.position;
         this.heldPrimaries.set(database, {
           term,
+          primary,
           position: laterPosition(known, position),
         });
         logger.info('primary lease acquired', {
@@ -349,21 +349,29 @@
     term: number,
     graceMilliseconds: number,
   ): Promise<Either<string, {stopped: true}>> {
-    const {timer, logger, view} = this.options;
-    const group = findGroup(view.current, database);
+    const {timer, logger} = this.options;
     const held = this.heldPrimaries.get(database);
-    const worker = this.workers.get(group?.primary ?? '');
+    const former = held !== undefined && held.term < term ? held : undefined;
+    const worker = this.workers.get(former?.primary ?? '');
     const deadline = timer.now() + graceMilliseconds;
-    while (worker?.busy === true && timer.now() < deadline) {
+    // Once the lease has run out or is that of a later term, no statement of the
+    // former term may begin, so that there is nothing to wait for.
+    while (
+      former !== undefined &&
+      worker?.busy === true &&
+      timer.now() < deadline &&
+      this.leases.holds(database, former.term)
+    ) {
       await timer.sleep(REVOCATION_POLL_INTERVAL_MILLISECONDS);
     }
     this.leases.revokeBefore(database, term);
-    if (held !== undefined && held.term < term) {
+    if (former === undefined) return Right({stopped: true});
+    // The lease of a later term may have been granted to this VM meanwhile.
+    if (this.heldPrimaries.get(database)?.term === former.term) {
       this.heldPrimaries.delete(database);
-      worker?.close();
-      this.workers.delete(worker?.target.name ?? '');
-      logger.info('primary lease revoked', {database, beforeTerm: term});
     }
+    if (worker !== undefined) this.closeWorker(worker);
+    logger.info('primary lease revoked', {database, beforeTerm: term});
     return Right({stopped: true});
   }
 }
