Leave leases with a draining holder while it has open transactions

A caller whose transaction was open on the primary when the lease holder got SIGTERM saw ERROR ABORTED "this VM no longer holds the primary lease" at a COMMIT 1 s later, although such a transaction has half of the grace period (3 s). Control began the next term as soon as the holder had announced itself as draining, and open transactions had 250 ms.

While a holder is draining, the control leader now asks it, at each check, how many transactions are open in the term. The next term begins once there are none, once the holder has been seen draining for 2.75 s, or at once if it doesn't answer, also if it is of a version without this call. Until then the holder goes on serving the primary. A holder that is silent or isn't draining is replaced as before. The work service offers waitUntilHandedOver to VMs that stop; the entry program does not call it yet.

Open: the entry program may exit between the end of the last transaction and the handover.

--- a/packages/appointment/src/primary_supervisor.ts
+++ b/packages/appointment/src/primary_supervisor.ts
@@ -6,7 +6,12 @@
   VirtualMachine,
   votingMembers,
 } from '@apricotlock/topology';
-import {REPORT_PRIMARY_FAILURE, Symptom} from '@apricotlock/work';
+import {
+  COUNT_TRANSACTIONS,
+  REPORT_PRIMARY_FAILURE,
+  Symptom,
+} from '@apricotlock/work';
+import {HolderDrain, mustHandOver} from './holder_drain.js';
 import {
   PrimaryFailover,
   FailoverCause,
@@ -37,6 +42,8 @@
  * within this time.
  */
 const STALL_OBSERVATION_MILLISECONDS = 150;
+/** A draining holder that takes longer to answer is replaced at once. */
+const TRANSACTION_COUNT_TIMEOUT_MILLISECONDS = 200;
 /** Minimum time between two failovers of a group because commits stall. */
 const STALL_RETRY_MILLISECONDS = 4_000;
 
@@ -67,9 +74,11 @@
   private reports: readonly PrimaryReport[] = [];
   private lastTickAt = -Infinity;
   private readonly removedLogs: RemovedLogCheck;
+  private readonly holderDrain: HolderDrain;
 
   private constructor(private readonly options: PrimarySupervisorOptions) {
     this.removedLogs = RemovedLogCheck.create(options);
+    this.holderDrain = HolderDrain.create(options.timer);
   }
 
   /** Starts checking groups periodically and handling reports of primaries. */
@@ -96,12 +105,44 @@
       const cause = this.causeFor(group);
       if (cause !== undefined) {
         this.runExclusively(group, () => this.failOver(group, cause));
+        continue;
+      }
+      const holder = this.drainingHolder(group);
+      if (holder !== undefined) {
+        this.runExclusively(group, () => this.relieveHolder(group, holder));
       }
     }
   }
 
+  private drainingHolder(group: DatabaseGroup): VirtualMachine | undefined {
+    return this.options
+      .entryMachines()
+      .find(({name, state}) => name === group.holder && state === 'draining');
+  }
+
+  /**
+   * Replaces a draining lease holder, which goes on serving the primary until
+   * the transactions that are open there have ended or their time is over.
+   */
+  private async relieveHolder(
+    group: DatabaseGroup,
+    {peerAddress}: VirtualMachine,
+  ): Promise<void> {
+    const drainingMilliseconds = this.holderDrain.record(group);
+    const {database, term} = group;
+    const answer = await this.options.network.call(
+      peerAddress,
+      COUNT_TRANSACTIONS,
+      {database, term},
+      TRANSACTION_COUNT_TIMEOUT_MILLISECONDS,
+    );
+    const open = answer.toMaybe().extract()?.open;
+    if (!mustHandOver(drainingMilliseconds, open)) return;
+    await this.failOver(group, 'holderLost');
+  }
+
   private causeFor(group: DatabaseGroup): FailoverCause | undefined {
-    const {grantor, entryMachines, deadlines} = this.options;
+    const {grantor, deadlines} = this.options;
     if (group.members.length === 0) return undefined;
     if (group.primary === undefined) return 'noPrimary';
     const primary = findMember(group, group.primary);
@@ -112,8 +153,6 @@
       const isOverdue = !deadlines.allowsLease(primary);
       if (isOverdue || hasSuccessor(group)) return 'planned';
     }
-    const holder = entryMachines().find(({name}) => name === group.holder);
-    if (holder?.state === 'draining') return 'holderLost';
     return grantor.silence.isLost(group) ? 'holderLost' : undefined;
   }
 
--- a/packages/appointment/test/fake_control_vm.ts
+++ b/packages/appointment/test/fake_control_vm.ts
@@ -14,6 +14,7 @@
 import {TimerService} from '@apricotlock/timer';
 import {VirtualMachine} from '@apricotlock/topology';
 import {
+  COUNT_TRANSACTIONS,
   REPORT_PRIMARY_FAILURE,
   RENEW_LEASES,
   REVOKE_LEASE,
@@ -39,6 +40,8 @@
   readonly drainMilliseconds: number;
   /** Called when a lease holder is told to stop using earlier terms. */
   readonly onRevoked: () => void;
+  /** The open transactions that a lease holder tells, if it answers. */
+  readonly openTransactions?: () => number | undefined;
 }
 
 /** One process' access to a log that all control VMs of a test share. */
@@ -104,16 +107,24 @@
   }
 }
 
-/** Delivers revocations to the lease holder of the test. */
+/** Delivers revocations and questions to the lease holder of the test. */
 class RevocationNetwork extends FakeNetwork {
-  constructor(private readonly onRevoked: () => void) {
+  constructor(
+    private readonly onRevoked: () => void,
+    private readonly openTransactions: () => number | undefined,
+  ) {
     super();
   }
 
-  override call<Request, Answer>(
+  override async call<Request, Answer>(
     to: unknown,
     call: PeerCall<Request, Answer>,
   ): Promise<Either<PeerError, Answer>> {
+    if (call.name === COUNT_TRANSACTIONS.name) {
+      const open = this.openTransactions();
+      if (open !== undefined) return Right({open} as Answer);
+      return Left({kind: 'noAnswer', reason: 'silent'});
+    }
     if (call.name === REVOKE_LEASE.name) this.onRevoked();
     return super.call(to, call);
   }
@@ -130,9 +141,10 @@
   static start(self: string, surroundings: ControlSurroundings): FakeControlVm {
     const {committed, group, promotions, entryMachines, timer, onRevoked} =
       surroundings;
-    const {drainMilliseconds} = surroundings;
+    const {drainMilliseconds, openTransactions = () => undefined} =
+      surroundings;
     const log = new SharedControlLog(self, committed);
-    const network = new RevocationNetwork(onRevoked);
+    const network = new RevocationNetwork(onRevoked, openTransactions);
     const deadlines = DrainDeadlines.start({log, timer, drainMilliseconds});
     PrimarySupervisor.start({
       self,
--- a/packages/work/src/index.ts
+++ b/packages/work/src/index.ts
@@ -20,6 +20,7 @@
   type ContextTransition,
 } from './connection_context.js';
 export {
+  COUNT_TRANSACTIONS,
   type GroupTerm,
   RENEW_LEASES,
   REPORT_PRIMARY_FAILURE,
--- a/packages/work/src/lease_messages.ts
+++ b/packages/work/src/lease_messages.ts
@@ -47,6 +47,16 @@
   checkWith(z.object({stopped: z.literal(true)})),
 );
 
+/**
+ * Asks a lease holder how many transactions are open that need the lease of a
+ * term. Holders of earlier versions refuse it.
+ */
+export const COUNT_TRANSACTIONS = PeerCall.define(
+  'work.countTransactions',
+  checkWith(groupTerm),
+  checkWith(z.object({open: z.int().min(0)})),
+);
+
 /** The symptoms of a primary failure that an entry VM can observe. */
 export const symptomSchema = z.enum([
   /** Nothing listens at the address of the primary. */
--- a/packages/work/src/member_worker.ts
+++ b/packages/work/src/member_worker.ts
@@ -80,6 +80,8 @@
   private lastUsedAt: number;
   private lastOrganisation: string | undefined;
   private runningCount = 0;
+  /** The work that opened a transaction, until its transaction has ended. */
+  private readonly inTransaction = new Set<WorkRequest>();
 
   private constructor(private readonly options: MemberWorkerOptions) {
     const {target, connector, timer, slots} = options;
@@ -149,6 +151,12 @@
     return this.runningCount > 0 || this.connections.checkedOutCount > 0;
   }
 
+  /** Returns how many transactions are open that need the lease of a term. */
+  countTransactions(term: number): number {
+    const open = [...this.inTransaction];
+    return open.filter(({primaryTerm}) => primaryTerm === term).length;
+  }
+
   /** The number of statements that were sent but not answered yet. */
   get runningStatementCount(): number {
     return this.runningCount;
@@ -237,7 +245,10 @@
       this.connections.checkIn(connection);
       return this.refuse(channel, laterObstacle);
     }
-    await this.runWork({connection, request, channel, inbox});
+    if (request.first.opens !== 'none') this.inTransaction.add(request);
+    await this.runWork({connection, request, channel, inbox}).finally(() =>
+      this.inTransaction.delete(request),
+    );
   }
 
   /**
--- a/packages/work/src/work_service.ts
+++ b/packages/work/src/work_service.ts
@@ -24,7 +24,7 @@
 } from './connection_limits.js';
 import {ControlLeaderClient} from './control_leader_client.js';
 import {DrainingMembers} from './draining_members.js';
-import {REVOKE_LEASE} from './lease_messages.js';
+import {COUNT_TRANSACTIONS, GroupTerm, REVOKE_LEASE} from './lease_messages.js';
 import {AssignedPrimary, LeaseRenewer} from './lease_renewer.js';
 import {MemberWorker} from './member_worker.js';
 import {PrimaryFailureReporter} from './primary_failure_reporter.js';
@@ -116,6 +116,9 @@
         ? Left('not the lease holder')
         : Right(position);
     });
+    network.handle(COUNT_TRANSACTIONS, async groupTerm =>
+      Right({open: service.countTransactions(groupTerm)}),
+    );
     network.handle(REVOKE_LEASE, async ({database, term, graceMilliseconds}) =>
       service.revokeLease(database, term, graceMilliseconds),
     );
@@ -141,6 +144,26 @@
     return [...this.workers.values()].some(({busy}) => busy);
   }
 
+  /** Whether this VM holds the lease of a primary. */
+  get holdsLease(): boolean {
+    return [...this.heldPrimaries].some(([database, {term}]) =>
+      this.leases.holds(database, term),
+    );
+  }
+
+  /**
+   * Resolves once this VM holds no lease, at the latest after a time. A VM that
+   * stops waits for this before it exits: after its exit, control can't hand a
+   * lease over before it has run out.
+   */
+  async waitUntilHandedOver(timeoutMilliseconds: number): Promise<void> {
+    const {timer} = this.options;
+    const deadline = timer.now() + timeoutMilliseconds;
+    while (this.holdsLease && timer.now() < deadline) {
+      await timer.sleep(REVOCATION_POLL_INTERVAL_MILLISECONDS);
+    }
+  }
+
   /** Runs one statement or one transaction on a member. */
   async serve(
     request: WorkRequest,
@@ -339,6 +362,13 @@
     }
   }
 
+  /** Returns how many open transactions need the lease of a term. */
+  private countTransactions({database, term}: GroupTerm): number {
+    const held = this.heldPrimaries.get(database);
+    if (held?.term !== term) return 0;
+    return this.workers.get(held.primary)?.countTransactions(term) ?? 0;
+  }
+
   /**
    * Revokes the leases of terms before `term` after work in progress has ended,
    * at the latest after the grace period. Work that is still in progress then
--- a/packages/work/test/work_service_revocation_test.ts
+++ b/packages/work/test/work_service_revocation_test.ts
@@ -19,6 +19,7 @@
 } from '@apricotlock/topology';
 import {
   ControlLeaderClient,
+  COUNT_TRANSACTIONS,
   RENEW_LEASES,
   REVOKE_LEASE,
   WorkClientMessage,
@@ -104,6 +105,17 @@
     this.handlers.set(call.name, handler);
   }
 
+  async countTransactions(term: number): Promise<number | undefined> {
+    const answer = (await this.handlers.get(COUNT_TRANSACTIONS.name)?.({
+      database: DATABASE,
+      term,
+    } as never)) as Either<string, {readonly open: number}>;
+    return answer
+      .map(({open}) => open)
+      .toMaybe()
+      .extract();
+  }
+
   async revokeBefore(term: number): Promise<void> {
     const graceMilliseconds = GRACE_MILLISECONDS;
     const request = {database: DATABASE, term, graceMilliseconds};
@@ -236,3 +248,25 @@
     );
   });
 });
+
+// Guards against a handover while control does not know of a transaction.
+describe('WorkService, as the holder of a lease,', () => {
+  it('counts the open transactions of its term', async () => {
+    const {network, channel, settle} = await Fixture.start();
+    expect(await network.countTransactions(1)).to.equal(1);
+    expect(await network.countTransactions(2)).to.equal(0);
+    channel.send(COMMIT);
+    await channel.receive();
+    await settle();
+    expect(await network.countTransactions(1)).to.equal(0);
+  });
+
+  it('holds it until it is revoked', async () => {
+    const fixture = await Fixture.start();
+    expect(fixture.service.holdsLease).to.equal(true);
+    await fixture.beginHandover();
+    expect(fixture.service.holdsLease).to.equal(true);
+    await fixture.advance(GRACE_MILLISECONDS);
+    expect(fixture.service.holdsLease).to.equal(false);
+  });
+});
