Handle the signals to a program from before its start

A program listens for callers before its start has completed, but the handlers of signals were installed afterwards. A SIGTERM in between killed the process with the requests under way, and a SIGHUP ended it.

SignalSupervisor installs the handlers first. A signal to stop during the start takes effect after it, and so does a reload.

--- a/packages/program/src/index.ts
+++ b/packages/program/src/index.ts
@@ -29,3 +29,9 @@
   SettingsWatcher,
   type SettingsWatcherOptions,
 } from './settings_watcher.js';
+export {
+  SignalSupervisor,
+  type ProgramSignal,
+  type SignalSource,
+  type SignalSupervisorOptions,
+} from './signal_supervisor.js';
--- a/packages/program/src/run_program.ts
+++ b/packages/program/src/run_program.ts
@@ -7,22 +7,15 @@
   SettingsError,
   SettingsSource,
 } from './program_settings.js';
-import {SettingsWatcher} from './settings_watcher.js';
+import {RunningProgram, SignalSupervisor} from './signal_supervisor.js';
+
+export type {RunningProgram};
 
 const EXIT_FAILURE = 1;
 const EXIT_INVALID_SETTINGS = 2;
 /** Consola's numeric level for `info` messages. */
 const INFORMATION_LEVEL = 3;
 
-/** A program that has been started. */
-export interface RunningProgram {
-  /** Applies settings that were reloaded. */
-  applySettings(settings: ProgramSettings): void;
-
-  /** Stops the program within the grace period of its settings. */
-  stop(): Promise<void>;
-}
-
 /** A program, the source of its settings and how to start it. */
 export interface ProgramDescription {
   readonly name: string;
@@ -57,40 +50,20 @@
   }
   const settings = loaded.unsafeCoerce();
   const vmLogger = logger.withFields({vm: settings.node});
+  const supervisor = SignalSupervisor.install({
+    signals: process,
+    source,
+    settings,
+    timer: SystemTimerService.create(),
+    logger: vmLogger,
+  });
   try {
-    const program = await start(settings, vmLogger);
-    vmLogger.info('started', {
-      process: process.pid,
-      firstStart: settings.firstStart,
-    });
-    handleSignals(program, source, vmLogger);
+    await supervisor.run(() => start(settings, vmLogger));
   } catch (failure) {
-    vmLogger.error('program failed to start', {failure: String(failure)});
+    vmLogger.error('program failed to start or to stop', {
+      failure: String(failure),
+    });
     process.exit(EXIT_FAILURE);
   }
-}
-
-function handleSignals(
-  program: RunningProgram,
-  source: SettingsSource,
-  logger: Logger,
-): void {
-  const watcher = SettingsWatcher.start({
-    source,
-    timer: SystemTimerService.create(),
-    logger,
-    onChange: settings => program.applySettings(settings),
-  });
-  let stopping = false;
-  const stop = async (signal: string) => {
-    if (stopping) return;
-    stopping = true;
-    logger.info('stopping', {signal});
-    await program.stop();
-    logger.info('stopped', {});
-    process.exit(0);
-  };
-  process.on('SIGTERM', () => void stop('SIGTERM'));
-  process.on('SIGINT', () => void stop('SIGINT'));
-  process.on('SIGHUP', () => watcher.reload('signal'));
+  process.exit(0);
 }
