Answer PostgreSQL callers whose statement outlasts the drain

What callers saw: at the end of `--drain-milliseconds` their connection was destroyed without an answer, while a statement ran or a transaction was open.

Cause: `CallerListener.drain` destroyed the sockets of the sessions left.

Change: such a session gets one FATAL error and its connection is closed after it. A running statement is reported as rolled back within a transaction, as of unknown outcome if it may have committed, and as cut short if it is a read; 57P01 if none runs. Its leases are released, so that the transaction is rolled back, and nothing is begun after the error, not even another attempt of a read. The drain then waits up to half a second until the kernel has what was written.

--- a/packages/proxy/src/caller_listener.ts
+++ b/packages/proxy/src/caller_listener.ts
@@ -14,15 +14,16 @@
   CallerAuthentication,
   CancelRequest,
   errorResponse,
-  SqlState,
   StartUpParameters,
 } from '@apricotlock/wire';
-import {CallerSession, SessionObserver} from './caller_session.js';
+import {SHUTTING_DOWN} from './abandoned_batch.js';
+import {CallerSession} from './caller_session.js';
 import {CancelRouter} from './cancel_router.js';
 import {CallerAuthenticator} from './caller_authenticator.js';
 import {IdempotencyCleaner} from './idempotency_cleaner.js';
 import {Router} from './router.js';
 import {DEFAULT_SETTINGS} from './session_settings.js';
+import {SessionObserver} from './session_observer.js';
 import {readStartUpSettings} from './start_up_settings.js';
 
 /** Largest message accepted from a caller. */
@@ -39,11 +40,8 @@
  * callers that are still connecting without an answer.
  */
 const IDLE_SESSION_GRACE_MILLISECONDS = 500;
-const SHUTTING_DOWN = errorResponse({
-  severity: 'FATAL',
-  code: SqlState.ADMIN_SHUTDOWN,
-  message: 'this proxy is shutting down; connect again',
-});
+/** Time for the last answers to be passed to the kernel after a drain. */
+const FLUSH_TIMEOUT_MILLISECONDS = 500;
 /** Time for TLS, start-up and authentication before the socket is closed. */
 const START_UP_TIMEOUT_MILLISECONDS = 10_000;
 /** Maximum number of callers that are connected or connecting. */
@@ -74,6 +72,8 @@
 export class CallerListener {
   /** Open sessions by process id. */
   private readonly sessions = new Map<number, OpenSession>();
+  /** Connections that end and have not passed everything to the kernel. */
+  private readonly unflushed = new Set<Socket>();
   private readonly cleaner: IdempotencyCleaner;
   /** Callers that have no session yet, and cancel requests in progress. */
   private readonly connecting = new Set<Socket>();
@@ -129,7 +129,7 @@
    * next answer, because a session that is closed while idle may have a request
    * in transit. Callers that are still connecting are refused once they have
    * authenticated, so that no session begins. Returns the number of sessions
-   * still open at the timeout, which are closed forcibly.
+   * still open at the timeout, which are ended with an error.
    */
   async drain(timeoutMilliseconds: number): Promise<number> {
     this.draining = true;
@@ -148,9 +148,31 @@
       }
       await timer.sleep(DRAIN_POLL_INTERVAL_MILLISECONDS);
     }
-    const destroyedCount = this.sessions.size;
-    for (const {socket} of this.sessions.values()) socket.destroy();
-    return destroyedCount;
+    const interruptedCount = this.sessions.size;
+    for (const {session, socket} of this.sessions.values()) {
+      session.abandon();
+      this.endConnection(socket);
+    }
+    await this.flush();
+    return interruptedCount;
+  }
+
+  /** Waits until the kernel has what was written to connections that end. */
+  private async flush(): Promise<void> {
+    const {timer} = this.options;
+    const deadline = timer.now() + FLUSH_TIMEOUT_MILLISECONDS;
+    while (this.unflushed.size > 0 && timer.now() < deadline) {
+      await timer.sleep(DRAIN_POLL_INTERVAL_MILLISECONDS);
+    }
+  }
+
+  private endConnection(socket: Socket, lastBytes?: Buffer): void {
+    if (socket.destroyed || socket.writableEnded) return;
+    this.unflushed.add(socket);
+    const remove = () => this.unflushed.delete(socket);
+    socket.once('finish', remove).once('close', remove);
+    if (lastBytes === undefined) socket.end();
+    else socket.end(lastBytes);
   }
 
   private get callerCount(): number {
@@ -248,8 +270,10 @@
       this.sessions.delete(processId);
       // Sent together with the last answer, so that the caller does not send
       // another request first.
-      if (this.draining) stream.socket.end(SHUTTING_DOWN);
-      else stream.socket.end();
+      this.endConnection(
+        stream.socket,
+        this.draining ? errorResponse(SHUTTING_DOWN) : undefined,
+      );
     }
   }
 
--- a/packages/proxy/src/caller_session.ts
+++ b/packages/proxy/src/caller_session.ts
@@ -11,6 +11,12 @@
   SqlState,
   TransactionStatus,
 } from '@apricotlock/wire';
+import {
+  BatchInProgress,
+  failureOfAbandoned,
+  fatalFields,
+  SHUTTING_DOWN,
+} from './abandoned_batch.js';
 import {
   AnswerReader,
   failureAnswer,
@@ -20,37 +26,19 @@
 } from './answer.js';
 import {CollectedStep} from './batch_collector.js';
 import {failureFromBatchError, planBatch} from './batch_plan.js';
+import {mayCommit, runRequest, SYNC_FRAME} from './batch_run.js';
 import {CallerInput} from './caller_input.js';
 import {IdempotencyCleaner} from './idempotency_cleaner.js';
 import {beginKeyed, KeyedOutcome, KeyedRequest} from './keyed_request.js';
-import {ConnectionLease, RunRequest, RunResult} from './connection_lease.js';
+import {ConnectionLease, RunResult} from './connection_lease.js';
 import {executes, buildLocalAnswer, countMessages} from './local_answer.js';
 import {applySet, LocalStatement, runLocally} from './local_statement.js';
-import {Failure, failureFields} from './failure.js';
+import {Failure} from './failure.js';
 import {BatchError, BatchReader, RequestBatch} from './request_batch.js';
 import {Router} from './router.js';
+import {SessionObserver} from './session_observer.js';
 import {SessionSettings, SettingName} from './session_settings.js';
 
-/** Sync message that ends a batch which the caller has only flushed. */
-const SYNC_FRAME: Frame = {
-  type: FrontendType.SYNC,
-  bytes: Buffer.from([FrontendType.SYNC, 0, 0, 0, 4]),
-};
-
-/** Receives the events of sessions that are counted in the metrics. */
-export interface SessionObserver {
-  /** Clock in milliseconds, used to measure the reported durations. */
-  readonly now: () => number;
-  /** Called when the router has run a batch, with its duration. */
-  readonly onServed: (
-    by: 'primary' | 'replica',
-    purpose: 'read' | 'write',
-    milliseconds: number,
-  ) => void;
-  /** Called when a batch failed or the stream was rejected. */
-  readonly onFailure: (failure: Failure) => void;
-}
-
 /** Options of {@link CallerSession}. */
 export interface CallerSessionOptions {
   /** Identifies the session to the owners of members, for fairness. */
@@ -83,7 +71,10 @@
   private readonly input: CallerInput;
   private answering = false;
   private endRequested = false;
-  private callerDisconnected = false;
+  /** The batch that is run on a member. */
+  private running: BatchInProgress | undefined;
+  /** Whether answers are not sent any more and leases not used. */
+  private closed = false;
   /** The session token that was last sent to the caller. */
   private announcedToken: string | undefined;
   /** Number of messages of the next answer already sent after a Flush. */
@@ -93,7 +84,7 @@
     this.reader = BatchReader.create(options.classifier);
     this.settings = options.settings;
     this.input = CallerInput.create(options.caller);
-    options.caller.stream.socket.once('close', () => this.handleDisconnect());
+    options.caller.stream.socket.once('close', () => this.close());
   }
 
   /** Creates a session for an authenticated caller. */
@@ -119,6 +110,24 @@
     if (this.idle) this.input.end();
   }
 
+  /**
+   * Ends the session at once. A running batch is answered with what is known of
+   * its outcome, and an open transaction is rolled back.
+   */
+  abandon(): void {
+    const {caller, observer} = this.options;
+    let error = SHUTTING_DOWN;
+    if (this.running !== undefined) {
+      const failure = failureOfAbandoned(this.running);
+      observer.onFailure(failure);
+      error = fatalFields(failure);
+    }
+    if (!this.closed) caller.stream.write(errorResponse(error));
+    this.close();
+    this.lease?.release();
+    this.input.end();
+  }
+
   /** Cancels the running statement, if there is one. */
   cancel(): void {
     this.runningLease?.cancel();
@@ -135,7 +144,7 @@
         const step = next.unsafeCoerce();
         if (step === undefined) return;
         if (!(await this.handleStep(step))) return;
-        if (this.endRequested && this.idle) return;
+        if (this.closed || (this.endRequested && this.idle)) return;
       }
     } finally {
       this.input.end();
@@ -177,6 +186,7 @@
 
   private async write(bytes: Buffer): Promise<void> {
     const {stream} = this.options.caller;
+    if (this.closed) return;
     if (bytes.length > 0) stream.write(bytes);
     await stream.waitForDrain();
   }
@@ -191,10 +201,10 @@
       return this.fail(failureFromBatchError(read.extract() as BatchError));
     }
     const batch = read.unsafeCoerce();
-    const plan = planBatch(batch, this.settings, {
-      status: this.status,
-      holdsLease: this.lease !== undefined || this.keyedRequest !== undefined,
-    });
+    const holdsLease =
+      this.lease !== undefined || this.keyedRequest !== undefined;
+    const {settings, status} = this;
+    const plan = planBatch(batch, settings, {status, holdsLease});
     switch (plan.kind) {
       case 'refuse':
         return this.fail(plan.failure, batch);
@@ -204,7 +214,15 @@
         this.status = 'idle';
         return buildLocalAnswer(batch.frames, {tag: 'ROLLBACK'}, 'idle');
       case 'run':
-        return this.runBatch(batch, plan.purpose);
+        this.running = {
+          purpose: plan.purpose,
+          inTransaction: holdsLease,
+          mayCommit: mayCommit(batch),
+          keyed: settings.idempotencyKey !== undefined,
+        };
+        return this.runBatch(batch, plan.purpose).finally(() => {
+          this.running = undefined;
+        });
     }
   }
 
@@ -341,8 +359,7 @@
     }
     lease.release();
     this.lease = undefined;
-    const commits =
-      batch.unparsed || batch.statements.some(({kind}) => kind === 'commit');
+    const commits = mayCommit(batch);
     const reason = 'the backend server is unreachable or no longer the primary';
     this.status = commits ? 'idle' : 'failed';
     return this.fail({kind: commits ? 'unknown' : 'rolledBack', reason}, batch);
@@ -350,7 +367,7 @@
 
   private setRunningLease(lease: ConnectionLease): void {
     this.runningLease = lease;
-    if (this.callerDisconnected) lease.release();
+    if (this.closed) lease.release();
   }
 
   private readerFor(batch: RequestBatch, hiddenAnswers: number): AnswerReader {
@@ -429,12 +446,13 @@
   }
 
   /**
-   * Releases the leases of a running batch and of a keyed request after the
-   * caller disconnected, so that they do not wait for an answer. The lease of
-   * an open transaction is released when {@link CallerSession.run} ends.
+   * Releases the leases of a running batch and of a keyed request, so that they
+   * do not wait for an answer, after the caller disconnected or was told that
+   * the session ends. The lease of an open transaction is released when
+   * {@link CallerSession.run} ends.
    */
-  private handleDisconnect(): void {
-    this.callerDisconnected = true;
+  private close(): void {
+    this.closed = true;
     this.runningLease?.release();
     this.keyedRequest?.release();
   }
@@ -446,19 +464,6 @@
       reason: message,
     };
     this.options.observer.onFailure(failure);
-    const fields = {...failureFields(failure), severity: 'FATAL' as const};
-    this.options.caller.stream.write(errorResponse(fields));
-  }
-}
-
-function runRequest(
-  batch: RequestBatch,
-  replay: Buffer | undefined,
-): RunRequest {
-  const setsSettings = batch.statements.some(({kind}) => kind === 'setSession');
-  if (replay === undefined) {
-    return {bytes: batch.bytes, answers: 1, reset: setsSettings};
+    this.options.caller.stream.write(errorResponse(fatalFields(failure)));
   }
-  const bytes = Buffer.concat([replay, batch.bytes]);
-  return {bytes, answers: 2, reset: true};
 }
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -7,7 +7,7 @@
  */
 export {CallerListener, type CallerListenerOptions} from './caller_listener.js';
 export {CancelRouter, type CancelRouterOptions} from './cancel_router.js';
-export {type SessionObserver} from './caller_session.js';
+export {type SessionObserver} from './session_observer.js';
 export {failureFields, type Failure} from './failure.js';
 export {Router} from './router.js';
 export {SettingName} from './session_settings.js';
--- a/packages/proxy/test/caller_listener_test.ts
+++ b/packages/proxy/test/caller_listener_test.ts
@@ -31,7 +31,6 @@
 const DRAIN_MILLISECONDS = 2_000;
 /** More than idle sessions and connecting callers get at shutdown. */
 const AFTER_GRACE_MILLISECONDS = 800;
-
 /** Returns a complete answer. */
 function answered(status: TransactionStatus = 'idle'): LeaseOwnerMessage {
   const parts = [commandComplete('SELECT 1'), readyForQuery(status)];
@@ -213,5 +212,75 @@
       expect(leaseClient.requests).to.have.length(3);
       expect(answers).to.have.length(3);
     });
+
+    describe('at its timeout', () => {
+      const SHORT_DRAIN_MILLISECONDS = 100;
+
+      /** Returns the SQLSTATE of a statement that the member never answers. */
+      async function interrupt(statements: readonly string[]) {
+        const {listener, leaseClient} = await start((_request, run) =>
+          run.bytes.includes('never')
+            ? new Promise(() => undefined)
+            : [answered('transaction')],
+        );
+        const client = createClient();
+        await client.connect();
+        const ended = new Promise(resolve => client.once('end', resolve));
+        for (const statement of statements.slice(0, -1)) {
+          await client.query(statement);
+        }
+        const code = codeOf(client.query(statements.at(-1) as string));
+        await timer.sleep(50);
+        const count = await listener.drain(SHORT_DRAIN_MILLISECONDS);
+        await ended;
+        return {count, code: await code, leaseClient};
+      }
+
+      it('answers a write as of unknown outcome', async () => {
+        // Guards against: a connection that ends without any answer.
+        const {count, code} = await interrupt(['UPDATE never SET a = 1']);
+        expect({count, code}).to.deep.equal({count: 1, code: '08007'});
+      });
+
+      it('answers a read as cut short, and does not repeat it', async () => {
+        // Guards against: a statement that is begun again after its answer.
+        const {code, leaseClient} = await interrupt(['SELECT * FROM never']);
+        expect(code).to.equal('08006');
+        await timer.sleep(100);
+        const runs = leaseClient.sentMessages.filter(
+          ({kind}) => kind === 'run',
+        );
+        expect(runs).to.have.length(1);
+      });
+
+      it('answers a statement in a transaction as rolled back', async () => {
+        // Guards against: an unknown outcome where nothing was committed.
+        const {code} = await interrupt(['BEGIN', 'UPDATE never SET a = 1']);
+        expect(code).to.equal('40000');
+      });
+
+      it('answers a commit as of unknown outcome', async () => {
+        // Guards against: a rollback that is reported although it may commit.
+        const {code} = await interrupt(['BEGIN', 'COMMIT /* never */']);
+        expect(code).to.equal('08007');
+      });
+
+      it('tells a caller with an idle transaction to leave', async () => {
+        // Guards against: a connection that ends without any answer.
+        const {listener, leaseClient} = await start(() => [
+          answered('transaction'),
+        ]);
+        const client = createClient();
+        await client.connect();
+        await client.query('BEGIN');
+        const failure = new Promise<{code?: string}>(resolve =>
+          client.once('error', resolve),
+        );
+        expect(await listener.drain(SHORT_DRAIN_MILLISECONDS)).to.equal(1);
+        expect((await failure).code).to.equal('57P01');
+        await timer.sleep(20);
+        expect(leaseClient.sentMessages.at(-1)?.kind).to.equal('release');
+      });
+    });
   });
 });
