Drain an entry VM that gets SIGTERM during its start

What callers saw: a VM that got SIGTERM while it started exited at once with code 0, which says that nothing was cut, though it listens to other VMs from the first step of its start and to callers before the last one.

Cause: `shutDown` in main.ts drained only an entry process whose start had ended.

Change: it awaits the end of the start and drains then. A start that fails exits with 1 as before, and so does a second signal.

--- a/packages/apricotlock/src/main.ts
+++ b/packages/apricotlock/src/main.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
+import {Deferred} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
 import {EntryProcess} from './entry_process.js';
 import {
@@ -73,11 +74,13 @@
   let signalled = false;
   let shuttingDown = false;
   let entry: EntryProcess | undefined;
+  const started = Deferred.create<EntryProcess>();
   const shutDown = async () => {
     if (shuttingDown) return;
     shuttingDown = true;
     logger.info('draining');
-    const interrupted = (await entry?.drain()) ?? 0;
+    // A VM takes on work of callers and of other VMs before its start ends.
+    const interrupted = await (await started.promise).drain();
     logger.info('stopped', {interrupted});
     process.exit(interrupted === 0 ? 0 : EXIT_REQUESTS_INTERRUPTED);
   };
@@ -92,6 +95,7 @@
   process.on('SIGHUP', () => entry?.reloadCredentials());
   try {
     entry = await EntryProcess.start(settings, logger, () => void shutDown());
+    started.resolve(entry);
   } catch (failure) {
     logger.error('program failed to start', {failure: String(failure)});
     process.exit(EXIT_FAILURE);
--- a/packages/bench/test/process_life_test.ts
+++ b/packages/bench/test/process_life_test.ts
@@ -63,6 +63,16 @@
     return client;
   };
 
+  const canConnect = ({host, port}: Address) =>
+    new Promise<boolean>(resolve => {
+      const socket = connect(port, host);
+      socket.once('error', () => resolve(false));
+      socket.once('connect', () => {
+        socket.destroy();
+        resolve(true);
+      });
+    });
+
   const fetchMetric = async (index: number, name: string) => {
     const page = await (await get(index, '/metrics', OLD_TOKEN)).text();
     return Number(new RegExp(`^${name} (.*)$`, 'm').exec(page)?.[1]);
@@ -256,6 +266,20 @@
       expect(await waitForExit(3)).to.equal(0);
     });
 
+    it('during the start is followed by a drain', async () => {
+      // Guards against: an exit that cuts what a VM took on while it started.
+      const machine = system.machine(3);
+      const logPath = join(system.folder, `${machine.name}.log`);
+      const {length} = readFileSync(logPath, 'utf8');
+      system.startMachine(machine);
+      // The rest of the start takes less time than the system's own polls.
+      while (!(await canConnect(machine.peerAddress))) await timer.sleep(1);
+      signal(3);
+      expect(await waitForExit(3)).to.equal(0);
+      const log = readFileSync(logPath, 'utf8').slice(length);
+      expect(log).to.include('drained');
+    });
+
     it('sent twice stops the VM immediately', async () => {
       const client = await connectCaller(2);
       await client.query('BEGIN');
