Wait at a revocation for the work of the former term only

Since a revocation finds its worker, it waited for all work on the member and cut all of it after 250 ms: reads that need no lease, from any VM, kept it waiting and were lost, answered as of unknown outcome.

The worker counts its work by the term that it needs. The revocation waits for that of the former term, and closes the worker only if some is left.

--- a/packages/work/src/member_worker.ts
+++ b/packages/work/src/member_worker.ts
@@ -80,8 +80,8 @@
   private lastUsedAt: number;
   private lastOrganisation: string | undefined;
   private runningCount = 0;
-  /** The work that opened a transaction, until its transaction has ended. */
-  private readonly inTransaction = new Set<WorkRequest>();
+  /** The work that has a connection. */
+  private readonly active = new Set<WorkRequest>();
 
   private constructor(private readonly options: MemberWorkerOptions) {
     const {target, connector, timer, slots} = options;
@@ -153,8 +153,16 @@
 
   /** Returns how many transactions are open that need the lease of a term. */
   countTransactions(term: number): number {
-    const open = [...this.inTransaction];
-    return open.filter(({primaryTerm}) => primaryTerm === term).length;
+    return this.workOf(term).filter(({first}) => first.opens !== 'none').length;
+  }
+
+  /** Whether a statement or transaction that needs the lease of a term runs. */
+  isBusyIn(term: number): boolean {
+    return this.workOf(term).length > 0;
+  }
+
+  private workOf(term: number): readonly WorkRequest[] {
+    return [...this.active].filter(({primaryTerm}) => primaryTerm === term);
   }
 
   /** The number of statements that were sent but not answered yet. */
@@ -245,10 +253,12 @@
       this.connections.checkIn(connection);
       return this.refuse(channel, laterObstacle);
     }
-    if (request.first.opens !== 'none') this.inTransaction.add(request);
-    await this.runWork({connection, request, channel, inbox}).finally(() =>
-      this.inTransaction.delete(request),
-    );
+    this.active.add(request);
+    try {
+      await this.runWork({connection, request, channel, inbox});
+    } finally {
+      this.active.delete(request);
+    }
   }
 
   /**
--- a/packages/work/src/work_service.ts
+++ b/packages/work/src/work_service.ts
@@ -408,13 +408,14 @@
     const former = held !== undefined && held.term < term ? held : undefined;
     const worker = this.workers.get(former?.primary ?? '');
     const deadline = timer.now() + graceMilliseconds;
+    const isBusy = () =>
+      former !== undefined && worker?.isBusyIn(former.term) === true;
     // Once the lease has run out or is that of a later term, no statement of the
     // former term may begin, so that there is nothing to wait for.
     while (
-      former !== undefined &&
-      worker?.busy === true &&
+      isBusy() &&
       timer.now() < deadline &&
-      this.leases.holds(database, former.term)
+      this.leases.holds(database, former?.term ?? 0)
     ) {
       await timer.sleep(REVOCATION_POLL_INTERVAL_MILLISECONDS);
     }
@@ -424,7 +425,8 @@
     if (this.heldPrimaries.get(database)?.term === former.term) {
       this.heldPrimaries.delete(database);
     }
-    if (worker !== undefined) this.closeWorker(worker);
+    // Reads that need no lease go on, unless work of the former term would too.
+    if (worker !== undefined && isBusy()) this.closeWorker(worker);
     logger.info('primary lease revoked', {database, beforeTerm: term});
     return Right({stopped: true});
   }
--- a/packages/work/test/work_service_revocation_test.ts
+++ b/packages/work/test/work_service_revocation_test.ts
@@ -23,6 +23,7 @@
   RENEW_LEASES,
   REVOKE_LEASE,
   WorkClientMessage,
+  WorkRequest,
   WorkServerMessage,
   WorkService,
   WorkStatement,
@@ -72,6 +73,16 @@
   opens: 'none',
 };
 
+const WRITE_REQUEST: WorkRequest = {
+  database: DATABASE,
+  member: MEMBER.name,
+  primaryTerm: 1,
+  priority: 1,
+  waitMilliseconds: 500,
+  objectiveMilliseconds: 500,
+  first: WRITE,
+};
+
 function viewWith(term: number, primary: string | undefined): ClusterView {
   const group = {database: DATABASE, size: 1, term, members: [MEMBER]};
   const groups = [{...group, primary, holder: SELF}];
@@ -159,22 +170,20 @@
     });
     const pair = createChannelPair<WorkClientMessage, WorkServerMessage>();
     this.channel = pair.client;
-    void timer.advanceAsync(200).then(() =>
-      this.service
-        .serve(
-          {
-            database: DATABASE,
-            member: MEMBER.name,
-            primaryTerm: 1,
-            priority: 1,
-            waitMilliseconds: 500,
-            objectiveMilliseconds: 500,
-            first: WRITE,
-          },
-          pair.server,
-        )
-        .finally(() => pair.server.end()),
-    );
+    void timer
+      .advanceAsync(200)
+      .then(() =>
+        this.service
+          .serve(WRITE_REQUEST, pair.server)
+          .finally(() => pair.server.end()),
+      );
+  }
+
+  /** Starts a read that any VM may send to the member. */
+  startRead(): void {
+    const {server} = createChannelPair<WorkClientMessage, WorkServerMessage>();
+    const first = {...COMMIT, requestId: 'r3'};
+    void this.service.serve({...WRITE_REQUEST, primaryTerm: 0, first}, server);
   }
 
   static async start(): Promise<Fixture> {
@@ -236,6 +245,19 @@
     expect((await fixture.channel.receive())?.kind).to.equal('lost');
   });
 
+  it('waits for no read that needs no lease, and does not cut it', async () => {
+    const fixture = await Fixture.start();
+    fixture.channel.send(COMMIT);
+    expect((await fixture.channel.receive())?.kind).to.equal('answer');
+    fixture.answers = false;
+    fixture.startRead();
+    await fixture.settle();
+    await fixture.beginHandover();
+    await fixture.advance(10);
+    expect(fixture.isRevoked).to.equal(true);
+    expect(fixture.usedConnection?.closed).to.equal(false);
+  });
+
   it('ends the work of the former term, and keeps the lease of the same primary', async () => {
     const fixture = await Fixture.start();
     await fixture.beginHandover();
