Begin no work for other VMs that could outlast a VM that stops

What callers of other VMs would see: while a session of the stopping VM stayed busy to the end of the grace period, new work for others was begun until then and cut at once. Found in the review by reading; no run has shown it.

From the signal on, work is refused whose first statement could last longer than this VM. The VM hands its leases over before it refuses all new work.

--- a/packages/program/src/entry_program.ts
+++ b/packages/program/src/entry_program.ts
@@ -142,11 +142,13 @@
     const remainingUntil = (time: number) => Math.max(0, time - timer.now());
     this.draining = true;
     membership.announce('draining');
+    this.work.limitNewWork(schedule.endsAt);
     await timer.sleep(remainingUntil(schedule.acceptsCallersUntil));
     // The balancer falls back to VMs that aren't ready where too few are, so
     // that callers may come until the listener is closed.
     this.callerServer?.close();
     const interruptedSessions = await this.host.drain(schedule);
+    await this.work.waitUntilHandedOver(remainingUntil(schedule.endsAt));
     this.work.refuseNewWork();
     const interruptedWork = await network.waitUntilIdle(
       RUN_WORK,
--- a/packages/work/src/work_service.ts
+++ b/packages/work/src/work_service.ts
@@ -85,7 +85,8 @@
 export class WorkService {
   private readonly workers = new Map<string, MemberWorker>();
   private readonly heldPrimaries = new Map<string, HeldPrimary>();
-  private stopping = false;
+  /** When this VM ends its work, on the timer's clock. */
+  private endsAt = Infinity;
   private readonly leases: PrimaryLeases;
   private readonly renewer: LeaseRenewer;
   private readonly draining: DrainingMembers;
@@ -140,7 +141,15 @@
    * was seen that none is in progress. Transactions in progress continue.
    */
   refuseNewWork(): void {
-    this.stopping = true;
+    this.endsAt = -Infinity;
+  }
+
+  /**
+   * Refuses work from now on whose first statement could last longer than this
+   * VM, which ends its work at a time on the timer's clock.
+   */
+  limitNewWork(endsAt: number): void {
+    this.endsAt = endsAt;
   }
 
   /**
@@ -183,7 +192,8 @@
     request: WorkRequest,
     channel: PeerChannel<WorkServerMessage, WorkClientMessage>,
   ): Promise<void> {
-    if (this.stopping) {
+    const {timer} = this.options;
+    if (timer.now() + request.first.timeoutMilliseconds > this.endsAt) {
       return this.refuse(channel, {
         reason: 'stopping',
         retryAfterMilliseconds: 0,
--- a/packages/work/test/work_service_test.ts
+++ b/packages/work/test/work_service_test.ts
@@ -178,6 +178,18 @@
       expect(refusalIn(await channel.receive())).to.equal('stopping');
     });
 
+    it('refuses work that could outlast it, and does the other', async () => {
+      const fixture = new Fixture();
+      const now = fixture.timer.now();
+      fixture.service.limitNewWork(now + READ.timeoutMilliseconds);
+      fixture.start(READ_REQUEST);
+      await fixture.settle();
+      expect(fixture.answers).to.have.length(1);
+      await fixture.timer.advanceAsync(1);
+      const late = fixture.start(READ_REQUEST);
+      expect(refusalIn(await late.receive())).to.equal('stopping');
+    });
+
     it('continues the work in progress', async () => {
       const fixture = new Fixture();
       const opens = 'readOnlyTransaction' as const;
