Answer all that was read when the grace period ends, and end within it

Found in the review, each shown by a script: of two requests in one write only the one in progress was answered at the end of the grace period; a caller whose start was not confirmed by then got nothing; with a period of 1 s, the wait for callers to close took the stop to 1.1 s, past SIGKILL; and a close of idle sessions by an isolated VM removed the limits of a stop.

What waits behind the request in progress, and a start that isn't confirmed, are answered as not run. The wait for callers ends by the schedule of the stop. Limits stay once they were given.

The unit tests for these fail before (3 of 3 of the new ones in session_drain_test, with a fake that writes nothing once it was closed) and pass now.

--- a/packages/dispatch/src/session_drain.ts
+++ b/packages/dispatch/src/session_drain.ts
@@ -1,4 +1,8 @@
-import {CallerFailure} from '@apricotlock/statement';
+import {
+  CallerAnswer,
+  CallerConnection,
+  CallerFailure,
+} from '@apricotlock/statement';
 import {isStarted, SessionTransaction} from './session_transaction.js';
 
 /** The failure of a request that a VM that stops does not begin. */
@@ -27,6 +31,8 @@
   readonly transactionsUntil: number;
   /** What is in progress then is answered as of unknown outcome. */
   readonly endsAt: number;
+  /** Callers have until then to receive their last answers. */
+  readonly lingersUntil: number;
 }
 
 /** Whether a session is to end, and what it may still begin until then. */
@@ -46,10 +52,13 @@
     return this.begun;
   }
 
-  /** Lets the session end; without limits it may take any time. */
+  /**
+   * Lets the session end; without limits, it may take any time unless it was
+   * given limits before.
+   */
   begin(limits: DrainLimits | undefined): void {
     this.begun = true;
-    this.limits = limits;
+    this.limits = limits ?? this.limits;
   }
 
   /**
@@ -67,3 +76,14 @@
 export function failureAtStop(transaction: SessionTransaction): CallerFailure {
   return isStarted(transaction) ? ROLLED_BACK_AT_STOP : NOT_BEGUN_AT_STOP;
 }
+
+/** Gives all requests that were read and not received the same answer. */
+export async function answerPending(
+  link: CallerConnection,
+  answer: CallerAnswer,
+): Promise<void> {
+  while (link.hasPendingRequest) {
+    if ((await link.receive()) === undefined) return;
+    link.answer(answer);
+  }
+}
--- a/packages/dispatch/src/session_host.ts
+++ b/packages/dispatch/src/session_host.ts
@@ -93,7 +93,7 @@
    */
   closeIdle(before: number): number {
     const idle = [...this.sessions].filter(
-      ({busy, begunAt}) => !busy && begunAt < before,
+      ({busy, progress}) => !busy && progress.begunAt < before,
     );
     for (const session of idle) void session.drain();
     return idle.length;
@@ -112,22 +112,20 @@
       await timer.sleep(DRAIN_POLL_MILLISECONDS);
     }
     const interrupted = this.busyCount;
-    for (const session of this.sessions) session.abandon();
-    await this.waitForConnectionsToEnd(limits.endsAt);
+    await Promise.all([...this.sessions].map(session => session.abandon()));
+    await this.waitForConnectionsToEnd(limits.lingersUntil);
     return interrupted;
   }
 
   /**
    * Waits until callers have closed the connections that this VM has closed,
-   * for a short time; until `deadline` if answers are still unsent.
+   * for a short time; until the deadline if answers are still unsent.
    */
   private async waitForConnectionsToEnd(deadline: number): Promise<void> {
     const {timer} = this.options;
-    const lingersUntil = timer.now() + LINGER_MILLISECONDS;
+    const lingersUntil = Math.min(timer.now() + LINGER_MILLISECONDS, deadline);
     while (this.connections.size > 0) {
-      const limit = this.hasUnsentAnswers
-        ? Math.max(lingersUntil, deadline)
-        : lingersUntil;
+      const limit = this.hasUnsentAnswers ? deadline : lingersUntil;
       if (timer.now() >= limit) return;
       await timer.sleep(DRAIN_POLL_MILLISECONDS);
     }
--- a/packages/dispatch/src/statement_session.ts
+++ b/packages/dispatch/src/statement_session.ts
@@ -31,6 +31,7 @@
 import {SessionCaller} from './session_caller.js';
 import {
   ABANDONED_AT_STOP,
+  answerPending,
   DrainLimits,
   failureAtStop,
   NOT_BEGUN_AT_STOP,
@@ -78,7 +79,8 @@
   /** Whether the request in progress was answered without its outcome. */
   private abandoned = false;
 
-  private readonly progress: SessionProgress;
+  /** How far the session has come. */
+  readonly progress: SessionProgress;
   private readonly catalogue: CatalogueLookup;
   private readonly recorder: RequestRecorder;
 
@@ -108,11 +110,6 @@
     );
   }
 
-  /** When the caller connected, on the timer's clock. */
-  get begunAt(): number {
-    return this.progress.begunAt;
-  }
-
   /** Returns what the session is doing now, for the log. */
   snapshot(): SessionSnapshot {
     return this.progress.snapshot(this.transaction.kind !== 'none');
@@ -185,14 +182,17 @@
   }
 
   /**
-   * Ends the session at once. A request in progress is answered as of unknown
-   * outcome, and an open transaction is rolled back.
+   * Ends the session at once. The request in progress is answered as of unknown
+   * outcome, those that wait behind it and a start as not run, and an open
+   * transaction is rolled back.
    */
-  abandon(): void {
+  async abandon(): Promise<void> {
     const {link} = this.options;
+    if (this.progress.identifying) return link.reject(NOT_BEGUN_AT_STOP);
     if (this.progress.processing) {
       this.abandoned = true;
       link.answer(this.fail(ABANDONED_AT_STOP));
+      await answerPending(link, this.fail(NOT_BEGUN_AT_STOP));
     }
     this.endTransaction();
     link.close();
--- a/packages/dispatch/test/session_drain_test.ts
+++ b/packages/dispatch/test/session_drain_test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {Statement} from '@apricotlock/statement';
+import {CallerAnswer, Statement} from '@apricotlock/statement';
 import {
   BEGIN,
   organisation,
@@ -14,9 +14,16 @@
 const STATEMENT_MILLISECONDS = 800;
 const KEY = 'an example key';
 
+/** Returns the kinds of the failures that a caller received, in order. */
+function failuresOf({answers}: {readonly answers: readonly CallerAnswer[]}) {
+  return answers.flatMap(answer =>
+    answer.kind === 'failure' ? [answer.failure.kind] : [],
+  );
+}
+
 /** Begins a session whose caller is identified only after some time. */
 function beginIdentification() {
-  const bench = new SessionBench([]);
+  const bench = new SessionBench([organisation('other', 'another key')]);
   bench.freshness.newer = viewOf(2, [organisation('one', KEY)]);
   const link = bench.begin(KEY);
   const [session] = bench.sessions;
@@ -86,6 +93,7 @@
       void session.drain({
         transactionsUntil: now + TRANSACTION_MILLISECONDS,
         endsAt: now + DRAIN_MILLISECONDS,
+        lingersUntil: now + DRAIN_MILLISECONDS,
       });
       return {bench, link, session};
     }
@@ -110,9 +118,36 @@
       const {bench, link, session} = await beginDrain([BEGIN]);
       bench.router.silent = true;
       expect(await bench.ask(link)).to.equal('none');
-      session.abandon();
-      expect(link.answers.at(-1)).to.deep.include({kind: 'failure'});
+      await session.abandon();
+      expect(failuresOf(link)).to.deep.equal(['unknown']);
       expect(link.closed).to.equal(true);
     });
+
+    it('answers what waits behind it as not run', async () => {
+      const bench = new SessionBench([organisation('one', KEY)]);
+      const link = await bench.start(KEY);
+      bench.router.silent = true;
+      link.send(READ);
+      await bench.pass(20);
+      link.send(READ);
+      await bench.sessions[0]?.abandon();
+      expect(failuresOf(link)).to.deep.equal(['unknown', 'notRun']);
+    });
+
+    it('refuses a start that is not confirmed as not run', async () => {
+      const {bench, link, session} = beginIdentification();
+      link.send(READ);
+      await bench.pass(0);
+      await session.abandon();
+      expect(link.rejection?.kind).to.equal('notRun');
+      expect(link.answers).to.deep.equal([]);
+    });
+
+    it('keeps its limits when an isolated VM closes idle sessions', async () => {
+      const {bench, link, session} = await beginDrain([BEGIN, READ]);
+      void session.drain();
+      await bench.pass(DRAIN_MILLISECONDS - STATEMENT_MILLISECONDS);
+      expect(await bench.ask(link)).to.equal('rolledBack');
+    });
   });
 });
--- a/packages/dispatch/test/support/session_bench.ts
+++ b/packages/dispatch/test/support/session_bench.ts
@@ -96,7 +96,8 @@
   }
 
   override reject(failure: CallerFailure): void {
-    this.rejection = failure;
+    if (!this.closed) this.rejection = failure;
+    this.close();
   }
 
   override async receive(): Promise<CallerRequest | undefined> {
@@ -108,7 +109,7 @@
   }
 
   override answer(answer: CallerAnswer): void {
-    this.answers.push(answer);
+    if (!this.closed) this.answers.push(answer);
   }
 
   override async readArrived(): Promise<void> {
--- a/packages/program/src/stop_schedule.ts
+++ b/packages/program/src/stop_schedule.ts
@@ -38,5 +38,6 @@
       startedAt + Math.min(BALANCER_DELAY_MILLISECONDS, halfMilliseconds),
     transactionsUntil: startedAt + halfMilliseconds,
     endsAt: startedAt + graceMilliseconds - reserveMilliseconds,
+    lingersUntil: startedAt + graceMilliseconds - reserveMilliseconds / 2,
   };
 }
--- a/packages/program/test/stop_schedule_test.ts
+++ b/packages/program/test/stop_schedule_test.ts
@@ -19,10 +19,12 @@
   for (const graceMilliseconds of [500, 1_000, 2_000, 3_000]) {
     it(`drains sessions within a grace period of ${graceMilliseconds} ms`, () => {
       const schedule = scheduleStop(STARTED_AT, graceMilliseconds);
-      const {acceptsCallersUntil, transactionsUntil, endsAt} = schedule;
+      const {acceptsCallersUntil, transactionsUntil} = schedule;
+      const {endsAt, lingersUntil} = schedule;
       expect(acceptsCallersUntil).to.be.at.most(transactionsUntil);
       expect(transactionsUntil).to.be.below(endsAt);
-      expect(endsAt).to.be.below(STARTED_AT + graceMilliseconds);
+      expect(endsAt).to.be.below(lingersUntil);
+      expect(lingersUntil).to.be.below(STARTED_AT + graceMilliseconds);
     });
   }
 });
