--- a/packages/dispatch/test/session_drain_test.ts
+++ b/packages/dispatch/test/session_drain_test.ts
@@ -10,7 +10,7 @@
 
 const TRANSACTION_MILLISECONDS = 3_000;
 const DRAIN_MILLISECONDS = 5_000;
-/** The time limit of statements in the catalogue of the session bench. */
+/** The time limit of statements at the entry of these sessions. */
 const STATEMENT_MILLISECONDS = 800;
 const KEY = 'an example key';
 
