Move the primaries under lease out of the work service

The primaries whose leases a VM received, their positions and their revocation are now a class of their own; the wait of a revocation is a function of its own. Behaviour is unchanged, and so are the tests.

--- a/packages/work/src/work_service.ts
+++ b/packages/work/src/work_service.ts
@@ -1,13 +1,8 @@
-import {Either, Left, Right} from 'purify-ts';
+import {Left, Right} from 'purify-ts';
 import {Observable} from '@apricotlock/flow';
 import {Logger} from '@apricotlock/logging';
 import {PeerChannel, PeerNetwork} from '@apricotlock/peer';
-import {
-  laterPosition,
-  LogPosition,
-  MemberConnector,
-  StatementAnswer,
-} from '@apricotlock/statement';
+import {LogPosition, MemberConnector} from '@apricotlock/statement';
 import {TimerService} from '@apricotlock/timer';
 import {
   ClusterView,
@@ -24,8 +19,9 @@
 } from './connection_limits.js';
 import {ControlLeaderClient} from './control_leader_client.js';
 import {DrainingMembers} from './draining_members.js';
-import {COUNT_TRANSACTIONS, GroupTerm, REVOKE_LEASE} from './lease_messages.js';
-import {AssignedPrimary, LeaseRenewer} from './lease_renewer.js';
+import {HeldPrimaries} from './held_primaries.js';
+import {COUNT_TRANSACTIONS, REVOKE_LEASE} from './lease_messages.js';
+import {LeaseRenewer} from './lease_renewer.js';
 import {MemberWorker} from './member_worker.js';
 import {PrimaryFailureReporter} from './primary_failure_reporter.js';
 import {PrimaryLeases} from './primary_leases.js';
@@ -43,10 +39,6 @@
 /** A worker is closed after this time without work. */
 const UNUSED_WORKER_TIMEOUT_MILLISECONDS = 5_000;
 const WORKER_CHECK_INTERVAL_MILLISECONDS = 1_000;
-/** A revocation checks at this interval whether work has finished. */
-const REVOCATION_POLL_INTERVAL_MILLISECONDS = 5;
-/** The pause between attempts to read the position of a new primary. */
-const POSITION_RETRY_MILLISECONDS = 50;
 /** The retry delay that is sent with a refusal for an unknown member. */
 const UNKNOWN_MEMBER_RETRY_MILLISECONDS = 300;
 
@@ -69,14 +61,6 @@
 /** The role in which a member is used. */
 export type MemberRole = 'primary' | 'replica';
 
-/** A primary whose lease this VM received, and its last known position. */
-interface HeldPrimary {
-  readonly term: number;
-  /** The primary of the term; the view may be of a later term already. */
-  readonly primary: string;
-  readonly position: LogPosition | undefined;
-}
-
 /**
  * Runs work on members for the sessions of this VM and of other VMs, with one
  * worker for each member in use. Work on a primary requires its lease; work on
@@ -84,10 +68,10 @@
  */
 export class WorkService {
   private readonly workers = new Map<string, MemberWorker>();
-  private readonly heldPrimaries = new Map<string, HeldPrimary>();
   /** When this VM ends its work, on the timer's clock. */
   private endsAt = Infinity;
   private readonly leases: PrimaryLeases;
+  private readonly primaries: HeldPrimaries;
   private readonly renewer: LeaseRenewer;
   private readonly draining: DrainingMembers;
   private readonly failureReporter: PrimaryFailureReporter;
@@ -98,10 +82,18 @@
     this.draining.update(options.view.current);
     this.failureReporter = PrimaryFailureReporter.create(options);
     const {leases} = this;
+    this.primaries = HeldPrimaries.create({
+      ...options,
+      leases,
+      findWorker: name => this.workers.get(name),
+      findOrCreateWorker: (database, name) =>
+        this.findOrCreateWorker(database, name),
+      closeWorker: worker => this.closeWorker(worker),
+    });
     this.renewer = LeaseRenewer.start({
       ...options,
       leases,
-      onRenewed: assigned => this.recordHeldLease(assigned),
+      onRenewed: assigned => this.primaries.recordLease(assigned),
     });
   }
 
@@ -119,12 +111,14 @@
         ? Left('not the lease holder')
         : Right(position);
     });
+    const {primaries} = service;
     network.handle(COUNT_TRANSACTIONS, async groupTerm =>
-      Right({open: service.countTransactions(groupTerm)}),
-    );
-    network.handle(REVOKE_LEASE, async ({database, term, graceMilliseconds}) =>
-      service.revokeLease(database, term, graceMilliseconds),
+      Right({open: primaries.countTransactions(groupTerm)}),
     );
+    network.handle(REVOKE_LEASE, async request => {
+      await primaries.revokeBefore(request, request.graceMilliseconds);
+      return Right({stopped: true as const});
+    });
     view.subscribe(current => {
       service.draining.update(current);
       service.updateWorkers();
@@ -169,9 +163,7 @@
 
   /** Whether this VM holds the lease of a primary. */
   get holdsLease(): boolean {
-    return [...this.heldPrimaries].some(([database, {term}]) =>
-      this.leases.holds(database, term),
-    );
+    return this.primaries.holdsLease;
   }
 
   /**
@@ -179,12 +171,8 @@
    * stops waits for this before it exits: after its exit, control can't hand a
    * lease over before it has run out.
    */
-  async waitUntilHandedOver(timeoutMilliseconds: number): Promise<void> {
-    const {timer} = this.options;
-    const deadline = timer.now() + timeoutMilliseconds;
-    while (this.holdsLease && timer.now() < deadline) {
-      await timer.sleep(REVOCATION_POLL_INTERVAL_MILLISECONDS);
-    }
+  waitUntilHandedOver(timeoutMilliseconds: number): Promise<void> {
+    return this.primaries.waitUntilHandedOver(timeoutMilliseconds);
   }
 
   /** Runs one statement or one transaction on a member. */
@@ -223,11 +211,7 @@
    * or does not know the position yet.
    */
   currentPosition(database: string, term: number): LogPosition | undefined {
-    const held = this.heldPrimaries.get(database);
-    if (held?.term !== term || !this.leases.holds(database, term)) {
-      return undefined;
-    }
-    return held.position;
+    return this.primaries.currentPosition(database, term);
   }
 
   /**
@@ -307,7 +291,7 @@
       onBegun: request => this.recordDrainingWork(request),
       onSymptom: symptom =>
         void this.failureReporter.report(database, name, symptom),
-      onAnswer: answer => this.recordAnswer(database, name, answer),
+      onAnswer: answer => this.primaries.recordAnswer(database, name, answer),
     });
   }
 
@@ -320,20 +304,6 @@
     return connectionLimitsFor(facts, group, member);
   }
 
-  /** Records the log position in an answer of a primary under lease. */
-  private recordAnswer(
-    database: string,
-    member: string,
-    {position}: StatementAnswer,
-  ): void {
-    const held = this.heldPrimaries.get(database);
-    if (held?.primary !== member) return;
-    this.heldPrimaries.set(database, {
-      ...held,
-      position: laterPosition(held.position, position),
-    });
-  }
-
   private recordDrainingWork({
     database,
     member: name,
@@ -353,93 +323,6 @@
     });
     onDrainingWork(primaryTerm > 0 ? 'primary' : 'replica');
   }
-
-  private recordHeldLease({database, term, primary}: AssignedPrimary): void {
-    if (this.heldPrimaries.get(database)?.term === term) return;
-    this.heldPrimaries.set(database, {term, primary, position: undefined});
-    void this.fetchInitialPosition(database, term, primary);
-  }
-
-  /**
-   * Reads the position of a newly leased primary, with retries until the lease
-   * ends. Until the primary has answered, this VM reports no position, because
-   * it does not know which writes were acknowledged before.
-   */
-  private async fetchInitialPosition(
-    database: string,
-    term: number,
-    primary: string,
-  ): Promise<void> {
-    const {timer, logger} = this.options;
-    const isObsolete = () =>
-      this.heldPrimaries.get(database)?.term !== term ||
-      !this.leases.holds(database, term);
-    while (!isObsolete()) {
-      const worker = this.findOrCreateWorker(database, primary);
-      const position = await worker?.currentPosition();
-      if (position !== undefined && !isObsolete()) {
-        const known = this.heldPrimaries.get(database)?.position;
-        this.heldPrimaries.set(database, {
-          term,
-          primary,
-          position: laterPosition(known, position),
-        });
-        logger.info('primary lease acquired', {
-          database,
-          term,
-          primary,
-          position: `${position.term}.${position.number}`,
-        });
-        return;
-      }
-      await timer.sleep(POSITION_RETRY_MILLISECONDS);
-    }
-  }
-
-  /** Returns how many open transactions need the lease of a term. */
-  private countTransactions({database, term}: GroupTerm): number {
-    const held = this.heldPrimaries.get(database);
-    if (held?.term !== term) return 0;
-    return this.workers.get(held.primary)?.countTransactions(term) ?? 0;
-  }
-
-  /**
-   * Revokes the leases of terms before `term` after work in progress has ended,
-   * at the latest after the grace period. Work that is still in progress then
-   * is lost. Resolves once the primary of an earlier term is no longer used.
-   */
-  private async revokeLease(
-    database: string,
-    term: number,
-    graceMilliseconds: number,
-  ): Promise<Either<string, {stopped: true}>> {
-    const {timer, logger} = this.options;
-    const held = this.heldPrimaries.get(database);
-    const former = held !== undefined && held.term < term ? held : undefined;
-    const worker = this.workers.get(former?.primary ?? '');
-    const deadline = timer.now() + graceMilliseconds;
-    const isBusy = () =>
-      former !== undefined && worker?.isBusyIn(former.term) === true;
-    // Once the lease has run out or is that of a later term, no statement of the
-    // former term may begin, so that there is nothing to wait for.
-    while (
-      isBusy() &&
-      timer.now() < deadline &&
-      this.leases.holds(database, former?.term ?? 0)
-    ) {
-      await timer.sleep(REVOCATION_POLL_INTERVAL_MILLISECONDS);
-    }
-    this.leases.revokeBefore(database, term);
-    if (former === undefined) return Right({stopped: true});
-    // The lease of a later term may have been granted to this VM meanwhile.
-    if (this.heldPrimaries.get(database)?.term === former.term) {
-      this.heldPrimaries.delete(database);
-    }
-    // Reads that need no lease go on, unless work of the former term would too.
-    if (worker !== undefined && isBusy()) this.closeWorker(worker);
-    logger.info('primary lease revoked', {database, beforeTerm: term});
-    return Right({stopped: true});
-  }
 }
 
 function isSameTarget(
