Derive the time of a handover from the grace period in the settings

What callers would see with a grace period of less than 6 s: a stopping holder of a lease with open transactions ended before control handed its lease over after 2.75 s, and writes waited until the lease had run out. Found by reading; all deployments so far have 6 s, with which nothing changes.

The supervisor gets the grace period of the settings: the leases stay with a draining holder for half of it, less the grace of the revocation. The new unit test asks this for 6 s, 2 s and 0.4 s; the code before has the constant only.

All holder and primary tests of packages/appointment pass.

--- a/packages/appointment/src/holder_drain.ts
+++ b/packages/appointment/src/holder_drain.ts
@@ -1,12 +1,15 @@
 import {TimerService} from '@apricotlock/timer';
 import {DatabaseGroup} from '@apricotlock/topology';
+import {PLANNED_GRACE_MILLISECONDS} from './lease_revocation.js';
 
 /**
- * How long the leases of a draining holder stay with it for open transactions.
- * They have half of the grace period of 6 s to end, of which the grace of the
- * revocation is the last part.
+ * Returns how long the leases of a draining holder stay with it for its open
+ * transactions. They have half of its grace period to end, of which the grace of
+ * the revocation is the last part.
  */
-export const HOLDER_DRAIN_MILLISECONDS = 2_750;
+export function holderDrainMilliseconds(graceMilliseconds: number): number {
+  return Math.max(0, graceMilliseconds / 2 - PLANNED_GRACE_MILLISECONDS);
+}
 
 /**
  * Returns whether the lease of a draining holder is to be handed over now. The
@@ -15,15 +18,22 @@
 export function mustHandOver(
   drainingMilliseconds: number,
   openTransactions: number | undefined,
+  limitMilliseconds: number,
 ): boolean {
-  if (drainingMilliseconds >= HOLDER_DRAIN_MILLISECONDS) return true;
+  if (drainingMilliseconds >= limitMilliseconds) return true;
   return openTransactions === undefined || openTransactions === 0;
 }
 
+/** The holder and term of a group, and when they were first seen draining. */
+interface SeenDraining {
+  readonly key: string;
+  readonly at: number;
+}
+
 /** For how long this VM has seen each lease holder draining. */
 export class HolderDrain {
-  /** By group, the holder and term, and when they were first seen. */
-  private readonly since = new Map<string, {key: string; at: number}>();
+  /** By database. */
+  private readonly since = new Map<string, SeenDraining>();
 
   private constructor(private readonly timer: TimerService) {}
 
--- a/packages/appointment/src/lease_revocation.ts
+++ b/packages/appointment/src/lease_revocation.ts
@@ -8,7 +8,7 @@
 const ANSWER_TIMEOUT_MILLISECONDS = 400;
 const RETRY_INTERVAL_MILLISECONDS = 60;
 /** How long open transactions may continue before a planned change. */
-const PLANNED_GRACE_MILLISECONDS = 250;
+export const PLANNED_GRACE_MILLISECONDS = 250;
 
 /** The primary lease to revoke. */
 export interface RevocationRequest {
--- a/packages/appointment/src/primary_supervisor.ts
+++ b/packages/appointment/src/primary_supervisor.ts
@@ -11,7 +11,11 @@
   REPORT_PRIMARY_FAILURE,
   Symptom,
 } from '@apricotlock/work';
-import {HolderDrain, mustHandOver} from './holder_drain.js';
+import {
+  HolderDrain,
+  holderDrainMilliseconds,
+  mustHandOver,
+} from './holder_drain.js';
 import {
   PrimaryFailover,
   FailoverCause,
@@ -54,6 +58,8 @@
 > & {
   /** The VMs that serve callers. */
   readonly entryMachines: () => readonly VirtualMachine[];
+  /** The time that VMs have to stop, in milliseconds. */
+  readonly graceMilliseconds: number;
 };
 
 interface PrimaryReport {
@@ -137,7 +143,8 @@
       TRANSACTION_COUNT_TIMEOUT_MILLISECONDS,
     );
     const open = answer.toMaybe().extract()?.open;
-    if (!mustHandOver(drainingMilliseconds, open)) return;
+    const limit = holderDrainMilliseconds(this.options.graceMilliseconds);
+    if (!mustHandOver(drainingMilliseconds, open, limit)) return;
     await this.failOver(group, 'holderLost');
   }
 
--- a/packages/appointment/test/fake_control_vm.ts
+++ b/packages/appointment/test/fake_control_vm.ts
@@ -30,6 +30,9 @@
 import {FakeGroup} from './fake_group.js';
 import {FakeNetwork} from './fake_network.js';
 
+/** The time that entry VMs have to stop. */
+export const GRACE_MILLISECONDS = 6_000;
+
 /** What the control VMs of one test share. */
 export interface ControlSurroundings {
   readonly committed: SingleNodeControlLog;
@@ -157,6 +160,7 @@
       grantor: LeaseGrantor.start({log, network, timer, deadlines}),
       machines: Observable.of(entryMachines),
       entryMachines: () => entryMachines,
+      graceMilliseconds: GRACE_MILLISECONDS,
       timer,
       logger: Logger.silent(),
     });
--- a/packages/appointment/test/holder_drain_test.ts
+++ b/packages/appointment/test/holder_drain_test.ts
@@ -2,11 +2,12 @@
 import {SingleNodeControlLog} from '@apricotlock/control';
 import {ManualTimerService} from '@apricotlock/timer';
 import {VirtualMachine} from '@apricotlock/topology';
-import {HOLDER_DRAIN_MILLISECONDS, mustHandOver} from '../src/holder_drain.js';
+import {holderDrainMilliseconds, mustHandOver} from '../src/holder_drain.js';
 import {entryMachine, groupIn, logWithGroup} from './fake_control.js';
-import {FakeControlVm} from './fake_control_vm.js';
+import {FakeControlVm, GRACE_MILLISECONDS} from './fake_control_vm.js';
 import {FakeGroup, FakePromotions} from './fake_group.js';
 
+const HOLDER_DRAIN_MILLISECONDS = holderDrainMilliseconds(GRACE_MILLISECONDS);
 const HOLDER = 'entry-1';
 const OTHER = 'entry-2';
 const RENEWAL_INTERVAL_MILLISECONDS = 200;
@@ -60,14 +61,23 @@
 // Guards against open transactions that end because their holder drains.
 describe('a lease holder that is draining', () => {
   it('is to hand over once no transaction is open or their time is over', () => {
-    expect(mustHandOver(0, 1)).to.equal(false);
-    expect(mustHandOver(HOLDER_DRAIN_MILLISECONDS - 1, 1)).to.equal(false);
-    expect(mustHandOver(HOLDER_DRAIN_MILLISECONDS, 1)).to.equal(true);
-    expect(mustHandOver(0, 0)).to.equal(true);
+    const limit = HOLDER_DRAIN_MILLISECONDS;
+    expect(mustHandOver(0, 1, limit)).to.equal(false);
+    expect(mustHandOver(limit - 1, 1, limit)).to.equal(false);
+    expect(mustHandOver(limit, 1, limit)).to.equal(true);
+    expect(mustHandOver(0, 0, limit)).to.equal(true);
   });
 
   it('is to hand over at once if it has not answered', () => {
-    expect(mustHandOver(0, undefined)).to.equal(true);
+    const limit = HOLDER_DRAIN_MILLISECONDS;
+    expect(mustHandOver(0, undefined, limit)).to.equal(true);
+  });
+
+  // Guards against a handover that comes after the holder had to exit.
+  it('has handed over by half of its grace period, however short', () => {
+    expect(holderDrainMilliseconds(6_000)).to.equal(2_750);
+    expect(holderDrainMilliseconds(2_000)).to.equal(750);
+    expect(holderDrainMilliseconds(400)).to.equal(0);
   });
 
   it('keeps the lease while a transaction is open, for a limited time', async () => {
--- a/packages/program/src/control_program.ts
+++ b/packages/program/src/control_program.ts
@@ -222,6 +222,7 @@
     deadlines,
     grantor: LeaseGrantor.start({log, network, timer, deadlines}),
     machines,
+    graceMilliseconds: settings.graceMilliseconds,
     entryMachines: () =>
       machines.current.filter(({controlVoter}) => !controlVoter),
     timer,
