--- a/review/lib-2/members.mjs
+++ b/review/lib-2/members.mjs
@@ -60,6 +60,7 @@
       if (!chosen.isRunning || chosen.role === 'primary') return;
       const term = Math.max(...this.members.map(each => each.term)) + 1;
       this.record.add(`members: ${chosen.id} leads term ${term}`);
+      this.onPromoted?.(chosen);
       chosen.lead(term);
     }, this.promoteMs);
     return 200;
@@ -128,13 +129,18 @@
     for (const socket of this.sockets) socket.resetAndDestroy();
   }
 
-  /** Starts again under its name; a new process is not held (paused). */
-  async restart({keepsLog}) {
+  /**
+   * Starts again under its name; a new process is not held (paused). A primary
+   * leads again if no other member was promoted.
+   */
+  async restart({keepsLog, leadsAgain = false}) {
     this.isRunning = true;
     this.held = 0;
     this.seq = 0;
     this.born = Date.now();
-    this.role = 'replica';
+    const others = this.group.members.filter(other => other !== this);
+    const isReplaced = others.some(({term}) => term > this.term);
+    this.role = leadsAgain && !isReplaced ? 'primary' : 'replica';
     if (!keepsLog) {
       this.log = [];
       this.term = 1;
@@ -170,7 +176,6 @@
     if (primary.term < this.term) return;
     this.term = primary.term;
     this.log = [...primary.log];
-    primary.group.onReceived?.(this);
     for (const waiter of primary.waiters ?? []) waiter();
   }
 
--- a/review/lib-2/system.mjs
+++ b/review/lib-2/system.mjs
@@ -64,7 +64,7 @@
   return line[1].split(' ');
 }
 
-/** The bounds of bonanno-pool. */
+/** The bounds of both sites. */
 const BOUNDS = {
   seed_lag_s: 3,
   addr_reuse_s: 2,
