End a script's processes when it exceeds its time

The time limit of run.sh sends SIGTERM, on which the stand-ins now stop the processes that they started. Checked with a limit of 6 s: none was left, and the temporary folder was gone.

--- a/review/lib-2/system.mjs
+++ b/review/lib-2/system.mjs
@@ -101,6 +101,10 @@
     this.subnet = `127.${20 + (process.pid % 200)}.${process.pid % 251}`;
     this.processes = new Map();
     this.promotions = [];
+    // A script that exceeds its time leaves no process behind.
+    process.once('SIGTERM', () => {
+      void this.stop().then(() => process.exit(EXIT_NOT_RUN));
+    });
     /** Handles a promotion; returns the status of the answer. */
     this.onPromotion = () => 409;
     this.roles = new Map();
