--- a/packages/control/src/apply_command.ts
+++ b/packages/control/src/apply_command.ts
@@ -116,9 +116,10 @@
         kind: 'accepted',
         index,
         version: change.view.catalogue.version,
+        changed: true,
       };
     case 'unchanged':
-      return {kind: 'accepted', index, version};
+      return {kind: 'accepted', index, version, changed: false};
     case 'conflict':
       return {kind: 'conflict', version};
     case 'refused':
--- a/packages/control/src/control_command.ts
+++ b/packages/control/src/control_command.ts
@@ -115,6 +115,12 @@
       readonly kind: 'accepted';
       readonly index: number;
       readonly version: number;
+      /**
+       * Whether the command changed the view; `false` if the view already was as
+       * requested or knew something newer. Absent in an answer of an earlier
+       * version of the product.
+       */
+      readonly changed?: boolean | undefined;
     }
   /** Another change of the same object came first. */
   | {readonly kind: 'conflict'; readonly version: number}
--- a/packages/control/src/control_schemas.ts
+++ b/packages/control/src/control_schemas.ts
@@ -161,7 +161,12 @@
 
 /** Validates the answer to a command, or the reason why there is none. */
 export const proposeOutcomeSchema = z.discriminatedUnion('kind', [
-  z.object({kind: z.literal('accepted'), index: count, version: count}),
+  z.object({
+    kind: z.literal('accepted'),
+    index: count,
+    version: count,
+    changed: z.boolean().optional(),
+  }),
   z.object({kind: z.literal('conflict'), version: count}),
   z.object({kind: z.literal('refused'), reason: z.string()}),
   z.object({kind: z.literal('unavailable'), reason: z.string()}),
--- a/packages/control/src/view_change.ts
+++ b/packages/control/src/view_change.ts
@@ -3,7 +3,7 @@
 /** The effect of a command on the view. */
 export type ViewChange =
   | {readonly kind: 'changed'; readonly view: ClusterView}
-  /** The view already is as the command requests. */
+  /** The view already is as the command requests, or knows something newer. */
   | {readonly kind: 'unchanged'}
   | {readonly kind: 'conflict'}
   | {readonly kind: 'refused'; readonly reason: string};
