Store a first catalogue whose version is 0

It was not stored, no read returned it, no entry VM became ready, and neither a repetition nor a restart helped; only a higher version did. The same with `-0`.

Cause: the version 0, which operators may choose, also meant "there is no catalogue" in five places: replaceCatalogue took "not above the current version" for a repetition, readiness of an entry VM and two checks of the lookup of entries compared the version with 0, and a delta between views carried the version only.

It is absent in what earlier versions wrote, where a version above 0 tells the same. A command in a log has the same form as before. A log of an earlier version that holds an acknowledged version 0 brings it into force when it is replayed.

--- a/packages/control/src/catalogue_change.ts
+++ b/packages/control/src/catalogue_change.ts
@@ -4,6 +4,7 @@
   CatalogueEntry,
   ClusterView,
   DatabaseGroup,
+  isStoredCatalogue,
   Organisation,
 } from '@apricotlock/topology';
 import {ViewChange} from './view_change.js';
@@ -35,15 +36,18 @@
 
 /**
  * Replaces the catalogue with one whose version the operators chose. A version
- * not above the current one is treated as a late or repeated request: it
- * changes nothing and is not refused.
+ * not above that of the stored catalogue is treated as a late or repeated
+ * request: it changes nothing and is not refused. Any version can be the first.
  */
 export function replaceCatalogue(
   view: ClusterView,
   version: number,
   content: CatalogueContent,
 ): ViewChange {
-  if (version <= view.catalogue.version) return {kind: 'unchanged'};
+  const {catalogue} = view;
+  if (isStoredCatalogue(catalogue) && version <= catalogue.version) {
+    return {kind: 'unchanged'};
+  }
   return changeCatalogue(view, version, content);
 }
 
@@ -55,6 +59,7 @@
   const before = view.catalogue;
   const catalogue: Catalogue = {
     version,
+    stored: true,
     entries: reuseUnchanged(entries, before.entries),
     // A catalogue without organisations is equal to one of an earlier version.
     ...(organisations.length > 0 && {
--- a/packages/control/src/control_command.ts
+++ b/packages/control/src/control_command.ts
@@ -34,7 +34,10 @@
    */
   | {
       readonly kind: 'replaceCatalogue';
-      /** Has an effect only if it is above the current version. */
+      /**
+       * Has an effect only if it is above the version of the stored catalogue,
+       * or if there is none.
+       */
       readonly version: number;
       readonly entries: readonly CatalogueEntry[];
       /** If absent, the new catalogue has no organisations. */
--- a/packages/control/src/control_schemas.ts
+++ b/packages/control/src/control_schemas.ts
@@ -229,6 +229,7 @@
   index: count,
   catalogue: z.looseObject({
     version: count,
+    stored: z.literal(true).optional(),
     entries: z.array(entryOutline),
     organisations: z.array(organisationOutline).optional(),
   }),
@@ -243,6 +244,7 @@
       fromIndex: count,
       index: count,
       catalogueVersion: count,
+      catalogueStored: z.literal(true).optional(),
       entries: z.array(entryOutline),
       removedEntries: z.array(text),
       organisations: z.array(organisationOutline).optional(),
--- a/packages/control/src/view_delta.ts
+++ b/packages/control/src/view_delta.ts
@@ -3,6 +3,7 @@
   CatalogueEntry,
   ClusterView,
   DatabaseGroup,
+  isStoredCatalogue,
   Organisation,
 } from '@apricotlock/topology';
 
@@ -12,6 +13,8 @@
   readonly fromIndex: number;
   readonly index: number;
   readonly catalogueVersion: number;
+  /** As in {@link Catalogue}; absent in a delta of an earlier version. */
+  readonly catalogueStored?: true | undefined;
   /** New and changed entries. */
   readonly entries: readonly CatalogueEntry[];
   /** Names of deleted entries. */
@@ -53,6 +56,7 @@
     fromIndex: from.index,
     index: to.index,
     catalogueVersion: to.catalogue.version,
+    ...(isStoredCatalogue(to.catalogue) && {catalogueStored: true}),
     entries: entries.changed,
     removedEntries: entries.removed,
     ...(organisations.changed.length > 0 && {
@@ -82,6 +86,7 @@
   });
   return {
     version: delta.catalogueVersion,
+    ...(delta.catalogueStored === true && {stored: true}),
     entries: mergeList(catalogue.entries, {
       changed: delta.entries,
       removed: delta.removedEntries,
--- a/packages/dispatch/src/catalogue_lookup.ts
+++ b/packages/dispatch/src/catalogue_lookup.ts
@@ -5,6 +5,7 @@
   CatalogueEntry,
   ClusterView,
   findEntry,
+  isStoredCatalogue,
   ServiceTerms,
 } from '@apricotlock/topology';
 
@@ -45,8 +46,8 @@
   /** Resolves once a catalogue is known or the wait has timed out. */
   async waitForCatalogue(): Promise<void> {
     if (this.hasCatalogue) return;
-    const catalogueKnown = this.view.waitUntil(
-      ({catalogue}) => catalogue.version > 0,
+    const catalogueKnown = this.view.waitUntil(({catalogue}) =>
+      isStoredCatalogue(catalogue),
     );
     await withTimeout(this.timer, CATALOGUE_WAIT_MILLISECONDS, catalogueKnown);
   }
@@ -62,6 +63,6 @@
   }
 
   private get hasCatalogue(): boolean {
-    return this.view.current.catalogue.version > 0;
+    return isStoredCatalogue(this.view.current.catalogue);
   }
 }
--- a/packages/program/src/entry_program.ts
+++ b/packages/program/src/entry_program.ts
@@ -17,7 +17,11 @@
 import {Gauge} from '@apricotlock/metrics';
 import {CallerConnection, MemberConnector} from '@apricotlock/statement';
 import {TimerService} from '@apricotlock/timer';
-import {Address, VirtualMachine} from '@apricotlock/topology';
+import {
+  Address,
+  isStoredCatalogue,
+  VirtualMachine,
+} from '@apricotlock/topology';
 import {ControlLeaderClient, RUN_WORK, WorkService} from '@apricotlock/work';
 import {startEntryQuota} from './entry_quota.js';
 import {ProgramContext} from './program_context.js';
@@ -218,7 +222,7 @@
    */
   private get ready(): boolean {
     const {view, viewAgeMilliseconds} = this.control;
-    const hasCatalogue = view.current.catalogue.version > 0;
+    const hasCatalogue = isStoredCatalogue(view.current.catalogue);
     const isViewConfirmed = viewAgeMilliseconds < Infinity;
     return (
       hasCatalogue &&
--- a/packages/topology/src/catalogue.ts
+++ b/packages/topology/src/catalogue.ts
@@ -155,15 +155,29 @@
 
 /** All entries, with a version number that increases with each change. */
 export interface Catalogue {
+  /**
+   * Does not tell whether there is a catalogue, see {@link isStoredCatalogue}:
+   * operators that choose the versions themselves may begin with 0.
+   */
   readonly version: number;
   readonly entries: readonly CatalogueEntry[];
   /** Callers are identified only if there are organisations. */
   readonly organisations?: readonly Organisation[] | undefined;
+  /**
+   * Present if operators have stored the catalogue. Earlier versions of the
+   * product did not write it, and stored no catalogue with the version 0.
+   */
+  readonly stored?: true | undefined;
 }
 
-/** The catalogue before the first change, without entries. */
+/** The catalogue before operators have stored one, without entries. */
 export const EMPTY_CATALOGUE: Catalogue = {version: 0, entries: []};
 
+/** Returns whether operators have stored the catalogue. */
+export function isStoredCatalogue({version, stored}: Catalogue): boolean {
+  return stored === true || version > 0;
+}
+
 /**
  * Validates the entries of a catalogue that an operator sends. Returns the
  * entries, or all validation errors together.
--- a/packages/topology/src/index.ts
+++ b/packages/topology/src/index.ts
@@ -16,6 +16,7 @@
   validateEntries,
   EMPTY_CATALOGUE,
   findEntry,
+  isStoredCatalogue,
   LOWEST_PRIORITY,
   MAXIMUM_DURATION_MILLISECONDS,
   MAXIMUM_QUEUE_MILLISECONDS,
