--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -5,6 +5,7 @@
  * @packageDocumentation
  */
 export {applyCommand, type AppliedCommand} from './apply_command.js';
+export {type CatalogueContent} from './catalogue_change.js';
 export {type InitialVoter} from './bootstrap.js';
 export {
   type ConsensusTimings,
--- a/packages/operator/src/catalogue_content.ts
+++ b/packages/operator/src/catalogue_content.ts
@@ -1,18 +1,11 @@
 import {Either, Left, Right} from 'purify-ts';
+import {CatalogueContent} from '@apricotlock/control';
 import {
-  CatalogueEntry,
   CatalogueValidationError,
-  Organisation,
   validateEntries,
   validateOrganisations,
 } from '@apricotlock/topology';
 
-/** The valid content of an operator's catalogue. */
-export interface CatalogueContent {
-  readonly entries: readonly CatalogueEntry[];
-  readonly organisations?: readonly Organisation[];
-}
-
 /** Returns the content, or the validation errors of both lists together. */
 export function validateContent(
   entries: readonly unknown[],
--- a/packages/program/test/settings_watcher_test.ts
+++ b/packages/program/test/settings_watcher_test.ts
@@ -8,24 +8,7 @@
   SettingsSource,
   SettingsWatcher,
 } from '../src/index.js';
-
-const ADDRESS = {host: '127.0.0.1', port: 1};
-const SETTINGS: ProgramSettings = {
-  node: 'vm-1',
-  dataCentre: 'here',
-  peerAddress: ADDRESS,
-  metricsAddress: ADDRESS,
-  callerAddress: undefined,
-  readyAddress: undefined,
-  controlAddress: undefined,
-  seeds: [ADDRESS],
-  firstStart: false,
-  dataFolder: undefined,
-  promotionAddress: undefined,
-  drainMilliseconds: 7_000,
-  faultTolerance: {disks: 1, dataCentres: 1},
-  graceMilliseconds: 6_000,
-};
+import {SETTINGS} from './support/fixed_settings.js';
 
 /** A settings source whose content and modification time a test sets. */
 class FakeSettingsSource extends SettingsSource {
--- a/packages/program/test/signal_supervisor_test.ts
+++ b/packages/program/test/signal_supervisor_test.ts
@@ -1,49 +1,10 @@
 import {expect} from 'chai';
 import {EventEmitter} from 'node:events';
 import {setImmediate} from 'node:timers/promises';
-import {Either, Right} from 'purify-ts';
 import {Logger} from '@apricotlock/logging';
 import {ManualTimerService} from '@apricotlock/timer';
-import {
-  ProgramSettings,
-  ProgramSignal,
-  RunningProgram,
-  SettingsError,
-  SettingsSource,
-  SignalSupervisor,
-} from '../src/index.js';
-
-const ADDRESS = {host: '127.0.0.1', port: 1};
-const GRACE_MILLISECONDS = 6_000;
-const SETTINGS: ProgramSettings = {
-  node: 'vm-1',
-  dataCentre: 'here',
-  peerAddress: ADDRESS,
-  metricsAddress: ADDRESS,
-  callerAddress: undefined,
-  readyAddress: undefined,
-  controlAddress: undefined,
-  seeds: [ADDRESS],
-  firstStart: false,
-  dataFolder: undefined,
-  promotionAddress: undefined,
-  drainMilliseconds: 7_000,
-  faultTolerance: {disks: 1, dataCentres: 1},
-  graceMilliseconds: GRACE_MILLISECONDS,
-};
-
-/** A settings source whose settings never change. */
-class FakeSettingsSource extends SettingsSource {
-  override readonly description = 'a test';
-
-  override load(): Either<SettingsError, ProgramSettings> {
-    return Right(SETTINGS);
-  }
-
-  override modifiedAt(): number {
-    return 1;
-  }
-}
+import {ProgramSignal, RunningProgram, SignalSupervisor} from '../src/index.js';
+import {FixedSettingsSource, SETTINGS} from './support/fixed_settings.js';
 
 /** A program whose start and stop end when a test says so. */
 class FakeProgram implements RunningProgram {
@@ -72,7 +33,7 @@
     const timer = ManualTimerService.create();
     const signals = new EventEmitter();
     const program = new FakeProgram();
-    const source = new FakeSettingsSource();
+    const source = new FixedSettingsSource();
     const supervisor = SignalSupervisor.install({
       signals,
       source,
@@ -112,7 +73,7 @@
     it('ends if the start does not complete in time', async () => {
       const {timer, events, run, signal} = startProgram();
       await signal('SIGTERM');
-      await timer.advanceAsync(GRACE_MILLISECONDS);
+      await timer.advanceAsync(SETTINGS.graceMilliseconds);
       await run;
       expect(events).to.deep.equal(['start', 'end']);
     });
