--- a/packages/control/test/first_catalogue_test.ts
+++ b/packages/control/test/first_catalogue_test.ts
@@ -54,9 +54,8 @@
   return catalogue.entries.map(({name}) => name);
 }
 
-// Guards against review/10: operators choose the versions and may begin with 0,
-// but version 0 also stood for "there is no catalogue", so that theirs was
-// acknowledged and dropped.
+// Guards against an acknowledged first catalogue that is dropped: operators may
+// begin with version 0, which must not also mean that there is none.
 describe('a first catalogue with version 0', () => {
   for (const version of [0, -0]) {
     const text = Object.is(version, -0) ? '-0' : '0';
